--- /dev/null
+++ b/crates/bramleywind_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! To be written.
--- /dev/null
+++ b/crates/bramleywind_cli/src/main.rs
@@ -0,0 +1,3 @@
+//! To be written.
+
+fn main() {}
--- /dev/null
+++ b/crates/bramleywind_config/src/endpoint_config.rs
@@ -0,0 +1,44 @@
+use std::net::SocketAddr;
+
+use bramleywind_macros::domain_type;
+use bramleywind_types::{DataCentreId, EndpointId, InstanceId, ModelId, ServiceId};
+use schemars::JsonSchema;
+
+/// A back end.
+#[domain_type]
+#[derive(JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct EndpointConfig {
+    /// The endpoint's name.
+    pub id: EndpointId,
+    /// The instance that it runs on, as the platform's instance list names it.
+    pub instance: InstanceId,
+    /// Where the instance is.
+    pub data_centre: DataCentreId,
+    /// Its IP address and port.
+    #[schemars(with = "String")]
+    pub address: SocketAddr,
+    /// How many requests it runs at once; more wait in the routers.
+    pub slots: u32,
+    /// What it serves.
+    pub role: EndpointRole,
+    /// Whether it refuses an order that carries an old fencing token.
+    pub checks_fencing: bool,
+}
+
+/// What an endpoint serves.
+#[domain_type]
+#[derive(JsonSchema)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum EndpointRole {
+    /// A model engine.
+    Engine {
+        /// The models it serves.
+        models: Vec<ModelId>,
+    },
+    /// A plain service.
+    Service {
+        /// The service it runs.
+        service: ServiceId,
+    },
+}
