Add endpoint policies, the fair queue and the retry budget

Cause: the request path needs a choice of endpoint that can be compared with plainer policies, and admission that a flooding workspace cannot capture.

The policies share one trait and are selected by an enum, so that no call on the request path is dynamic.

--- /dev/null
+++ b/crates/bramleywind_routing/src/endpoint_state.rs
@@ -0,0 +1,71 @@
+use bramleywind_types::EndpointId;
+
+use crate::{LoadReport, SmoothedValue};
+
+/// How much one finished request changes the measured speeds.
+const SPEED_WEIGHT: f64 = 0.1;
+
+/// What this router knows of one endpoint.
+#[derive(Debug, Clone, PartialEq, serde::Serialize)]
+pub struct EndpointState {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// How many requests it runs at once.
+    pub slots: u32,
+    /// This router's requests that the endpoint has not finished.
+    pub in_flight: u32,
+    /// The latest report, if there was one.
+    pub report: Option<LoadReport>,
+    /// Requests of other routers, by the latest report.
+    pub others_in_flight: u32,
+    /// The in-flight count at the time of the poll before this one: what the latest report, which lags, is
+    /// likely to contain of this router's own work.
+    in_flight_at_poll: u32,
+    /// Milliseconds from sending to the first token, for each prompt token, while the endpoint had a free slot.
+    pub prefill_ms_per_token: SmoothedValue,
+    /// Milliseconds between tokens.
+    pub ms_per_token: SmoothedValue,
+    /// Milliseconds that a request occupies a slot.
+    pub service_ms: SmoothedValue,
+}
+
+impl EndpointState {
+    /// An endpoint of which nothing is known but its size.
+    pub fn new(id: EndpointId, slots: u32) -> Self {
+        Self {
+            id,
+            slots: slots.max(1),
+            in_flight: 0,
+            report: None,
+            others_in_flight: 0,
+            in_flight_at_poll: 0,
+            prefill_ms_per_token: SmoothedValue::new(SPEED_WEIGHT),
+            ms_per_token: SmoothedValue::new(SPEED_WEIGHT),
+            service_ms: SmoothedValue::new(SPEED_WEIGHT),
+        }
+    }
+
+    /// Takes in a load report. Reports lag by about one poll, so this router's work of the previous poll is
+    /// subtracted rather than that of now.
+    pub fn apply_report(&mut self, report: LoadReport) {
+        self.others_in_flight = report.accepted().saturating_sub(self.in_flight_at_poll);
+        self.in_flight_at_poll = self.in_flight;
+        self.report = Some(report);
+    }
+
+    /// All requests that the endpoint holds by the best estimate: other routers' by report, this one's by
+    /// its own count.
+    pub fn estimated_in_flight(&self) -> u32 {
+        self.others_in_flight.saturating_add(self.in_flight)
+    }
+
+    /// Whether a further request would likely start at once.
+    pub fn has_free_slot(&self) -> bool {
+        self.estimated_in_flight() < self.slots
+    }
+
+    /// The share of slots in use; above 1 where requests wait.
+    pub fn occupancy(&self) -> f64 {
+        f64::from(self.estimated_in_flight()) / f64::from(self.slots)
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_routing/src/endpoint_table.rs
@@ -0,0 +1,118 @@
+use std::collections::BTreeMap;
+
+use bramleywind_types::EndpointId;
+
+use crate::{EndpointPolicy, EndpointState, LoadReport, RouteRequest};
+
+/// All endpoints that this router knows, with the policy that chooses among them.
+///
+/// ```
+/// use bramleywind_routing::{EndpointTable, PolicyKind, RouteRequest, SelectedPolicy};
+///
+/// let mut table = EndpointTable::new(SelectedPolicy::new(PolicyKind::TwoChoices, 7));
+/// table.upsert("engine-1".parse().unwrap(), 8);
+/// let request = RouteRequest { prefix: None, prompt_tokens: 10, answer_tokens: 100 };
+/// let endpoint = table.begin(&request, |_| true).unwrap();
+/// assert_eq!(table.state(&endpoint).unwrap().in_flight, 1);
+/// table.finish(&endpoint);
+/// ```
+#[derive(Debug)]
+pub struct EndpointTable<P> {
+    states: BTreeMap<EndpointId, EndpointState>,
+    policy: P,
+}
+
+/// The table's contents for a state dump.
+#[derive(Debug, Clone, PartialEq, serde::Serialize)]
+pub struct EndpointTableDump {
+    /// The endpoints in order of their names.
+    pub endpoints: Vec<EndpointState>,
+}
+
+impl<P: EndpointPolicy> EndpointTable<P> {
+    /// An empty table.
+    pub fn new(policy: P) -> Self {
+        Self { states: BTreeMap::new(), policy }
+    }
+
+    /// Adds an endpoint, or changes its size. Keeps what was measured of it.
+    pub fn upsert(&mut self, id: EndpointId, slots: u32) {
+        match self.states.get_mut(&id) {
+            Some(state) => state.slots = slots.max(1),
+            None => {
+                self.states.insert(id.clone(), EndpointState::new(id, slots));
+            }
+        }
+    }
+
+    /// Forgets all endpoints that `keep` does not hold for.
+    pub fn retain(&mut self, keep: impl Fn(&EndpointId) -> bool) {
+        self.states.retain(|id, _| keep(id));
+    }
+
+    /// The state of one endpoint.
+    pub fn state(&self, endpoint: &EndpointId) -> Option<&EndpointState> {
+        self.states.get(endpoint)
+    }
+
+    /// Chooses among the endpoints that are eligible and counts the request as in flight there.
+    pub fn begin(
+        &mut self,
+        request: &RouteRequest,
+        is_eligible: impl Fn(&EndpointState) -> bool,
+    ) -> Option<EndpointId> {
+        let candidates: Vec<&EndpointState> =
+            self.states.values().filter(|state| is_eligible(state)).collect();
+        let index = self.policy.choose(request, &candidates)?;
+        let state = candidates[index];
+        self.policy.record_sent(request, state);
+        let id = state.id.clone();
+        if let Some(state) = self.states.get_mut(&id) {
+            state.in_flight += 1;
+        }
+        Some(id)
+    }
+
+    /// Counts a request as no longer in flight.
+    pub fn finish(&mut self, endpoint: &EndpointId) {
+        if let Some(state) = self.states.get_mut(endpoint) {
+            state.in_flight = state.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Takes in the time from sending to the first token.
+    ///
+    /// Only counted where the endpoint likely had a free slot, since a wait for a slot says nothing of its speed.
+    pub fn record_first_token(
+        &mut self,
+        endpoint: &EndpointId,
+        prompt_tokens: u32,
+        elapsed_ms: f64,
+    ) {
+        if let Some(state) = self.states.get_mut(endpoint)
+            && state.estimated_in_flight() <= state.slots
+        {
+            state.prefill_ms_per_token.add(elapsed_ms / f64::from(prompt_tokens.max(1)));
+        }
+    }
+
+    /// Takes in the time that a finished answer occupied its slot, and its number of tokens.
+    pub fn record_answer(&mut self, endpoint: &EndpointId, tokens: u32, elapsed_ms: f64) {
+        if let Some(state) = self.states.get_mut(endpoint) {
+            state.service_ms.add(elapsed_ms);
+            state.ms_per_token.add(elapsed_ms / f64::from(tokens.max(1)));
+        }
+    }
+
+    /// Takes in a load report.
+    pub fn record_report(&mut self, endpoint: &EndpointId, report: LoadReport) {
+        if let Some(state) = self.states.get_mut(endpoint) {
+            state.apply_report(report);
+        }
+    }
+
+    /// The contents for a state dump.
+    pub fn dump(&self) -> EndpointTableDump {
+        EndpointTableDump { endpoints: self.states.values().cloned().collect() }
+    }
+}
--- a/crates/bramleywind_routing/src/lib.rs
+++ b/crates/bramleywind_routing/src/lib.rs
@@ -1,1 +1,29 @@
-//! To be written.
+//! Decisions about where a request runs and when: endpoint choice, admission and retries.
+//!
+//! Nothing here opens a socket or reads a clock; callers pass the time, so that each decision can be
+//! tested and measured on its own.
+
+mod endpoint_policy;
+mod endpoint_state;
+mod endpoint_table;
+mod fair_queue;
+mod load_report;
+mod policies;
+mod prefix_hash;
+mod prefix_table;
+mod retry_budget;
+mod return_delay;
+mod route_request;
+mod smoothed_value;
+
+pub use endpoint_policy::{EndpointPolicy, PolicyKind};
+pub use endpoint_state::EndpointState;
+pub use endpoint_table::{EndpointTable, EndpointTableDump};
+pub use fair_queue::{FairQueue, QueueRefusal, QueuedRequest};
+pub use load_report::LoadReport;
+pub use policies::{LeastReportedLoad, PrefixAffinity, RoundRobin, SelectedPolicy, TwoChoices};
+pub use prefix_hash::PrefixHash;
+pub use retry_budget::RetryBudget;
+pub use return_delay::ReturnDelay;
+pub use route_request::RouteRequest;
+pub use smoothed_value::SmoothedValue;
--- /dev/null
+++ b/crates/bramleywind_routing/src/retry_budget.rs
@@ -0,0 +1,53 @@
+use std::{collections::VecDeque, time::Duration, time::Instant};
+
+/// How long a request counts towards the budget.
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// One retry is allowed for this many requests in the window.
+const REQUESTS_PER_RETRY: usize = 5;
+
+/// Retries that are always allowed in a window, so that a quiet router can retry at all.
+const MINIMUM_RETRIES: usize = 3;
+
+/// Limits retries to a share of the requests, so that a sick back end is not sent a multiple of its load.
+///
+/// ```
+/// use std::time::Instant;
+/// use bramleywind_routing::RetryBudget;
+///
+/// let mut budget = RetryBudget::default();
+/// let now = Instant::now();
+/// assert_eq!((0..9).filter(|_| budget.try_retry(now)).count(), 3);
+/// ```
+#[derive(Debug, Default)]
+pub struct RetryBudget {
+    request_ends: VecDeque<Instant>,
+    retry_ends: VecDeque<Instant>,
+}
+
+impl RetryBudget {
+    /// Counts a request that was sent for the first time.
+    pub fn record_request(&mut self, now: Instant) {
+        self.drop_expired(now);
+        self.request_ends.push_back(now + WINDOW);
+    }
+
+    /// Counts and allows a retry, or refuses it.
+    pub fn try_retry(&mut self, now: Instant) -> bool {
+        self.drop_expired(now);
+        let allowed = MINIMUM_RETRIES.max(self.request_ends.len() / REQUESTS_PER_RETRY);
+        if self.retry_ends.len() >= allowed {
+            return false;
+        }
+        self.retry_ends.push_back(now + WINDOW);
+        true
+    }
+
+    fn drop_expired(&mut self, now: Instant) {
+        for ends in [&mut self.request_ends, &mut self.retry_ends] {
+            while ends.front().is_some_and(|end| *end <= now) {
+                ends.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_routing/tests/policies.rs
@@ -0,0 +1,108 @@
+//! Guards against choices that ignore speed, occupancy or cached prefixes.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use bramleywind_routing::{
+    EndpointTable, LoadReport, PolicyKind, PrefixHash, RouteRequest, SelectedPolicy,
+};
+use bramleywind_types::EndpointId;
+use test_case::test_case;
+
+fn table(kind: PolicyKind, slots: &[u32]) -> EndpointTable<SelectedPolicy> {
+    let mut table = EndpointTable::new(SelectedPolicy::new(kind, 1));
+    for (index, slots) in slots.iter().enumerate() {
+        table.upsert(id(index), *slots);
+    }
+    table
+}
+
+fn id(index: usize) -> EndpointId {
+    format!("engine-{index}").parse().unwrap()
+}
+
+fn request(prompt: &str) -> RouteRequest {
+    let prefix = Some(PrefixHash::of(prompt.as_bytes()));
+    RouteRequest { prefix, prompt_tokens: 400, answer_tokens: 100 }
+}
+
+#[test_case(PolicyKind::RoundRobin)]
+#[test_case(PolicyKind::LeastReportedLoad)]
+#[test_case(PolicyKind::TwoChoices)]
+#[test_case(PolicyKind::PrefixAffinity)]
+fn no_candidate_gives_no_choice(kind: PolicyKind) {
+    let mut table = table(kind, &[4, 4]);
+    assert_eq!(table.begin(&request("a"), |_| false), None);
+}
+
+#[test_case(PolicyKind::RoundRobin)]
+#[test_case(PolicyKind::LeastReportedLoad)]
+#[test_case(PolicyKind::TwoChoices)]
+#[test_case(PolicyKind::PrefixAffinity)]
+fn ineligible_endpoint_is_never_chosen(kind: PolicyKind) {
+    let mut table = table(kind, &[4, 4, 4]);
+    for turn in 0..100 {
+        let chosen = table.begin(&request(&turn.to_string()), |state| state.id != id(1)).unwrap();
+        assert_ne!(chosen, id(1));
+        table.finish(&chosen);
+    }
+}
+
+#[test]
+fn same_prefix_returns_to_its_endpoint_while_there_is_room() {
+    let mut table = table(PolicyKind::PrefixAffinity, &[8; 6]);
+    let first = table.begin(&request("history"), |_| true).unwrap();
+    table.finish(&first);
+    for _ in 0..20 {
+        let chosen = table.begin(&request("history"), |_| true).unwrap();
+        assert_eq!(chosen, first);
+        table.finish(&chosen);
+    }
+}
+
+/// A hot prefix must not swamp its endpoint.
+#[test]
+fn hot_prefix_spreads_when_its_endpoint_is_full() {
+    let mut table = table(PolicyKind::PrefixAffinity, &[4; 4]);
+    for _ in 0..16 {
+        table.begin(&request("hot"), |_| true).unwrap();
+    }
+    for index in 0..4 {
+        assert_eq!(table.state(&id(index)).unwrap().in_flight, 4);
+    }
+}
+
+#[test]
+fn slow_endpoint_gets_less_work_than_fast_one() {
+    let mut table = table(PolicyKind::PrefixAffinity, &[4, 4]);
+    for _ in 0..20 {
+        table.record_first_token(&id(0), 400, 40.0);
+        table.record_first_token(&id(1), 400, 800.0);
+        table.record_answer(&id(0), 100, 1_000.0);
+        table.record_answer(&id(1), 100, 9_000.0);
+    }
+    let chosen: Vec<_> =
+        (0..5).map(|turn| table.begin(&request(&turn.to_string()), |_| true).unwrap()).collect();
+    assert!(chosen.iter().filter(|endpoint| **endpoint == id(0)).count() >= 4, "{chosen:?}");
+}
+
+/// A lagged report must not count this router's own requests twice.
+#[test]
+fn own_work_in_a_lagged_report_is_not_counted_twice() {
+    let mut table = table(PolicyKind::PrefixAffinity, &[8]);
+    for _ in 0..3 {
+        table.begin(&request("a"), |_| true).unwrap();
+    }
+    table.record_report(&id(0), LoadReport { running: 2, queued: 0 });
+    table.record_report(&id(0), LoadReport { running: 5, queued: 0 });
+    assert_eq!(table.state(&id(0)).unwrap().estimated_in_flight(), 5);
+}
+
+#[test]
+fn unknown_policy_name_is_refused_with_the_known_ones() {
+    let error = "fastest".parse::<PolicyKind>().unwrap_err().to_string();
+    assert_eq!(
+        error,
+        "endpoint policy `fastest` is unknown; use `round_robin`, `least_reported_load`, `two_choices` or \
+         `prefix_affinity`"
+    );
+}
