Check the configuration document with every error at once

A deserializer stops at its first error and loses the place of errors in meaning, such as a key that is paid for by another workspace's budget. The text is therefore compared with a declared shape first, then with one rule a file; each error names its line, column, value and remedy.

Token counts are limited to 2^53 - 1, because common JSON libraries of other languages read larger numbers inexactly.

--- /dev/null
+++ b/crates/bramleywind_config/src/document_shape.rs
@@ -0,0 +1,130 @@
+//! The shape of the configuration document, field for field that of [`ConfigDocument`](crate::ConfigDocument).
+
+use bramleywind_types::{
+    BudgetId, DataCentreId, EndpointId, InstanceId, ModelId, ServiceId, WorkspaceId,
+};
+
+use crate::{
+    KeyHash,
+    json::{FieldShape, JsonShape, ObjectShape, parses_as},
+};
+
+/// The largest whole number that every common JSON library reads exactly: 2^53 - 1.
+const MAX_EXACT_NUMBER: u64 = (1 << 53) - 1;
+
+const TOKENS: JsonShape = JsonShape::Number { max: MAX_EXACT_NUMBER };
+const SMALL_NUMBER: JsonShape = JsonShape::Number { max: u32::MAX as u64 };
+const MODEL: JsonShape = JsonShape::Text(parses_as::<ModelId>);
+const SERVICE: JsonShape = JsonShape::Text(parses_as::<ServiceId>);
+const BUDGET: JsonShape = JsonShape::Text(parses_as::<BudgetId>);
+const WORKSPACE: JsonShape = JsonShape::Text(parses_as::<WorkspaceId>);
+/// Forms that a document rule checks in its own words.
+const ANY_TEXT: JsonShape = JsonShape::Text(|_| Ok(()));
+
+pub(crate) const DOCUMENT_SHAPE: JsonShape = JsonShape::Object(&ObjectShape {
+    name: "the document",
+    fields: &[
+        FieldShape::required("format", SMALL_NUMBER),
+        FieldShape::required("workspaces", JsonShape::List(&WORKSPACE_SHAPE)),
+        FieldShape::required("budgets", JsonShape::List(&BUDGET_SHAPE)),
+        FieldShape::required("models", JsonShape::List(&MODEL_SHAPE)),
+        FieldShape::required("services", JsonShape::List(&SERVICE_SHAPE)),
+        FieldShape::required("endpoints", JsonShape::List(&ENDPOINT_SHAPE)),
+    ],
+    is_choice: false,
+});
+
+const WORKSPACE_SHAPE: JsonShape = JsonShape::Object(&ObjectShape {
+    name: "a workspace",
+    fields: &[
+        FieldShape::required("id", WORKSPACE),
+        FieldShape::required("keys", JsonShape::List(&KEY_SHAPE)),
+        FieldShape::required("models", JsonShape::List(&MODEL)),
+        FieldShape::required("services", JsonShape::List(&SERVICE)),
+    ],
+    is_choice: false,
+});
+
+const KEY_SHAPE: JsonShape = JsonShape::Object(&ObjectShape {
+    name: "a bearer key",
+    fields: &[
+        FieldShape::required("hash", JsonShape::Text(parses_as::<KeyHash>)),
+        FieldShape::required("budget", BUDGET),
+    ],
+    is_choice: false,
+});
+
+const BUDGET_SHAPE: JsonShape = JsonShape::Object(&ObjectShape {
+    name: "a budget",
+    fields: &[
+        FieldShape::required("id", BUDGET),
+        FieldShape::required("workspace", WORKSPACE),
+        FieldShape::required("prepaid_tokens", TOKENS),
+    ],
+    is_choice: false,
+});
+
+const MODEL_SHAPE: JsonShape = JsonShape::Object(&ObjectShape {
+    name: "a model",
+    fields: &[
+        FieldShape::required("id", MODEL),
+        FieldShape::required("idempotent", JsonShape::Flag),
+        FieldShape::required("max_request_tokens", SMALL_NUMBER),
+    ],
+    is_choice: false,
+});
+
+const SERVICE_SHAPE: JsonShape = JsonShape::Object(&ObjectShape {
+    name: "a service",
+    fields: &[
+        FieldShape::required("id", SERVICE),
+        FieldShape::required("tokens_per_call", TOKENS),
+        FieldShape::required("routes", JsonShape::List(&ROUTE_SHAPE)),
+    ],
+    is_choice: false,
+});
+
+const ROUTE_SHAPE: JsonShape = JsonShape::Object(&ObjectShape {
+    name: "a route",
+    fields: &[
+        FieldShape::required("method", ANY_TEXT),
+        FieldShape::required("path_prefix", ANY_TEXT),
+        FieldShape::required("idempotent", JsonShape::Flag),
+    ],
+    is_choice: false,
+});
+
+const ENDPOINT_SHAPE: JsonShape = JsonShape::Object(&ObjectShape {
+    name: "an endpoint",
+    fields: &[
+        FieldShape::required("id", JsonShape::Text(parses_as::<EndpointId>)),
+        FieldShape::required("instance", JsonShape::Text(parses_as::<InstanceId>)),
+        FieldShape::required("data_centre", JsonShape::Text(parses_as::<DataCentreId>)),
+        FieldShape::required("address", ANY_TEXT),
+        FieldShape::required("slots", SMALL_NUMBER),
+        FieldShape::required("role", ROLE_SHAPE),
+        FieldShape::required("checks_fencing", JsonShape::Flag),
+    ],
+    is_choice: false,
+});
+
+const ROLE_SHAPE: JsonShape = JsonShape::Object(&ObjectShape {
+    name: "a role",
+    fields: &[
+        FieldShape::optional("engine", ENGINE_SHAPE),
+        FieldShape::optional("service", SERVICE_ROLE_SHAPE),
+    ],
+    is_choice: true,
+});
+
+const ENGINE_SHAPE: JsonShape = JsonShape::Object(&ObjectShape {
+    name: "an engine",
+    fields: &[FieldShape::required("models", JsonShape::List(&MODEL))],
+    is_choice: false,
+});
+
+const SERVICE_ROLE_SHAPE: JsonShape = JsonShape::Object(&ObjectShape {
+    name: "a service role",
+    fields: &[FieldShape::required("service", SERVICE)],
+    is_choice: false,
+});
--- /dev/null
+++ b/crates/bramleywind_config/src/rules/duplicate_id.rs
@@ -0,0 +1,41 @@
+//! An id must be given to one object only, and named once in a list of ids.
+
+use std::collections::HashSet;
+
+use jsonc_parser::ast::StringLit;
+
+use crate::{
+    json::Report,
+    rules::{DocumentNode, document_node::texts},
+};
+
+const LISTS: [&str; 5] = ["workspaces", "budgets", "models", "services", "endpoints"];
+
+pub(crate) fn check(document: &DocumentNode<'_, '_>, report: &mut Report<'_>) {
+    for list in LISTS {
+        for id in repeated(document.ids(list)) {
+            let message = format!(
+                "the id `{}` occurs twice in `{list}`; rename or remove one of the two",
+                id.value
+            );
+            report.add("duplicate_id", id.range, message);
+        }
+    }
+    let workspaces = document.objects("workspaces");
+    let reference_lists = workspaces
+        .flat_map(|workspace| [texts(workspace, "models"), texts(workspace, "services")])
+        .chain(document.engines().map(|engine| texts(engine, "models")));
+    for list in reference_lists {
+        for id in repeated(list) {
+            let message = format!("`{}` is listed twice; remove one of the two", id.value);
+            report.add("duplicate_id", id.range, message);
+        }
+    }
+}
+
+fn repeated<'v, 'a: 'v>(
+    ids: impl Iterator<Item = &'v StringLit<'a>>,
+) -> impl Iterator<Item = &'v StringLit<'a>> {
+    let mut seen = HashSet::new();
+    ids.filter(move |id| !seen.insert(&id.value))
+}
--- /dev/null
+++ b/crates/bramleywind_config/src/rules/zero_slots.rs
@@ -0,0 +1,29 @@
+//! An endpoint must have at least one slot, and a model must allow at least one token.
+
+use jsonc_parser::ast::Object;
+
+use crate::{
+    json::{Report, object_field},
+    rules::DocumentNode,
+};
+
+pub(crate) fn check(document: &DocumentNode<'_, '_>, report: &mut Report<'_>) {
+    let endpoints = document.objects("endpoints");
+    check_field(endpoints, "slots", "the endpoint would never get a request", report);
+    let models = document.objects("models");
+    check_field(models, "max_request_tokens", "every request would be refused", report);
+}
+
+fn check_field<'v, 'a: 'v>(
+    objects: impl Iterator<Item = &'v Object<'a>>,
+    name: &str,
+    effect: &str,
+    report: &mut Report<'_>,
+) {
+    for number in objects.filter_map(|o| object_field(o, name)?.value.as_number_lit()) {
+        if number.value.parse() == Ok(0_u64) {
+            let message = format!("with `{name}` at `0`, {effect}; write at least 1");
+            report.add("zero_slots", number.range, message);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_config/src/shape_rules/unknown_field.rs
@@ -0,0 +1,28 @@
+//! An unknown key is an error: a mistyped key would otherwise silently leave its default in force.
+
+use jsonc_parser::ast::Value;
+
+use crate::json::{JsonShape, Report, ShapedNode, suggestion};
+
+pub(crate) fn check(node: &ShapedNode<'_, '_>, report: &mut Report<'_>) {
+    let (Value::Object(object), JsonShape::Object(shape)) = (node.value, node.shape) else {
+        return;
+    };
+    for property in &object.properties {
+        let name = property.name.as_str();
+        if shape.field(name).is_some() {
+            continue;
+        }
+        let known = shape.fields.iter().map(|field| field.name);
+        let remedy = match suggestion(name, known) {
+            Some(field) => format!("did you mean `{field}`?"),
+            None => {
+                let names: Vec<_> =
+                    shape.fields.iter().map(|field| format!("`{}`", field.name)).collect();
+                format!("remove it, or use one of {}", names.join(", "))
+            }
+        };
+        let message = format!("{} has no key `{name}`; {remedy}", shape.name);
+        report.add("unknown_field", property.range, message);
+    }
+}
