--- a/crates/bramleywind_config/src/lib.rs
+++ b/crates/bramleywind_config/src/lib.rs
@@ -1,3 +1,4 @@
+//! The operators' configuration: its types, its checks and its signature.
 //!
 //! The operator library prints these types, the command-line tool checks them and the daemon parses them,
 //! so that no two programs can read one document differently.
@@ -5,23 +6,31 @@
 mod budget_config;
 mod check_document;
 mod config_document;
+mod config_signature;
 mod diagnostic;
 mod document_shape;
 mod endpoint_config;
 pub mod json;
 mod key_hash;
 mod model_config;
+mod operator_public_key;
+mod operator_signing_key;
 mod rules;
 mod service_config;
 mod shape_rules;
+mod signed_config;
 mod workspace_config;
 
 pub use budget_config::BudgetConfig;
 pub use check_document::check_document;
 pub use config_document::{ConfigDocument, FORMAT_VERSION};
+pub use config_signature::ConfigSignature;
 pub use diagnostic::{Diagnostic, DiagnosticList};
 pub use endpoint_config::{EndpointConfig, EndpointRole};
 pub use key_hash::KeyHash;
 pub use model_config::ModelConfig;
+pub use operator_public_key::OperatorPublicKey;
+pub use operator_signing_key::{BadPrivateKey, OperatorSigningKey};
 pub use service_config::{RouteConfig, ServiceConfig};
+pub use signed_config::{SignedConfig, SignedConfigError};
 pub use workspace_config::{KeyConfig, WorkspaceConfig};
--- /dev/null
+++ b/crates/bramleywind_config/src/operator_signing_key.rs
@@ -0,0 +1,63 @@
+use std::fmt;
+
+use ed25519_dalek::{SECRET_KEY_LENGTH, Signer, SigningKey};
+use snafu::Snafu;
+
+use crate::{ConfigSignature, OperatorPublicKey};
+
+/// The operators' ed25519 private key. It never prints; [`OperatorSigningKey::to_hex`] is for its file only.
+///
+/// ```
+/// use bramleywind_config::OperatorSigningKey;
+///
+/// let key = OperatorSigningKey::from_seed([7; 32]);
+/// assert_eq!(format!("{key:?}"), "OperatorSigningKey(hidden)");
+/// assert_eq!(OperatorSigningKey::from_hex(&key.to_hex()).unwrap().public_key(), key.public_key());
+/// ```
+#[derive(Clone)]
+pub struct OperatorSigningKey(SigningKey);
+
+/// The text of a private key could not be read. The text is left out, since it may be nearly a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[snafu(display(
+    "the private key is not 64 hexadecimal digits; make a pair with `bramleywind key generate`"
+))]
+pub struct BadPrivateKey;
+
+impl OperatorSigningKey {
+    /// The key with the given 32-byte seed, which must come from a cryptographic random source.
+    pub fn from_seed(seed: [u8; SECRET_KEY_LENGTH]) -> Self {
+        Self(SigningKey::from_bytes(&seed))
+    }
+
+    /// Reads a key from its hexadecimal form; surrounding white space is ignored.
+    ///
+    /// # Errors
+    ///
+    /// [`BadPrivateKey`] if the text is not 64 hexadecimal digits.
+    pub fn from_hex(text: &str) -> Result<Self, BadPrivateKey> {
+        let mut seed = [0; SECRET_KEY_LENGTH];
+        hex::decode_to_slice(text.trim(), &mut seed).map_err(|_| BadPrivateKey)?;
+        Ok(Self::from_seed(seed))
+    }
+
+    /// The secret itself, as 64 hexadecimal digits, to be written to the key's file.
+    pub fn to_hex(&self) -> Box<str> {
+        hex::encode(self.0.as_bytes()).into()
+    }
+
+    /// The public half.
+    pub fn public_key(&self) -> OperatorPublicKey {
+        self.0.verifying_key().into()
+    }
+
+    pub(crate) fn sign(&self, message: &[u8]) -> ConfigSignature {
+        self.0.sign(message).into()
+    }
+}
+
+impl fmt::Debug for OperatorSigningKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("OperatorSigningKey(hidden)")
+    }
+}
