Resolve the daemon's options into checked settings

The daemon works with settings in which every default is filled in and every value is usable. All errors of the file are reported at once with their places, by the same shape check as the configuration document.

--- a/crates/bramleywind_settings/src/lib.rs
+++ b/crates/bramleywind_settings/src/lib.rs
@@ -1,1 +1,25 @@
-//! To be written.
+//! The daemon's settings: raw options as written in the file, checked settings, secrets.
+//!
+//! The daemon works with [`DaemonSettings`] only, in which every default is filled in and every value is
+//! known to be usable, so that a bad file is refused at the start and never in the middle of a request.
+
+mod daemon_settings;
+mod endpoint_policy;
+mod log_settings;
+mod options_shape;
+mod peer_seed;
+mod raw_options;
+mod router_limits;
+mod rules;
+mod secret;
+mod secret_source;
+mod settings_error;
+
+pub use daemon_settings::DaemonSettings;
+pub use endpoint_policy::EndpointPolicy;
+pub use log_settings::{LogFormat, LogLevel, LogSettings};
+pub use peer_seed::PeerSeed;
+pub use router_limits::RouterLimits;
+pub use secret::Secret;
+pub use secret_source::{ProcessSecrets, SecretError, SecretLocation, SecretSource};
+pub use settings_error::SettingsError;
--- /dev/null
+++ b/crates/bramleywind_settings/src/rules/zero_limit.rs
@@ -0,0 +1,24 @@
+//! Weights and limits at zero would refuse every request.
+
+use bramleywind_config::json::{Report, object_field};
+use jsonc_parser::ast::Object;
+
+const LIMITS: [&str; 5] =
+    ["header_bytes", "body_bytes", "request_read_timeout_ms", "request_timeout_ms", "queue_length"];
+
+pub(crate) fn check(root: &Object<'_>, report: &mut Report<'_>) {
+    let limits = object_field(root, "limits").and_then(|limits| limits.value.as_object());
+    let limits = limits.into_iter().flat_map(|limits| {
+        LIMITS.iter().filter_map(|name| Some((*name, object_field(limits, name)?)))
+    });
+    let capacity = object_field(root, "capacity").map(|property| ("capacity", property));
+    for (name, property) in capacity.into_iter().chain(limits) {
+        let Some(number) = property.value.as_number_lit() else { continue };
+        if number.value.parse() == Ok(0_u64) {
+            let message = format!(
+                "with `{name}` at `0`, the router would serve nobody; write at least 1, or leave it out for the default"
+            );
+            report.add("zero_limit", number.range, message);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_settings/src/secret.rs
@@ -0,0 +1,37 @@
+use std::fmt;
+
+/// A text that must never be printed: it shows as `hidden` in logs, dumps and debug output.
+///
+/// ```
+/// use bramleywind_settings::Secret;
+///
+/// let secret = Secret::new("correct horse");
+/// assert_eq!(format!("{secret:?}"), "Secret(hidden)");
+/// assert_eq!(secret.expose(), "correct horse");
+/// ```
+#[derive(Clone)]
+pub struct Secret(Box<str>);
+
+impl Secret {
+    /// Wraps a secret text.
+    pub fn new(text: impl Into<Box<str>>) -> Self {
+        Self(text.into())
+    }
+
+    /// The text itself, for computing with it. Compare it in constant time.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(hidden)")
+    }
+}
+
+impl serde::Serialize for Secret {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str("hidden")
+    }
+}
