--- /dev/null
+++ b/crates/bramleywind_ledger/src/reservation.rs
@@ -0,0 +1,54 @@
+use bramleywind_macros::domain_type;
+use bramleywind_types::{
+    BudgetId, IncarnationId, InstanceId, JournalSequence, RequestKey, TokenCount,
+};
+
+use crate::LoanId;
+
+/// Tokens set aside for one request. It must be settled exactly once, so it can't be cloned.
+///
+/// One that is dropped without being settled stays counted as spent until its router stops.
+#[derive(Debug, PartialEq, Eq)]
+#[must_use = "a reservation that is not settled stays counted as spent"]
+pub struct Reservation {
+    pub(crate) budget: BudgetId,
+    pub(crate) key: Option<RequestKey>,
+    pub(crate) own: Option<OwnShare>,
+    pub(crate) loans: Vec<LoanShare>,
+}
+
+/// The part of a reservation that the router's own slice pays for.
+#[domain_type]
+#[derive(Copy)]
+pub struct OwnShare {
+    /// The incarnation in whose journal the reservation stands.
+    pub incarnation: IncarnationId,
+    /// Its entry in the journal.
+    pub sequence: JournalSequence,
+    /// What it covers.
+    pub tokens: TokenCount,
+}
+
+/// The part of a reservation that another router lends.
+#[domain_type]
+pub struct LoanShare {
+    /// The instance of the lender.
+    pub lender: InstanceId,
+    /// The loan.
+    pub loan: LoanId,
+    /// What it covers.
+    pub tokens: TokenCount,
+}
+
+impl Reservation {
+    /// The budget that pays.
+    pub fn budget(&self) -> &BudgetId {
+        &self.budget
+    }
+
+    /// The most that may be billed.
+    pub fn tokens(&self) -> TokenCount {
+        let own = self.own.map_or(TokenCount(0), |share| share.tokens);
+        own.saturating_add(self.loans.iter().map(|share| share.tokens).sum())
+    }
+}
