store: add the in-memory store with typed fault switches

Other crates test their handling of lost answers, late writes, stale reads, rate limits and outages against it, and the key-value stand-in serves it, so that tests and stand-in show one behaviour.

--- a/crates/bramleywind_store/src/lib.rs
+++ b/crates/bramleywind_store/src/lib.rs
@@ -4,12 +4,14 @@
 //! distinguish a write that was not applied from one whose answer was lost.
 
 mod lease;
+mod memory_store;
 mod outcomes;
 mod store_key;
 mod store_trait;
 mod store_version;
 
 pub use lease::{Lease, LeaseOutcome, RenewOutcome};
+pub use memory_store::{CallCounters, MAX_VALUE_BYTES, MemoryStore, StoreFaults};
 pub use outcomes::{
     KeyedValue, ListOutcome, NotAppliedReason, ReadOutcome, UnavailableReason, VersionedValue,
     WatchOutcome, WriteOutcome,
--- /dev/null
+++ b/crates/bramleywind_store/src/memory_store/token_bucket.rs
@@ -0,0 +1,42 @@
+use std::time::Instant;
+
+/// The share of a second's calls that may come at once.
+///
+/// A tenth keeps the calls of any second within 110% of the rate.
+const BURST_SECONDS: f64 = 0.1;
+
+/// Limits the rate of calls.
+#[derive(Debug)]
+pub(super) struct TokenBucket {
+    per_second: f64,
+    tokens: f64,
+    filled_at: Instant,
+}
+
+impl TokenBucket {
+    /// A full bucket; a rate of zero does not limit.
+    pub(super) fn new(per_second: u32) -> Self {
+        let per_second = f64::from(per_second);
+        Self { per_second, tokens: Self::capacity(per_second), filled_at: Instant::now() }
+    }
+
+    /// Takes one call from the bucket; false if there is none left.
+    pub(super) fn take(&mut self) -> bool {
+        if self.per_second == 0.0 {
+            return true;
+        }
+        let now = Instant::now();
+        let refill = (now - self.filled_at).as_secs_f64() * self.per_second;
+        self.filled_at = now;
+        self.tokens = (self.tokens + refill).min(Self::capacity(self.per_second));
+        let is_allowed = self.tokens >= 1.0;
+        if is_allowed {
+            self.tokens -= 1.0;
+        }
+        is_allowed
+    }
+
+    fn capacity(per_second: f64) -> f64 {
+        (per_second * BURST_SECONDS).max(1.0)
+    }
+}
