store: add the HTTP client of the key-value store and of the instance list

A write is reported as not applied only where that is proven: the store refused it, or no connection was made. A broken connection, a timeout and an answer that is not understood are all unknown, since the write may still take effect.

--- /dev/null
+++ b/crates/bramleywind_store/src/http_store.rs
@@ -0,0 +1,221 @@
+//! The client of the platform's key-value protocol.
+//!
+//! Each HTTP or connection result maps to exactly one outcome. The rule for writes: only a refusal by the
+//! store or a connection that was never made proves that nothing was written; anything else is unknown.
+
+pub(crate) mod http_caller;
+pub mod wire;
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use base64::{Engine as _, prelude::BASE64_STANDARD};
+use http::{HeaderMap, Method, StatusCode};
+use serde::Serialize;
+
+pub use self::http_caller::ClientError;
+use self::{
+    http_caller::{HttpAnswer, HttpCaller},
+    wire::{
+        LeaseGrant, LeaseQuery, ListEntry, ListQuery, ReadQuery, RenewQuery, VERSION_HEADER,
+        WriteQuery,
+    },
+};
+use crate::{
+    KeyedValue, Lease, LeaseOutcome, ListOutcome, NotAppliedReason, ReadOutcome, RenewOutcome,
+    Store, StoreKey, StoreVersion, UnavailableReason, VersionedValue, WatchOutcome, WriteOutcome,
+};
+
+/// The store over HTTP. Clones share their connections.
+///
+/// ```
+/// use std::time::Duration;
+/// use bramleywind_store::HttpStore;
+///
+/// compio::runtime::Runtime::new().unwrap().block_on(async {
+///     let address = "127.0.0.1:7001".parse().unwrap();
+///     let store = HttpStore::new(address, Duration::from_millis(500));
+///     assert!(store.is_ok());
+/// });
+/// ```
+#[derive(Debug, Clone)]
+pub struct HttpStore {
+    caller: HttpCaller,
+}
+
+impl HttpStore {
+    /// A client of the store at `address`. Each call ends within `call_limit`; a watch, within `call_limit`
+    /// of its own deadline.
+    ///
+    /// # Errors
+    ///
+    /// If the HTTP client cannot be built. No connection is made yet.
+    pub fn new(address: SocketAddr, call_limit: Duration) -> Result<Self, ClientError> {
+        Ok(Self { caller: HttpCaller::new(address, call_limit)? })
+    }
+
+    fn kv_path<Q: Serialize>(key: &StoreKey, query: &Q) -> String {
+        format!("/v1/kv/{key}?{}", encode(query))
+    }
+}
+
+/// Encodes a query. The queries are flat structs of numbers and strings, which always encode.
+fn encode<Q: Serialize>(query: &Q) -> String {
+    serde_urlencoded::to_string(query).unwrap_or_default()
+}
+
+fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn version(headers: &HeaderMap) -> Option<StoreVersion> {
+    headers.get(VERSION_HEADER)?.to_str().ok()?.parse().ok()
+}
+
+/// Maps a status that carries no result of a call that changes nothing.
+fn unavailable(status: StatusCode) -> UnavailableReason {
+    match status {
+        StatusCode::TOO_MANY_REQUESTS => UnavailableReason::RateLimited,
+        status if status.is_server_error() => UnavailableReason::Outage,
+        _ => UnavailableReason::Malformed,
+    }
+}
+
+fn versioned_value(answer: HttpAnswer) -> Result<VersionedValue, UnavailableReason> {
+    let version = version(&answer.headers).ok_or(UnavailableReason::Malformed)?;
+    Ok(VersionedValue { value: answer.body.to_vec(), version })
+}
+
+fn parse_list(body: &[u8]) -> Option<Vec<KeyedValue>> {
+    let entries: Vec<ListEntry> = serde_json::from_slice(body).ok()?;
+    let decode = |entry: ListEntry| {
+        let value = BASE64_STANDARD.decode(&*entry.value).ok()?;
+        let key = StoreKey::from_text(entry.key);
+        Some(KeyedValue { key, entry: VersionedValue { value, version: entry.version } })
+    };
+    entries.into_iter().map(decode).collect()
+}
+
+impl Store for HttpStore {
+    async fn read(&self, key: &StoreKey) -> ReadOutcome {
+        let path = format!("/v1/kv/{key}");
+        match self.caller.call(Method::GET, &path, None, self.caller.deadline()).await {
+            Ok(answer) => match answer.status {
+                StatusCode::OK => versioned_value(answer)
+                    .map_or_else(ReadOutcome::Unavailable, ReadOutcome::Found),
+                StatusCode::NOT_FOUND => ReadOutcome::Missing,
+                status => ReadOutcome::Unavailable(unavailable(status)),
+            },
+            Err(failure) => ReadOutcome::Unavailable(failure.into()),
+        }
+    }
+
+    async fn write(&self, key: &StoreKey, value: Vec<u8>, expected: StoreVersion) -> WriteOutcome {
+        let path = Self::kv_path(key, &WriteQuery { expect: expected });
+        let deadline = self.caller.deadline();
+        match self.caller.call(Method::PUT, &path, Some(value), deadline).await {
+            Ok(answer) => match answer.status {
+                // Without its version the write is known to be applied, but the next one could not expect
+                // it; the caller has to read back, as for an unknown write.
+                StatusCode::OK => {
+                    version(&answer.headers).map_or(WriteOutcome::Unknown, WriteOutcome::Applied)
+                }
+                StatusCode::CONFLICT => WriteOutcome::Conflict,
+                StatusCode::TOO_MANY_REQUESTS => {
+                    WriteOutcome::NotApplied(NotAppliedReason::RateLimited)
+                }
+                StatusCode::SERVICE_UNAVAILABLE => {
+                    WriteOutcome::NotApplied(NotAppliedReason::Outage)
+                }
+                StatusCode::PAYLOAD_TOO_LARGE => {
+                    WriteOutcome::NotApplied(NotAppliedReason::TooLarge)
+                }
+                _ => WriteOutcome::Unknown,
+            },
+            Err(http_caller::CallFailure::NotSent) => {
+                WriteOutcome::NotApplied(NotAppliedReason::Outage)
+            }
+            Err(_) => WriteOutcome::Unknown,
+        }
+    }
+
+    async fn watch(&self, key: &StoreKey, after: StoreVersion, deadline: Instant) -> WatchOutcome {
+        let wait = deadline.saturating_duration_since(Instant::now());
+        let query = ReadQuery { after: Some(after), wait_ms: milliseconds(wait) };
+        let path = Self::kv_path(key, &query);
+        // The store ends the watch at its deadline; the answer gets a call's time to arrive.
+        let call_deadline = self.caller.deadline() + wait;
+        match self.caller.call(Method::GET, &path, None, call_deadline).await {
+            Ok(answer) => match answer.status {
+                StatusCode::OK => versioned_value(answer)
+                    .map_or_else(WatchOutcome::Unavailable, WatchOutcome::Changed),
+                StatusCode::NOT_MODIFIED => WatchOutcome::Unchanged,
+                status => WatchOutcome::Unavailable(unavailable(status)),
+            },
+            Err(failure) => WatchOutcome::Unavailable(failure.into()),
+        }
+    }
+
+    async fn list(&self, prefix: &str) -> ListOutcome {
+        let path = format!("/v1/kv?{}", encode(&ListQuery { prefix: prefix.into() }));
+        match self.caller.call(Method::GET, &path, None, self.caller.deadline()).await {
+            Ok(answer) if answer.status == StatusCode::OK => parse_list(&answer.body)
+                .map_or(ListOutcome::Unavailable(UnavailableReason::Malformed), ListOutcome::Found),
+            Ok(answer) => ListOutcome::Unavailable(unavailable(answer.status)),
+            Err(failure) => ListOutcome::Unavailable(failure.into()),
+        }
+    }
+
+    async fn acquire_lease(
+        &self,
+        key: &StoreKey,
+        holder: &str,
+        time_to_live: Duration,
+    ) -> LeaseOutcome {
+        let ttl_ms = milliseconds(time_to_live);
+        let query = LeaseQuery { key: key.as_str().into(), holder: holder.into(), ttl_ms };
+        let path = format!("/v1/leases?{}", encode(&query));
+        // The store counts from when it got the call, which is later, so this deadline errs on the early
+        // side.
+        let deadline = Instant::now() + Duration::from_millis(ttl_ms);
+        match self.caller.call(Method::POST, &path, None, self.caller.deadline()).await {
+            Ok(answer) => match answer.status {
+                StatusCode::OK => match serde_json::from_slice::<LeaseGrant>(&answer.body) {
+                    Ok(grant) => {
+                        let LeaseGrant { lease: id, fencing } = grant;
+                        LeaseOutcome::Acquired(Lease { id, fencing, deadline })
+                    }
+                    Err(_) => LeaseOutcome::Unavailable(UnavailableReason::Malformed),
+                },
+                StatusCode::CONFLICT => LeaseOutcome::Held,
+                status => LeaseOutcome::Unavailable(unavailable(status)),
+            },
+            Err(failure) => LeaseOutcome::Unavailable(failure.into()),
+        }
+    }
+
+    async fn renew_lease(&self, lease: &Lease, time_to_live: Duration) -> RenewOutcome {
+        let ttl_ms = milliseconds(time_to_live);
+        let query = encode(&RenewQuery { ttl_ms: Some(ttl_ms) });
+        let path = format!("/v1/leases/{}/renew?{query}", lease.id);
+        let deadline = Instant::now() + Duration::from_millis(ttl_ms);
+        match self.caller.call(Method::POST, &path, None, self.caller.deadline()).await {
+            Ok(answer) => match answer.status {
+                StatusCode::OK => RenewOutcome::Renewed(deadline),
+                StatusCode::NOT_FOUND | StatusCode::CONFLICT | StatusCode::GONE => {
+                    RenewOutcome::Lost
+                }
+                status => RenewOutcome::Unavailable(unavailable(status)),
+            },
+            Err(failure) => RenewOutcome::Unavailable(failure.into()),
+        }
+    }
+
+    async fn release_lease(&self, lease: Lease) {
+        let path = format!("/v1/leases/{}", lease.id);
+        // The lease ends by itself if this call is lost.
+        drop(self.caller.call(Method::DELETE, &path, None, self.caller.deadline()).await);
+    }
+}
--- a/crates/bramleywind_store/src/lib.rs
+++ b/crates/bramleywind_store/src/lib.rs
@@ -3,6 +3,9 @@
 //! The store is the only place where state lasts, so its outcomes are spelled out here: callers must
 //! distinguish a write that was not applied from one whose answer was lost.
 
+mod http_store;
+mod instance_directory;
+mod instance_list;
 mod lease;
 mod memory_store;
 mod outcomes;
@@ -10,8 +13,11 @@
 mod store_trait;
 mod store_version;
 
+pub use http_store::{ClientError, HttpStore, wire};
+pub use instance_directory::{DirectoryOutcome, InstanceDirectory};
+pub use instance_list::{InstanceKind, InstanceList, InstanceRecord, InstanceState};
 pub use lease::{Lease, LeaseOutcome, RenewOutcome};
-pub use memory_store::{CallCounters, MAX_VALUE_BYTES, MemoryStore, StoreFaults};
+pub use memory_store::{CallCounters, MAX_VALUE_BYTES, MemoryStore, StoreFaults, TokenBucket};
 pub use outcomes::{
     KeyedValue, ListOutcome, NotAppliedReason, ReadOutcome, UnavailableReason, VersionedValue,
     WatchOutcome, WriteOutcome,
--- a/crates/bramleywind_store/src/memory_store.rs
+++ b/crates/bramleywind_store/src/memory_store.rs
@@ -20,7 +20,7 @@
 pub use call_counters::CallCounters;
 use lease_table::LeaseTable;
 pub use store_faults::StoreFaults;
-use token_bucket::TokenBucket;
+pub use token_bucket::TokenBucket;
 
 use crate::{
     KeyedValue, Lease, LeaseOutcome, ListOutcome, NotAppliedReason, ReadOutcome, RenewOutcome,
--- a/crates/bramleywind_store/src/memory_store/token_bucket.rs
+++ b/crates/bramleywind_store/src/memory_store/token_bucket.rs
@@ -1,13 +1,21 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The share of a second's calls that may come at once.
 ///
 /// A tenth keeps the calls of any second within 110% of the rate.
 const BURST_SECONDS: f64 = 0.1;
 
-/// Limits the rate of calls.
+/// Limits the rate of calls to a platform service.
+///
+/// ```
+/// use bramleywind_store::TokenBucket;
+///
+/// let mut bucket = TokenBucket::new(1);
+/// assert!(bucket.take());
+/// assert!(!bucket.take());
+/// ```
 #[derive(Debug)]
-pub(super) struct TokenBucket {
+pub struct TokenBucket {
     per_second: f64,
     tokens: f64,
     filled_at: Instant,
@@ -15,13 +23,13 @@
 
 impl TokenBucket {
     /// A full bucket; a rate of zero does not limit.
-    pub(super) fn new(per_second: u32) -> Self {
+    pub fn new(per_second: u32) -> Self {
         let per_second = f64::from(per_second);
         Self { per_second, tokens: Self::capacity(per_second), filled_at: Instant::now() }
     }
 
     /// Takes one call from the bucket; false if there is none left.
-    pub(super) fn take(&mut self) -> bool {
+    pub fn take(&mut self) -> bool {
         if self.per_second == 0.0 {
             return true;
         }
@@ -36,6 +44,15 @@
         is_allowed
     }
 
+    /// How long a refused caller has to wait until a call is allowed.
+    pub fn wait(&self) -> Duration {
+        let missing = (1.0 - self.tokens).max(0.0);
+        if self.per_second == 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(missing / self.per_second)
+    }
+
     fn capacity(per_second: f64) -> f64 {
         (per_second * BURST_SECONDS).max(1.0)
     }
