--- /dev/null
+++ b/crates/bramleywind_claims/src/key_home.rs
@@ -0,0 +1,172 @@
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use bramleywind_types::{BodyHash, InstanceId, RequestId, RequestKey};
+
+use crate::{
+    KeyClaimOutcome, KeyClaimRequest, KeyFinishOutcome, KeyFinishRequest, MAX_HOME_BODY_BYTES,
+    RecordedOutcome,
+};
+
+/// How long a key home remembers a key after its last change.
+pub const KEY_RETENTION: Duration = Duration::from_secs(10 * 60);
+
+/// The most memory that the entries of a home take together, in bytes. A node has 64 MB for all control state.
+pub const MAX_HOME_BYTES: usize = 16 * 1024 * 1024;
+
+/// What an entry takes beside its key and body, in bytes.
+const ENTRY_BYTES: usize = 256;
+
+/// The registry of idempotent requests by key, in the memory of each of the key's two homes.
+///
+/// When the memory is full, the entry that expires first makes room: its request may then run twice, which is
+/// allowed for idempotent requests.
+///
+/// ```
+/// use std::time::Instant;
+/// use bramleywind_claims::{KeyClaimOutcome, KeyClaimRequest, KeyHome};
+/// use bramleywind_types::{BodyHash, RequestId, RequestKey};
+///
+/// let mut home = KeyHome::default();
+/// let request = KeyClaimRequest {
+///     key: RequestKey { workspace: "ferries".parse().unwrap(), key: "k".parse().unwrap() },
+///     body_hash: BodyHash::of(&[b"{}"]),
+///     holder: "akl-a-1".parse().unwrap(),
+///     attempt: RequestId::random(),
+/// };
+/// assert_eq!(home.claim(&request, |_| true, Instant::now()), KeyClaimOutcome::Started);
+/// ```
+#[derive(Debug, Default)]
+pub struct KeyHome {
+    entries: HashMap<RequestKey, KeyEntry>,
+    /// The keys in the order in which they expire, by a number that grows with each change.
+    order: BTreeMap<u64, RequestKey>,
+    next_order: u64,
+    bytes: usize,
+}
+
+#[derive(Debug)]
+struct KeyEntry {
+    body_hash: BodyHash,
+    state: KeyState,
+    deadline: Instant,
+    order: u64,
+    bytes: usize,
+}
+
+#[derive(Debug)]
+enum KeyState {
+    Running { holder: InstanceId, attempt: RequestId },
+    Done(RecordedOutcome),
+}
+
+impl KeyHome {
+    /// Records that an attempt begins, unless a copy of the request is known. An attempt of a holder for
+    /// which `is_live` is false is taken for ended and replaced.
+    pub fn claim(
+        &mut self,
+        request: &KeyClaimRequest,
+        is_live: impl Fn(&InstanceId) -> bool,
+        now: Instant,
+    ) -> KeyClaimOutcome {
+        self.drop_expired(now);
+        if let Some(entry) = self.entries.get(&request.key) {
+            if entry.body_hash != request.body_hash {
+                return KeyClaimOutcome::Mismatch;
+            }
+            match &entry.state {
+                KeyState::Done(outcome) => return KeyClaimOutcome::Done(outcome.clone()),
+                KeyState::Running { holder, attempt }
+                    if *attempt != request.attempt && is_live(holder) =>
+                {
+                    return KeyClaimOutcome::Running { holder: holder.clone(), attempt: *attempt };
+                }
+                KeyState::Running { .. } => {}
+            }
+        }
+        let state = KeyState::Running { holder: request.holder.clone(), attempt: request.attempt };
+        self.insert(&request.key, request.body_hash, state, now);
+        KeyClaimOutcome::Started
+    }
+
+    /// Records the outcome of the running attempt. An attempt without an outcome, or with one that is too
+    /// large, is forgotten, so that a repeat runs.
+    pub fn finish(&mut self, request: &KeyFinishRequest, now: Instant) -> KeyFinishOutcome {
+        self.drop_expired(now);
+        let body_hash = match self.entries.get(&request.key) {
+            Some(KeyEntry { body_hash, state: KeyState::Running { attempt, .. }, .. })
+                if *attempt == request.attempt =>
+            {
+                *body_hash
+            }
+            _ => return KeyFinishOutcome::Ignored,
+        };
+        match &request.outcome {
+            Some(outcome) if outcome.body.len() <= MAX_HOME_BODY_BYTES => {
+                self.insert(&request.key, body_hash, KeyState::Done(outcome.clone()), now);
+                KeyFinishOutcome::Recorded
+            }
+            Some(_) => {
+                self.remove(&request.key);
+                KeyFinishOutcome::Ignored
+            }
+            None => {
+                self.remove(&request.key);
+                KeyFinishOutcome::Recorded
+            }
+        }
+    }
+
+    /// How many keys are remembered.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// What the entries take, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    fn insert(&mut self, key: &RequestKey, body_hash: BodyHash, state: KeyState, now: Instant) {
+        self.remove(key);
+        let body = match &state {
+            KeyState::Done(outcome) => outcome.body.len(),
+            KeyState::Running { .. } => 0,
+        };
+        let bytes =
+            ENTRY_BYTES + 2 * (key.workspace.as_str().len() + key.key.as_str().len()) + body;
+        while self.bytes + bytes > MAX_HOME_BYTES {
+            let Some(oldest) = self.order.values().next().cloned() else { break };
+            self.remove(&oldest);
+        }
+        let order = self.next_order;
+        self.next_order += 1;
+        self.bytes += bytes;
+        self.order.insert(order, key.clone());
+        let entry = KeyEntry { body_hash, state, deadline: now + KEY_RETENTION, order, bytes };
+        self.entries.insert(key.clone(), entry);
+    }
+
+    fn remove(&mut self, key: &RequestKey) {
+        if let Some(entry) = self.entries.remove(key) {
+            self.order.remove(&entry.order);
+            self.bytes -= entry.bytes;
+        }
+    }
+
+    fn drop_expired(&mut self, now: Instant) {
+        while let Some(oldest) = self.order.values().next().cloned() {
+            if self.entries.get(&oldest).is_some_and(|entry| entry.deadline > now) {
+                break;
+            }
+            self.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_claims/src/page_job.rs
@@ -0,0 +1,79 @@
+//! Changes that wait for the next write of a page. They are only used together.
+
+use std::time::Instant;
+
+use bramleywind_store::StoreVersion;
+use bramleywind_types::{BodyHash, RequestKey};
+use futures_channel::oneshot;
+
+use crate::{ClaimId, ClaimRecord, ClaimState, ClaimTicket, UnavailableClaim};
+
+/// What the page said about a claim to be opened.
+#[derive(Debug)]
+pub(crate) enum PageReply {
+    Opened(ClaimTicket),
+    Existing(Box<ClaimRecord>),
+    Mismatch,
+    NotRun,
+    Unavailable(UnavailableClaim),
+}
+
+#[derive(Debug)]
+pub(crate) struct OpenJob {
+    pub(crate) key: RequestKey,
+    pub(crate) body_hash: BodyHash,
+    pub(crate) id: ClaimId,
+    /// The `not_run` record that this process knew of when the request arrived. Only that one may be replaced
+    /// by an open claim: any other may belong to a copy that arrived later, and was told that no earlier copy
+    /// runs.
+    pub(crate) known: Option<ClaimId>,
+    pub(crate) deadline: Instant,
+    /// The version that the last write with an unknown result expected.
+    pub(crate) attempted: Option<StoreVersion>,
+    pub(crate) reply: oneshot::Sender<PageReply>,
+}
+
+#[derive(Debug)]
+pub(crate) struct ChangeJob {
+    pub(crate) key: RequestKey,
+    pub(crate) body_hash: BodyHash,
+    pub(crate) id: ClaimId,
+    /// The state to record.
+    pub(crate) state: ClaimState,
+    /// The version that the write of an unconfirmed claim expected: while the page has this version, that
+    /// write may still be applied.
+    pub(crate) attempted: Option<StoreVersion>,
+    /// Told when the change is stored.
+    pub(crate) stored: Option<oneshot::Sender<()>>,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct PageJobs {
+    pub(crate) opens: Vec<OpenJob>,
+    pub(crate) changes: Vec<ChangeJob>,
+}
+
+impl PageJobs {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.opens.is_empty() && self.changes.is_empty()
+    }
+
+    pub(crate) fn append(&mut self, mut other: Self) {
+        self.opens.append(&mut other.opens);
+        self.changes.append(&mut other.changes);
+    }
+}
+
+impl OpenJob {
+    /// The change that closes a claim whose write has an unknown result.
+    pub(crate) fn closing_change(&self) -> ChangeJob {
+        ChangeJob {
+            key: self.key.clone(),
+            body_hash: self.body_hash,
+            id: self.id,
+            state: ClaimState::NotRun,
+            attempted: self.attempted,
+            stored: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_claims/src/page_worker.rs
@@ -0,0 +1,399 @@
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bramleywind_store::{
+    NotAppliedReason, ReadOutcome, Store, StoreKey, StoreVersion, UnavailableReason, WriteOutcome,
+};
+use bramleywind_types::{RequestKey, UnixDeadline};
+
+use crate::{
+    CLAIM_RETENTION, ClaimId, ClaimLink, ClaimPage, ClaimRecord, ClaimState, ClaimTicket,
+    MAX_OPEN_PAGE_BYTES, MAX_PAGE_BYTES, UnavailableClaim,
+    claim_keeper::KeeperShared,
+    keeper_state::LocalState,
+    page_job::{ChangeJob, OpenJob, PageJobs, PageReply},
+    retry_delay::RetryDelay,
+};
+
+/// The longest delay between tries while a caller waits for a claim.
+const CALLER_DELAY: Duration = Duration::from_millis(50);
+
+/// What a claim record takes in a page beside its own JSON: the key, quotes and commas, in bytes.
+const RECORD_OVERHEAD_BYTES: usize = 16;
+
+/// Writes one page as long as there are jobs for it.
+pub(crate) struct PageWorker<S, L> {
+    shared: Rc<KeeperShared<S, L>>,
+    page_key: StoreKey,
+    jobs: PageJobs,
+    /// The page as this worker last wrote it, which saves a read when jobs follow each other.
+    cached: Option<VersionedPage>,
+}
+
+struct VersionedPage {
+    version: StoreVersion,
+    page: ClaimPage,
+}
+
+enum StepOutcome {
+    /// All jobs that could be decided are; the next step may follow at once.
+    Progress,
+    /// The store refused, or a read was stale: to be tried again after a delay.
+    Retry,
+    /// The store is out of service: as for `Retry`, and new claims are refused until the next try.
+    Outage,
+}
+
+/// What a job needs, given the page as it was read.
+enum JobPlan {
+    /// Nothing: this reply is final.
+    Reply(PageReply),
+    /// This record must be in the page.
+    Write(ClaimRecord),
+}
+
+impl<S: Store + 'static, L: ClaimLink + 'static> PageWorker<S, L> {
+    pub(crate) fn new(shared: Rc<KeeperShared<S, L>>, page_key: StoreKey) -> Self {
+        Self { shared, page_key, jobs: PageJobs::default(), cached: None }
+    }
+
+    pub(crate) async fn run(mut self) {
+        let mut delay = RetryDelay::default();
+        while self.take_jobs() {
+            let is_outage = match self.step().await {
+                StepOutcome::Progress => {
+                    delay = RetryDelay::default();
+                    continue;
+                }
+                StepOutcome::Retry => false,
+                StepOutcome::Outage => true,
+            };
+            self.give_up_expired_opens();
+            if self.jobs.is_empty() {
+                continue;
+            }
+            self.set_outage(is_outage);
+            let pause = delay.next();
+            let is_awaited = !self.jobs.opens.is_empty();
+            let pause = if is_awaited { pause.min(CALLER_DELAY) } else { pause };
+            compio::time::sleep(pause).await;
+            self.set_outage(false);
+        }
+    }
+
+    /// Takes the jobs that have arrived. False if there are none, in which case the queue is gone.
+    fn take_jobs(&mut self) -> bool {
+        let mut state = self.shared.state.borrow_mut();
+        let Some(queue) = state.queues.get_mut(&self.page_key) else { return false };
+        self.jobs.append(std::mem::take(&mut queue.jobs));
+        if self.jobs.is_empty() {
+            state.queues.remove(&self.page_key);
+            return false;
+        }
+        true
+    }
+
+    fn set_outage(&self, is_in_outage: bool) {
+        if let Some(queue) = self.shared.state.borrow_mut().queues.get_mut(&self.page_key) {
+            queue.is_in_outage = is_in_outage;
+        }
+    }
+
+    /// Reads the page, applies what can be applied, and writes it.
+    async fn step(&mut self) -> StepOutcome {
+        let VersionedPage { version, mut page } = match self.read_page().await {
+            Ok(found) => found,
+            Err(outcome) => return outcome,
+        };
+        page.drop_expired();
+        self.learn_closures(&page);
+        self.plan_changes(&mut page, version);
+        let encoded_bytes = page.encode().len();
+        self.plan_opens(&mut page, version, encoded_bytes);
+        if self.jobs.is_empty() {
+            self.cached = Some(VersionedPage { version, page });
+            return StepOutcome::Progress;
+        }
+        let value = self.encode_within_limit(&mut page);
+        self.shared.state.borrow_mut().stats.writes += 1;
+        let written = self.shared.store.write(&self.page_key, value, version).await;
+        match written {
+            WriteOutcome::Applied(version) => {
+                self.shared.state.borrow_mut().raise_floor(&self.page_key, version);
+                self.complete_all(&page);
+                self.cached = Some(VersionedPage { version, page });
+                StepOutcome::Progress
+            }
+            WriteOutcome::Conflict => {
+                let mut state = self.shared.state.borrow_mut();
+                state.stats.conflicts += 1;
+                state.raise_floor(&self.page_key, StoreVersion(version.0 + 1));
+                StepOutcome::Retry
+            }
+            WriteOutcome::NotApplied(reason) => self.handle_refused_write(reason),
+            WriteOutcome::Unknown => {
+                self.shared.state.borrow_mut().stats.unknown_writes += 1;
+                for job in &mut self.jobs.opens {
+                    job.attempted = job.attempted.max(Some(version));
+                }
+                StepOutcome::Retry
+            }
+        }
+    }
+
+    async fn read_page(&mut self) -> Result<VersionedPage, StepOutcome> {
+        if let Some(cached) = self.cached.take() {
+            return Ok(cached);
+        }
+        self.shared.state.borrow_mut().stats.reads += 1;
+        let (version, value) = match self.shared.store.read(&self.page_key).await {
+            ReadOutcome::Found(found) => (found.version, Some(found.value)),
+            ReadOutcome::Missing => (StoreVersion::MISSING, None),
+            ReadOutcome::Unavailable(UnavailableReason::RateLimited) => {
+                return Err(StepOutcome::Retry);
+            }
+            ReadOutcome::Unavailable(_) => {
+                self.give_up_opens(UnavailableClaim::Outage);
+                return Err(StepOutcome::Outage);
+            }
+        };
+        if version < self.shared.state.borrow().floor(&self.page_key) {
+            return Err(StepOutcome::Retry);
+        }
+        let page = match value.as_deref().map(ClaimPage::decode) {
+            None => ClaimPage::default(),
+            Some(Ok(page)) => page,
+            Some(Err(_)) => {
+                self.shared.state.borrow_mut().stats.page_errors += 1;
+                self.give_up_opens(UnavailableClaim::Outage);
+                return Err(StepOutcome::Outage);
+            }
+        };
+        self.shared.state.borrow_mut().raise_floor(&self.page_key, version);
+        Ok(VersionedPage { version, page })
+    }
+
+    /// Remembers which `not_run` records there are, so that requests which arrive from now on may replace them.
+    fn learn_closures(&self, page: &ClaimPage) {
+        let mut state = self.shared.state.borrow_mut();
+        for (workspace, claims) in &page.claims {
+            for (key, record) in claims {
+                if record.state == ClaimState::NotRun {
+                    let key = RequestKey { workspace: workspace.clone(), key: key.clone() };
+                    state.learn_closure(&key, record.id());
+                }
+            }
+        }
+    }
+
+    fn plan_changes(&mut self, page: &mut ClaimPage, version: StoreVersion) {
+        let jobs = std::mem::take(&mut self.jobs.changes);
+        for job in jobs {
+            if apply_change(&job, page, version, &self.shared.holder.instance) {
+                self.jobs.changes.push(job);
+            } else {
+                self.complete_change(job);
+            }
+        }
+    }
+
+    fn plan_opens(&mut self, page: &mut ClaimPage, version: StoreVersion, page_bytes: usize) {
+        let mut page_bytes = page_bytes;
+        let jobs = std::mem::take(&mut self.jobs.opens);
+        for mut job in jobs {
+            // A page of a later version did not take the write, and never will.
+            if job.attempted.is_some_and(|attempted| attempted < version) {
+                job.attempted = None;
+            }
+            match self.plan_open(&job, page) {
+                JobPlan::Reply(reply) => self.reply(job, reply),
+                JobPlan::Write(record) => {
+                    page_bytes += serde_json::to_vec(&record).map_or(0, |json| json.len())
+                        + job.key.to_string().len()
+                        + RECORD_OVERHEAD_BYTES;
+                    if page_bytes > MAX_OPEN_PAGE_BYTES {
+                        self.give_up(job, UnavailableClaim::PageFull);
+                        continue;
+                    }
+                    page.insert(&job.key, record);
+                    self.jobs.opens.push(job);
+                }
+            }
+        }
+    }
+
+    fn plan_open(&self, job: &OpenJob, page: &ClaimPage) -> JobPlan {
+        let own = |state| ClaimRecord {
+            body_hash: job.body_hash,
+            holder: self.shared.holder.clone(),
+            sequence: job.id.sequence,
+            state,
+            keep_until_ms: UnixDeadline::after(CLAIM_RETENTION),
+        };
+        match page.get(&job.key) {
+            None => JobPlan::Write(own(ClaimState::Open)),
+            Some(record) if record.id() == job.id => match record.state {
+                ClaimState::NotRun => JobPlan::Reply(PageReply::NotRun),
+                _ => JobPlan::Reply(PageReply::Opened(self.ticket(&job.key, job.id))),
+            },
+            Some(record) if record.body_hash != job.body_hash => {
+                JobPlan::Reply(PageReply::Mismatch)
+            }
+            Some(record) => match record.state {
+                ClaimState::NotRun if job.known == Some(record.id()) => {
+                    JobPlan::Write(own(ClaimState::Open))
+                }
+                // The read may be stale, and a later copy may have opened a claim since. Only a write can show
+                // that the key is still closed; it also closes the key to all copies that arrived before.
+                ClaimState::NotRun => JobPlan::Write(own(ClaimState::NotRun)),
+                _ => JobPlan::Reply(PageReply::Existing(Box::new(record.clone()))),
+            },
+        }
+    }
+
+    /// Encodes the page, dropping the outcomes of this batch if they do not fit.
+    fn encode_within_limit(&mut self, page: &mut ClaimPage) -> Vec<u8> {
+        let value = page.encode();
+        if value.len() <= MAX_PAGE_BYTES {
+            return value;
+        }
+        self.drop_outcomes();
+        for job in &self.jobs.changes {
+            if let Some(record) = page.get_mut(&job.key).filter(|record| record.id() == job.id) {
+                record.state = job.state.clone();
+            }
+        }
+        page.encode()
+    }
+
+    fn drop_outcomes(&mut self) {
+        for job in &mut self.jobs.changes {
+            if matches!(job.state, ClaimState::Done(_)) {
+                job.state = ClaimState::Unknown;
+            }
+        }
+    }
+
+    fn handle_refused_write(&mut self, reason: NotAppliedReason) -> StepOutcome {
+        match reason {
+            NotAppliedReason::RateLimited => StepOutcome::Retry,
+            NotAppliedReason::Outage => {
+                self.give_up_opens(UnavailableClaim::Outage);
+                StepOutcome::Outage
+            }
+            NotAppliedReason::TooLarge => {
+                self.give_up_opens(UnavailableClaim::PageFull);
+                self.drop_outcomes();
+                StepOutcome::Retry
+            }
+        }
+    }
+
+    /// All jobs are in the page, and the page is stored.
+    fn complete_all(&mut self, page: &ClaimPage) {
+        self.learn_closures(page);
+        let jobs = std::mem::take(&mut self.jobs);
+        for job in jobs.changes {
+            self.complete_change(job);
+        }
+        for job in jobs.opens {
+            let is_open = page.get(&job.key).is_some_and(|record| record.state == ClaimState::Open);
+            let reply = if is_open {
+                PageReply::Opened(self.ticket(&job.key, job.id))
+            } else {
+                PageReply::NotRun
+            };
+            self.reply(job, reply);
+        }
+    }
+
+    fn complete_change(&self, job: ChangeJob) {
+        self.shared.state.borrow_mut().forget_local(&job.key, job.id);
+        if let Some(stored) = job.stored {
+            // The caller may have stopped waiting.
+            let _ = stored.send(());
+        }
+    }
+
+    fn ticket(&self, key: &RequestKey, id: ClaimId) -> ClaimTicket {
+        ClaimTicket::new(key.clone(), id, self.shared.abandon.clone())
+    }
+
+    fn reply(&self, job: OpenJob, reply: PageReply) {
+        {
+            let mut state = self.shared.state.borrow_mut();
+            match &reply {
+                PageReply::Opened(_) => {
+                    state.stats.opened += 1;
+                    state.set_local(&job.key, job.id, LocalState::Open);
+                }
+                _ => state.forget_local(&job.key, job.id),
+            }
+        }
+        // If the caller is gone, the ticket in the reply is dropped, and the claim is closed for that.
+        drop(job.reply.send(reply));
+    }
+
+    fn give_up_expired_opens(&mut self) {
+        let now = Instant::now();
+        let is_expired = |job: &OpenJob| job.deadline <= now || job.reply.is_canceled();
+        let jobs = std::mem::take(&mut self.jobs.opens);
+        for job in jobs {
+            if is_expired(&job) {
+                self.give_up(job, UnavailableClaim::RateLimited);
+            } else {
+                self.jobs.opens.push(job);
+            }
+        }
+    }
+
+    fn give_up_opens(&mut self, reason: UnavailableClaim) {
+        for job in std::mem::take(&mut self.jobs.opens) {
+            self.give_up(job, reason);
+        }
+    }
+
+    /// Stops trying to open a claim. One that may have been written is closed in the background.
+    fn give_up(&mut self, job: OpenJob, reason: UnavailableClaim) {
+        if job.attempted.is_none() {
+            self.reply(job, PageReply::Unavailable(reason));
+            return;
+        }
+        self.shared.state.borrow_mut().set_local(&job.key, job.id, LocalState::Closing);
+        self.jobs.changes.push(job.closing_change());
+        drop(job.reply.send(PageReply::Unavailable(UnavailableClaim::Unresolved)));
+    }
+}
+
+/// Applies a change to a page. False if there is nothing to write.
+fn apply_change(
+    job: &ChangeJob,
+    page: &mut ClaimPage,
+    version: StoreVersion,
+    instance: &bramleywind_types::InstanceId,
+) -> bool {
+    if let Some(record) = page.get_mut(&job.key).filter(|record| record.id() == job.id) {
+        if record.state != ClaimState::Open {
+            return false;
+        }
+        record.state = job.state.clone();
+        return true;
+    }
+    // The write that opens the claim expected this version and may still be applied, unless the page is
+    // written first.
+    let may_still_apply = job.attempted.is_some_and(|attempted| attempted >= version);
+    if may_still_apply {
+        let holder = crate::ClaimHolder { instance: instance.clone(), run: job.id.run };
+        let record = ClaimRecord {
+            body_hash: job.body_hash,
+            holder,
+            sequence: job.id.sequence,
+            state: job.state.clone(),
+            keep_until_ms: UnixDeadline::after(CLAIM_RETENTION),
+        };
+        page.insert(&job.key, record);
+    }
+    may_still_apply
+}
--- /dev/null
+++ b/crates/bramleywind_claims/src/retry_delay.rs
@@ -0,0 +1,29 @@
+use std::time::Duration;
+
+use rand::Rng as _;
+
+const FIRST_DELAY: Duration = Duration::from_millis(20);
+
+/// The longest delay. It also bounds how long after the end of an outage a page still refuses claims.
+const LONGEST_DELAY: Duration = Duration::from_secs(2);
+
+/// A jittered exponential delay, so that routers do not call a recovering store in step.
+#[derive(Debug)]
+pub(crate) struct RetryDelay {
+    next: Duration,
+}
+
+impl Default for RetryDelay {
+    fn default() -> Self {
+        Self { next: FIRST_DELAY }
+    }
+}
+
+impl RetryDelay {
+    /// The next delay, between a half and the whole of the nominal one.
+    pub(crate) fn next(&mut self) -> Duration {
+        let nominal = self.next;
+        self.next = (nominal * 2).min(LONGEST_DELAY);
+        nominal.mul_f64(rand::rng().random_range(0.5..=1.0))
+    }
+}
