router: add the caller port and the path of a request

Decisions on bills, retries, drains, weights and keys are pure modules. Budgets and key homes are kept in this process until the ledger and the peer connections are merged.

--- /dev/null
+++ b/crates/bramleywind_router/src/caller_link.rs
@@ -0,0 +1,95 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_channel::oneshot;
+use futures_util::future::Either;
+use http::Response;
+
+use crate::{AnswerBody, TruncatedAnswer};
+
+/// The caller's connection has ended, or the caller stopped reading.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerGone;
+
+/// The way from a request's task to the connection that waits for its response.
+///
+/// The task outlives the connection: it settles the bill of a caller that went away.
+#[derive(Debug)]
+pub struct CallerLink {
+    state: LinkState,
+    write_time: Duration,
+}
+
+#[derive(Debug)]
+enum LinkState {
+    Waiting(oneshot::Sender<Response<AnswerBody>>),
+    Streaming(async_channel::Sender<Result<Bytes, TruncatedAnswer>>),
+    Ended,
+}
+
+impl CallerLink {
+    /// A link, and the receiver that the connection waits on.
+    pub fn new(write_time: Duration) -> (Self, oneshot::Receiver<Response<AnswerBody>>) {
+        let (sender, receiver) = oneshot::channel();
+        (Self { state: LinkState::Waiting(sender), write_time }, receiver)
+    }
+
+    /// Whether no part of the response was sent.
+    pub fn is_waiting(&self) -> bool {
+        matches!(self.state, LinkState::Waiting(_))
+    }
+
+    /// Ends when the caller is gone.
+    pub async fn gone(&mut self) -> CallerGone {
+        match &mut self.state {
+            LinkState::Waiting(sender) => sender.cancellation().await,
+            LinkState::Streaming(sender) => sender.closed().await,
+            LinkState::Ended => {}
+        }
+        CallerGone
+    }
+
+    /// Sends a whole response.
+    pub fn finish(&mut self, response: Response<AnswerBody>) -> Result<(), CallerGone> {
+        match std::mem::replace(&mut self.state, LinkState::Ended) {
+            LinkState::Waiting(sender) => sender.send(response).map_err(|_| CallerGone),
+            LinkState::Streaming(_) | LinkState::Ended => Err(CallerGone),
+        }
+    }
+
+    /// Sends the head of a response whose body follows in pieces.
+    pub fn begin_stream(&mut self, head: Response<()>) -> Result<(), CallerGone> {
+        // One piece waits in the channel; hyper holds a bounded buffer of its own.
+        let (sender, receiver) = async_channel::bounded(1);
+        self.finish(head.map(|()| AnswerBody::Pieces(Box::pin(receiver))))?;
+        self.state = LinkState::Streaming(sender);
+        Ok(())
+    }
+
+    /// Sends a piece of the body, and waits until there is room for it.
+    pub async fn send(&mut self, piece: Bytes) -> Result<(), CallerGone> {
+        let LinkState::Streaming(sender) = &self.state else { return Err(CallerGone) };
+        match compio::time::timeout(self.write_time, sender.send(Ok(piece))).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(CallerGone),
+        }
+    }
+
+    /// Ends the body.
+    pub fn end_stream(&mut self) {
+        self.state = LinkState::Ended;
+    }
+
+    /// Runs `work` until it ends or the caller is gone.
+    pub async fn unless_gone<T>(
+        &mut self,
+        work: impl Future<Output = T>,
+    ) -> Result<T, CallerGone> {
+        let gone = std::pin::pin!(self.gone());
+        let work = std::pin::pin!(work);
+        match futures_util::future::select(work, gone).await {
+            Either::Left((output, _)) => Ok(output),
+            Either::Right((gone, _)) => Err(gone),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_router/src/chat_attempts.rs
@@ -0,0 +1,327 @@
+use std::time::Instant;
+
+use bramleywind_claims::{MAX_HOME_BODY_BYTES, RecordedOutcome};
+use bramleywind_types::{Refusal, RefusalCode, RepeatAdvice, TokenCount};
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use serde::Serialize;
+
+use crate::{
+    AnswerBody, AttemptEnd, AttemptFailure, AttemptRunner, AttemptTarget, BillDecision, CallTimes,
+    CallerGone, CallerLink, ChatRequest, DeclineRule, EndpointAnswer, EngineEvent, EventScanner,
+    ReportedUsage, RequestContext, RouterState, call_endpoint,
+    insert_request_id, json_response,
+};
+
+/// How much of an engine's own error is passed on, in bytes.
+const ERROR_EXCERPT_BYTES: usize = 512;
+
+/// The answer to a chat request, over all its attempts.
+#[derive(Debug)]
+pub struct ChatAttempts {
+    request: ChatRequest,
+    delivered: TokenCount,
+    reported: Option<ReportedUsage>,
+    accepted: bool,
+    text: String,
+    finish_reason: Option<Box<str>>,
+    /// The events as the caller got them, for repeats; nothing once they are too large to record.
+    events: Option<Vec<u8>>,
+    whole: Option<Bytes>,
+}
+
+/// Why the events of one attempt ended.
+enum EventsEnd {
+    Complete,
+    CallerGone,
+    Failed(AttemptFailure),
+}
+
+impl From<CallerGone> for EventsEnd {
+    fn from(_: CallerGone) -> Self {
+        Self::CallerGone
+    }
+}
+
+impl ChatAttempts {
+    /// No attempt made yet.
+    pub fn new(request: ChatRequest) -> Self {
+        Self {
+            request,
+            delivered: TokenCount(0),
+            reported: None,
+            accepted: false,
+            text: String::new(),
+            finish_reason: None,
+            events: Some(Vec::new()),
+            whole: None,
+        }
+    }
+
+    fn engine_request(&self, context: &RequestContext, target: &AttemptTarget) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.request.engine_body(self.delivered)));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = http::Uri::from_static("/v1/chat/completions");
+        let headers = request.headers_mut();
+        let json = HeaderValue::from_static("application/json");
+        headers.insert(header::CONTENT_TYPE, json);
+        if let Ok(host) = HeaderValue::try_from(target.address.to_string()) {
+            headers.insert(header::HOST, host);
+        }
+        insert_request_id(headers, context.id);
+        request
+    }
+
+    /// Passes the events of an answer on until its end.
+    async fn forward(
+        &mut self,
+        state: &RouterState,
+        context: &RequestContext,
+        target: &AttemptTarget,
+        answer: &mut EndpointAnswer,
+        caller: &mut CallerLink,
+    ) -> EventsEnd {
+        let sent = Instant::now();
+        let resumed = self.delivered > TokenCount(0);
+        let mut scanner = EventScanner::default();
+        loop {
+            let idle_time = state
+                .limits
+                .idle_time
+                .min(context.deadline.saturating_duration_since(Instant::now()));
+            let piece = match caller.unless_gone(answer.next_piece(idle_time)).await {
+                Err(CallerGone) => return EventsEnd::CallerGone,
+                Ok(Err(failure)) => return EventsEnd::Failed(failure),
+                // The end of the body without `[DONE]` is a truncated answer.
+                Ok(Ok(None)) => return EventsEnd::Failed(AttemptFailure::Broken),
+                Ok(Ok(Some(piece))) => piece,
+            };
+            scanner.push(&piece);
+            while let Some(event) = scanner.next_event() {
+                match EngineEvent::of(&event) {
+                    EngineEvent::Token { text, finish_reason } => {
+                        if self.delivered == TokenCount(0) {
+                            record_first_token(state, context, target, sent, &self.request);
+                        }
+                        self.delivered = self.delivered.saturating_add(TokenCount(1));
+                        self.keep_reason(finish_reason);
+                        if !self.request.stream {
+                            self.text.push_str(&text);
+                        }
+                    }
+                    EngineEvent::Usage(usage) => self.reported = Some(usage),
+                    EngineEvent::Other { finish_reason } => {
+                        // The head of a resumed answer repeats what the caller already has.
+                        if resumed && finish_reason.is_none() {
+                            continue;
+                        }
+                        self.keep_reason(finish_reason);
+                    }
+                    EngineEvent::Empty => continue,
+                    EngineEvent::Done => {
+                        return match self.pass_on(context, event, caller).await {
+                            Ok(()) => {
+                                caller.end_stream();
+                                EventsEnd::Complete
+                            }
+                            Err(gone) => gone.into(),
+                        };
+                    }
+                    EngineEvent::Failed => return EventsEnd::Failed(AttemptFailure::ServerError),
+                }
+                if let Err(gone) = self.pass_on(context, event, caller).await {
+                    return gone.into();
+                }
+            }
+            if scanner.is_overfull() {
+                return EventsEnd::Failed(AttemptFailure::ServerError);
+            }
+        }
+    }
+
+    async fn pass_on(
+        &mut self,
+        context: &RequestContext,
+        event: Bytes,
+        caller: &mut CallerLink,
+    ) -> Result<(), CallerGone> {
+        if !self.request.stream {
+            return Ok(());
+        }
+        if caller.is_waiting() {
+            caller.begin_stream(stream_head(context))?;
+        }
+        match &mut self.events {
+            Some(events) if events.len() + event.len() <= MAX_HOME_BODY_BYTES => {
+                events.extend_from_slice(&event);
+            }
+            events => *events = None,
+        }
+        caller.send(event).await
+    }
+
+    fn keep_reason(&mut self, reason: Option<Box<str>>) {
+        if reason.is_some() {
+            self.finish_reason = reason;
+        }
+    }
+}
+
+const EVENT_STREAM: &str = "text/event-stream";
+
+fn stream_head(context: &RequestContext) -> Response<()> {
+    let mut head = Response::new(());
+    let headers = head.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(EVENT_STREAM));
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    insert_request_id(headers, context.id);
+    head
+}
+
+fn record_first_token(
+    state: &RouterState,
+    context: &RequestContext,
+    target: &AttemptTarget,
+    sent: Instant,
+    request: &ChatRequest,
+) {
+    state.metrics.first_token.observe(context.arrived.elapsed().as_secs_f64());
+    let prompt_tokens = u32::try_from(request.prompt_estimate.0).unwrap_or(u32::MAX);
+    let elapsed_ms = sent.elapsed().as_secs_f64() * 1_000.0;
+    state.admission.record_first_token(&target.endpoint, prompt_tokens, elapsed_ms);
+}
+
+impl AttemptRunner for ChatAttempts {
+    async fn attempt(
+        &mut self,
+        state: &RouterState,
+        context: &RequestContext,
+        target: &AttemptTarget,
+        caller: &mut CallerLink,
+    ) -> AttemptEnd {
+        let request = self.engine_request(context, target);
+        let times = CallTimes::until(&state.limits, context.deadline);
+        let call = call_endpoint(target.address, request, times, DeclineRule::BusyOrLeaving);
+        let mut answer = match caller.unless_gone(call).await {
+            Err(CallerGone) => return AttemptEnd::CallerGone,
+            Ok(Err(failed)) => return AttemptEnd::Failed(failed),
+            Ok(Ok(answer)) => answer,
+        };
+        let status = answer.head.status;
+        if status.is_server_error() {
+            return AttemptEnd::Failed(AttemptFailure::ServerError.into());
+        }
+        if status != StatusCode::OK {
+            let body = answer.collect(state.limits.idle_time, ERROR_EXCERPT_BYTES).await;
+            let excerpt = body.map(|body| String::from_utf8_lossy(&body).into_owned());
+            let message =
+                format!("the engine refused the request as `{status}`: {}", excerpt.unwrap_or_default());
+            let code = RefusalCode::InvalidRequest;
+            return AttemptEnd::Rejected(Refusal::not_run(code, message, RepeatAdvice::Never));
+        }
+        self.accepted = true;
+        let begun = Instant::now();
+        let before = self.delivered;
+        match self.forward(state, context, target, &mut answer, caller).await {
+            EventsEnd::Complete => {
+                let tokens = self.delivered.saturating_sub(before).0;
+                let elapsed_ms = begun.elapsed().as_secs_f64() * 1_000.0;
+                let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+                state.admission.record_answer(&target.endpoint, tokens, elapsed_ms);
+                AttemptEnd::Complete
+            }
+            EventsEnd::CallerGone => AttemptEnd::CallerGone,
+            EventsEnd::Failed(failure) => AttemptEnd::Failed(failure.into()),
+        }
+    }
+
+    fn prompt_estimate(&self) -> TokenCount {
+        self.request.prompt_estimate
+    }
+
+    fn delivered(&self) -> TokenCount {
+        self.delivered
+    }
+
+    fn reported(&self) -> Option<ReportedUsage> {
+        self.reported
+    }
+
+    fn accepted(&self) -> bool {
+        self.accepted
+    }
+
+    fn whole_answer(
+        &mut self,
+        context: &RequestContext,
+        bill: &BillDecision,
+    ) -> Option<Response<AnswerBody>> {
+        if self.request.stream {
+            return None;
+        }
+        let completion = CompletionBody::new(context, self, bill);
+        let json: Bytes = serde_json::to_vec(&completion).unwrap_or_default().into();
+        self.whole = Some(json.clone());
+        Some(json_response(StatusCode::OK, json, context.id))
+    }
+
+    fn recorded_outcome(&self) -> Option<RecordedOutcome> {
+        let (content_type, body) = match &self.whole {
+            Some(whole) => ("application/json", whole.to_vec()),
+            None => (EVENT_STREAM, self.events.clone()?),
+        };
+        let is_small = body.len() <= MAX_HOME_BODY_BYTES;
+        is_small.then(|| RecordedOutcome { status: 200, content_type: Some(content_type.into()), body })
+    }
+}
+
+/// A chat completion that is sent as a whole, in the form that callers of such interfaces expect.
+#[derive(Serialize)]
+struct CompletionBody<'answer> {
+    id: String,
+    object: &'static str,
+    model: &'answer str,
+    choices: [CompletionChoice<'answer>; 1],
+    usage: CompletionUsage,
+}
+
+#[derive(Serialize)]
+struct CompletionChoice<'answer> {
+    index: u32,
+    message: CompletionMessage<'answer>,
+    finish_reason: &'answer str,
+}
+
+#[derive(Serialize)]
+struct CompletionMessage<'answer> {
+    role: &'static str,
+    content: &'answer str,
+}
+
+#[derive(Serialize)]
+struct CompletionUsage {
+    prompt_tokens: u64,
+    completion_tokens: u64,
+    total_tokens: u64,
+}
+
+impl<'answer> CompletionBody<'answer> {
+    fn new(context: &RequestContext, answer: &'answer ChatAttempts, bill: &BillDecision) -> Self {
+        Self {
+            id: format!("chatcmpl-{}", context.id),
+            object: "chat.completion",
+            model: answer.request.model.as_str(),
+            choices: [CompletionChoice {
+                index: 0,
+                message: CompletionMessage { role: "assistant", content: &answer.text },
+                finish_reason: answer.finish_reason.as_deref().unwrap_or("stop"),
+            }],
+            usage: CompletionUsage {
+                prompt_tokens: bill.billed.saturating_sub(answer.delivered).0,
+                completion_tokens: answer.delivered.0,
+                total_tokens: bill.billed.0,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_router/src/chat_request.rs
@@ -0,0 +1,116 @@
+use std::collections::BTreeMap;
+
+use bramleywind_types::{ModelId, Refusal, RefusalCode, RepeatAdvice, TokenCount};
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+/// The length of the answer that a request without `max_tokens` is given, in tokens.
+pub const DEFAULT_ANSWER_TOKENS: u32 = 512;
+
+/// Bytes of prompt text for each token of the estimate. English text has about four; a smaller divisor makes
+/// the estimate larger, so that the usage reported by an engine seldom exceeds the reservation.
+const PROMPT_BYTES_PER_TOKEN: usize = 3;
+
+/// Tokens that each message adds for its role and separators.
+const TOKENS_PER_MESSAGE: u64 = 4;
+
+/// A chat completion request whose body was checked.
+#[derive(Debug, Clone)]
+pub struct ChatRequest {
+    /// The model.
+    pub model: ModelId,
+    /// Whether the caller wants the answer as events.
+    pub stream: bool,
+    /// The most tokens of the answer.
+    pub max_tokens: u32,
+    /// The estimated length of the prompt.
+    pub prompt_estimate: TokenCount,
+    /// The text of the messages up to a limit, by which engines cache.
+    pub prompt_text: Box<str>,
+    fields: BTreeMap<Box<str>, Box<RawValue>>,
+}
+
+#[derive(Deserialize)]
+struct ChatShape<'body> {
+    model: ModelId,
+    #[serde(borrow)]
+    messages: Vec<ChatMessage<'body>>,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: Option<bool>,
+    #[serde(default)]
+    n: Option<u32>,
+}
+
+#[derive(Deserialize)]
+struct ChatMessage<'body> {
+    #[serde(rename = "role")]
+    _role: Box<str>,
+    #[serde(borrow, default)]
+    content: Option<&'body RawValue>,
+}
+
+impl ChatRequest {
+    /// Parses and checks a body.
+    ///
+    /// # Errors
+    ///
+    /// A refusal that names what is wrong.
+    pub fn parse(body: &[u8]) -> Result<Self, Refusal> {
+        let shape: ChatShape<'_> = serde_json::from_slice(body)
+            .map_err(|error| invalid(format!("the body is not a chat request: {error}")))?;
+        let fields = serde_json::from_slice(body)
+            .map_err(|error| invalid(format!("the body is not a JSON object: {error}")))?;
+        if shape.messages.is_empty() {
+            return Err(invalid("`messages` is empty; send at least one message"));
+        }
+        if shape.n.is_some_and(|count| count != 1) {
+            return Err(invalid("`n` is not 1; send one request for each answer"));
+        }
+        if shape.max_tokens == Some(0) {
+            return Err(invalid("`max_tokens` is 0; ask for at least one token"));
+        }
+        let contents = || shape.messages.iter().filter_map(|message| message.content);
+        let prompt_estimate = contents()
+            .map(|content| content.get().len().div_ceil(PROMPT_BYTES_PER_TOKEN) as u64)
+            .map(|tokens| TokenCount(tokens.saturating_add(TOKENS_PER_MESSAGE)))
+            .sum();
+        Ok(Self {
+            model: shape.model,
+            stream: shape.stream.unwrap_or(false),
+            max_tokens: shape.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS),
+            prompt_estimate,
+            prompt_text: contents().map(RawValue::get).collect::<String>().into(),
+            fields,
+        })
+    }
+
+    /// What the request may cost at most; nothing if that is no number.
+    pub fn reservation(&self) -> Option<TokenCount> {
+        self.prompt_estimate.checked_add(TokenCount(u64::from(self.max_tokens)))
+    }
+
+    /// The body for an engine. It is always asked for a stream, so that an answer can be resumed and its
+    /// tokens counted; `delivered` tokens of the answer are already with the caller.
+    pub fn engine_body(&self, delivered: TokenCount) -> Bytes {
+        let mut fields = self.fields.clone();
+        let mut put = |name: &str, value: String| {
+            if let Ok(value) = RawValue::from_string(value) {
+                fields.insert(name.into(), value);
+            }
+        };
+        put("stream", "true".to_owned());
+        put("max_tokens", self.max_tokens.to_string());
+        if delivered > TokenCount(0) {
+            put("resume_from", delivered.to_string());
+        }
+        // A map of valid JSON values has no reason to fail.
+        serde_json::to_vec(&fields).unwrap_or_default().into()
+    }
+}
+
+fn invalid(message: impl Into<Box<str>>) -> Refusal {
+    Refusal::not_run(RefusalCode::InvalidRequest, message, RepeatAdvice::Never)
+}
--- /dev/null
+++ b/crates/bramleywind_router/src/endpoint_health.rs
@@ -0,0 +1,56 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use bramleywind_types::{EndpointId, InstanceId};
+
+/// How long an endpoint is passed over after it could not be connected to or declined a request. One poll of
+/// the instance list, by which a dead endpoint is usually known.
+const AVOID_TIME: Duration = Duration::from_secs(1);
+
+/// How long an endpoint's own announcement that it is leaving counts. The instance list lags, but names a
+/// leaving instance within this time; afterwards only the list counts, since the instance may be a new one.
+const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(30);
+
+/// Which endpoints may be sent new work.
+#[derive(Debug, Default)]
+pub struct EndpointHealth {
+    leaving_instances: BTreeSet<InstanceId>,
+    announced: BTreeMap<EndpointId, Instant>,
+    avoided: BTreeMap<EndpointId, Instant>,
+}
+
+impl EndpointHealth {
+    /// Takes over the instances that the instance list marks as leaving.
+    pub fn set_leaving(&mut self, instances: BTreeSet<InstanceId>) {
+        self.leaving_instances = instances;
+    }
+
+    /// Notes that an endpoint said that it is leaving.
+    pub fn record_announcement(&mut self, endpoint: &EndpointId, now: Instant) {
+        self.announced.insert(endpoint.clone(), now + ANNOUNCEMENT_TIME);
+    }
+
+    /// Notes that an endpoint could not take a request.
+    pub fn record_failure(&mut self, endpoint: &EndpointId, now: Instant) {
+        self.avoided.insert(endpoint.clone(), now + AVOID_TIME);
+    }
+
+    /// Whether the endpoint is leaving, by the list or its own word.
+    pub fn is_leaving(&self, endpoint: &EndpointId, instance: &InstanceId, now: Instant) -> bool {
+        self.leaving_instances.contains(instance)
+            || self.announced.get(endpoint).is_some_and(|until| now < *until)
+    }
+
+    /// Whether the endpoint failed a moment ago.
+    pub fn is_avoided(&self, endpoint: &EndpointId, now: Instant) -> bool {
+        self.avoided.get(endpoint).is_some_and(|until| now < *until)
+    }
+
+    /// Forgets what has expired.
+    pub fn drop_expired(&mut self, now: Instant) {
+        self.announced.retain(|_, until| now < *until);
+        self.avoided.retain(|_, until| now < *until);
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_router/src/entry_answer.rs
@@ -0,0 +1,22 @@
+use std::time::Duration;
+
+use bramleywind_types::{EntryAddress, EntryList, UnixDeadline};
+
+use crate::{RouterState, entry_weight};
+
+/// How long callers may use an entry list.
+pub const ENTRY_VALIDITY: Duration = Duration::from_secs(5);
+
+/// The entries that callers may use, this router included unless it is leaving.
+pub fn entry_list(state: &RouterState) -> EntryList {
+    let identity = &state.identity;
+    let own = EntryAddress {
+        instance: identity.instance.clone(),
+        data_centre: identity.data_centre.clone(),
+        address: identity.caller_address,
+        weight: entry_weight(identity.capacity, state.running()),
+    };
+    let is_leaving = state.drain.borrow().is_leaving();
+    let entries = (!is_leaving).then_some(own).into_iter().collect();
+    EntryList { entries, valid_until_ms: UnixDeadline::after(ENTRY_VALIDITY) }
+}
--- /dev/null
+++ b/crates/bramleywind_router/src/key_check.rs
@@ -0,0 +1,37 @@
+//! The check of bearer keys, in time that does not depend on how much of a key is right.
+
+use bramleywind_config::KeyHash;
+use subtle::{Choice, ConditionallySelectable, ConstantTimeEq};
+
+/// Finds the index of the hash that belongs to `key`. Every hash is compared in full.
+///
+/// ```
+/// use bramleywind_config::KeyHash;
+/// use bramleywind_router::find_key;
+///
+/// let hashes = [KeyHash::of("one"), KeyHash::of("two")];
+/// assert_eq!(find_key(&hashes, "two"), Some(1));
+/// assert_eq!(find_key(&hashes, "three"), None);
+/// ```
+pub fn find_key(hashes: &[KeyHash], key: &str) -> Option<usize> {
+    let wanted = KeyHash::of(key);
+    let mut found = u64::MAX;
+    for (index, hash) in (0u64..).zip(hashes) {
+        let is_equal: Choice = hash.as_bytes().ct_eq(wanted.as_bytes());
+        found = u64::conditional_select(&found, &index, is_equal);
+    }
+    usize::try_from(found).ok().filter(|index| *index < hashes.len())
+}
+
+/// Whether two secrets are equal. Only the lengths may be learnt from the time.
+pub fn secrets_match(given: &str, expected: &str) -> bool {
+    given.as_bytes().ct_eq(expected.as_bytes()).into()
+}
+
+/// The key in an `authorization: Bearer ...` header.
+pub fn bearer_key(headers: &http::HeaderMap) -> Option<&str> {
+    let value = headers.get(http::header::AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.split_once(' ')?;
+    let key = key.trim();
+    (scheme.eq_ignore_ascii_case("bearer") && !key.is_empty()).then_some(key)
+}
--- /dev/null
+++ b/crates/bramleywind_router/src/refusal_answer.rs
@@ -0,0 +1,53 @@
+//! How refusals look on the wire, the same on every port and route.
+
+use bramleywind_types::{Refusal, RefusalBody, RequestId};
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Response, StatusCode, header};
+
+use crate::AnswerBody;
+
+/// Carries the id of the request in every response.
+pub const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
+
+/// Marks the responses of a router or endpoint that is leaving.
+pub const LEAVING_HEADER: HeaderName = HeaderName::from_static("bramleywind-leaving");
+
+/// The response that carries a refusal.
+pub fn refusal_response(refusal: &Refusal, request: RequestId) -> Response<AnswerBody> {
+    let status = StatusCode::from_u16(refusal.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = json_response(status, refusal_json(refusal), request);
+    if let Some(delay_ms) = refusal.retry_after_ms {
+        let seconds = HeaderValue::from(delay_ms.div_ceil(1_000));
+        response.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    response
+}
+
+/// The last event of a stream that was given up after it had begun.
+pub fn refusal_event(refusal: &Refusal) -> Bytes {
+    let json = refusal_json(refusal);
+    [b"event: error\ndata: ", json.as_ref(), b"\n\n"].concat().into()
+}
+
+/// A response with a JSON body.
+pub fn json_response(status: StatusCode, json: Bytes, request: RequestId) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::from(json));
+    *response.status_mut() = status;
+    let json_type = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json_type);
+    insert_request_id(response.headers_mut(), request);
+    response
+}
+
+/// Adds the id of the request to the headers of its response.
+pub fn insert_request_id(headers: &mut http::HeaderMap, request: RequestId) {
+    if let Ok(value) = HeaderValue::try_from(request.to_string()) {
+        headers.insert(REQUEST_ID_HEADER, value);
+    }
+}
+
+fn refusal_json(refusal: &Refusal) -> Bytes {
+    let body = RefusalBody { error: refusal.clone() };
+    // The type has no maps with keys other than text, so serializing it has no reason to fail.
+    serde_json::to_vec(&body).unwrap_or_default().into()
+}
--- /dev/null
+++ b/crates/bramleywind_router/src/request_task.rs
@@ -0,0 +1,395 @@
+//! The path of one request from its key to its bill, in the order of section 9 of the design.
+
+use std::{collections::BTreeSet, rc::Rc, time::Instant};
+
+use bramleywind_claims::{RecordedOutcome, RequestFingerprint, StrikeVerdict};
+use bramleywind_routing::RouteRequest;
+use bramleywind_types::{EndpointId, Refusal, RefusalCode, RepeatAdvice, RunState, TokenCount};
+use compio::time::timeout;
+use http::{HeaderValue, Response, StatusCode, header};
+use slog::{info, warn};
+
+use crate::{
+    AdmissionRequest, AnswerBody, AnswerEnding, AttemptEnd, AttemptRunner, AttemptTarget,
+    BillDecision, BillInput, CallerGone, CallerLink, CodeLabel, EndpointSlot, FailedCall, KeyEnd,
+    KeyStart, KeyTicket, OutcomeLabel, RequestContext, RequestOutcome, RetryDecision, RetryInput,
+    Reservation, ReserveOutcome, RouteTarget, RouterState, RunningGuard, decide_bill, decide_retry, failure_refusal,
+    funds_refusal, insert_request_id, refusal_event, refusal_response,
+};
+
+/// The part of a request's time that it may spend in the queue: one half, so that the other is left to run.
+const QUEUE_SHARE: u32 = 2;
+
+/// A request with all that its path needs.
+#[derive(Debug)]
+pub struct RequestTask<R> {
+    /// The router.
+    pub state: Rc<RouterState>,
+    /// Keeps the router from stopping.
+    pub running: RunningGuard,
+    /// What is known of the request.
+    pub context: RequestContext,
+    /// What it is for.
+    pub target: RouteTarget,
+    /// What the choice of an endpoint depends on.
+    pub route: RouteRequest,
+    /// Whether it may run again after a failure.
+    pub idempotent: bool,
+    /// The most that it may cost.
+    pub reserved: TokenCount,
+    /// Its attempts.
+    pub runner: R,
+    /// The way to its caller.
+    pub caller: CallerLink,
+}
+
+/// How a request ended.
+#[derive(Debug)]
+enum TaskEnd {
+    Complete,
+    CallerGone,
+    Refused(Refusal),
+}
+
+impl From<CallerGone> for TaskEnd {
+    fn from(_: CallerGone) -> Self {
+        Self::CallerGone
+    }
+}
+
+impl From<Refusal> for TaskEnd {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+/// What the attempts of one request have come to so far.
+#[derive(Debug)]
+struct AttemptHistory {
+    excluded: BTreeSet<EndpointId>,
+    attempts: u32,
+    /// Whether every failed attempt certainly did not run.
+    never_ran: bool,
+}
+
+impl<R: AttemptRunner> RequestTask<R> {
+    /// Runs the request: its caller gets the final answer, its bill is settled and its outcome recorded.
+    pub async fn run(mut self) {
+        let state = self.state.clone();
+        let start = state.keys.begin(&state, &self.context, self.idempotent, &mut self.caller);
+        let mut ticket = match start.await {
+            Ok(KeyStart::Run(ticket)) => ticket,
+            Ok(KeyStart::Replay(outcome)) => {
+                // A caller that is gone by now can ask again.
+                let _ = self.caller.finish(replay_response(&outcome, &self.context));
+                return self.record_end(RequestOutcome::Replayed, None);
+            }
+            Ok(KeyStart::Refuse(refusal)) => {
+                self.refuse(&refusal).await;
+                return self.record_end(RequestOutcome::Refused, None);
+            }
+            Err(CallerGone) => return self.record_end(RequestOutcome::CallerGone, None),
+        };
+        match self.reserve().await {
+            Ok(reservation) => self.run_reserved(ticket, reservation).await,
+            Err(end) => {
+                let end = self.close_unsent(&mut ticket, end).await;
+                self.end_without_bill(&end).await;
+                state.keys.finish(&state, &self.context, ticket, KeyEnd::NotRun);
+            }
+        }
+    }
+
+    async fn run_reserved(mut self, mut ticket: KeyTicket, reservation: Reservation) {
+        let state = self.state.clone();
+        let mut history =
+            AttemptHistory { excluded: BTreeSet::new(), attempts: 0, never_ran: true };
+        let mut end = self.run_attempts(&mut ticket, &mut history).await;
+        let ending = match &end {
+            TaskEnd::Complete => AnswerEnding::Complete,
+            TaskEnd::CallerGone => AnswerEnding::CallerGone,
+            TaskEnd::Refused(_) => AnswerEnding::EndpointFailed,
+        };
+        let bill = decide_bill(&BillInput {
+            prompt_estimate: self.runner.prompt_estimate(),
+            delivered: self.runner.delivered(),
+            reserved: self.reserved,
+            reported: self.runner.reported(),
+            ending,
+            accepted: self.runner.accepted(),
+        });
+        state.funds.settle(reservation, bill.billed);
+        state.metrics.tokens_billed.inc_by(bill.billed.0);
+        self.record_excess(&bill);
+        if let (TaskEnd::Complete, Some(response)) =
+            (&end, self.runner.whole_answer(&self.context, &bill))
+        {
+            // The answer is billed even if the caller left at this moment: it is recorded for a repeat.
+            let _ = self.caller.finish(response);
+        }
+        if history.never_ran && !matches!(end, TaskEnd::Complete) && !self.runner.accepted() {
+            end = self.close_unsent(&mut ticket, end).await;
+        }
+        let key_end = match &end {
+            TaskEnd::Complete => KeyEnd::Ran(self.runner.recorded_outcome()),
+            TaskEnd::Refused(refusal) if refusal.ran == RunState::NotRun => KeyEnd::NotRun,
+            TaskEnd::CallerGone | TaskEnd::Refused(_) => KeyEnd::Unknown,
+        };
+        match &end {
+            TaskEnd::Complete => self.record_end(RequestOutcome::Complete, Some(&bill)),
+            TaskEnd::CallerGone => self.record_end(RequestOutcome::CallerGone, Some(&bill)),
+            TaskEnd::Refused(refusal) => {
+                self.refuse(refusal).await;
+                self.record_end(RequestOutcome::Refused, Some(&bill));
+            }
+        }
+        state.keys.finish(&state, &self.context, ticket, key_end);
+    }
+
+    /// Sets the tokens aside.
+    async fn reserve(&mut self) -> Result<Reservation, TaskEnd> {
+        let context = &self.context;
+        let reserve = self.state.funds.reserve(
+            &context.budget,
+            self.reserved,
+            context.key.as_ref(),
+            context.deadline,
+        );
+        // Not dropped when the caller goes away: a reservation that nobody settles stays counted as spent.
+        match reserve.await {
+            ReserveOutcome::Reserved(reservation) => Ok(reservation),
+            ReserveOutcome::Exhausted => Err(funds_refusal(None, context).into()),
+        }
+    }
+
+    async fn run_attempts(
+        &mut self,
+        ticket: &mut KeyTicket,
+        history: &mut AttemptHistory,
+    ) -> TaskEnd {
+        self.state.retry_budget.borrow_mut().record_request(Instant::now());
+        loop {
+            let slot = match self.acquire(history).await {
+                Ok(slot) => slot,
+                Err(end) => return end,
+            };
+            let Some(target) = self.attempt_target(&slot) else {
+                // The configuration changed between the choice and now; choose again.
+                history.excluded.insert(slot.endpoint.clone());
+                continue;
+            };
+            if !ticket.may_send(history.attempts) {
+                let message = "the claim of this request was used before";
+                let code = RefusalCode::OutcomeUnknown;
+                return Refusal::may_have_run(code, message, RepeatAdvice::Never).into();
+            }
+            history.attempts += 1;
+            if history.attempts > 1 {
+                self.state.metrics.retries.inc();
+                if self.runner.delivered() > TokenCount(0) {
+                    self.state.metrics.resumes.inc();
+                }
+            }
+            let state = self.state.clone();
+            let end = self.runner.attempt(&state, &self.context, &target, &mut self.caller).await;
+            drop(slot);
+            match end {
+                AttemptEnd::Complete => return TaskEnd::Complete,
+                AttemptEnd::CallerGone => return TaskEnd::CallerGone,
+                AttemptEnd::Rejected(refusal) => return refusal.into(),
+                AttemptEnd::Failed(failed) => {
+                    self.record_failure(&target, &failed);
+                    history.never_ran &= failed.failure.is_certainly_not_run();
+                    history.excluded.insert(target.endpoint);
+                    if let Some(refusal) = self.give_up(&failed, history) {
+                        return refusal.into();
+                    }
+                }
+            }
+        }
+    }
+
+    /// Waits for a place at an endpoint.
+    async fn acquire(&mut self, history: &AttemptHistory) -> Result<EndpointSlot, TaskEnd> {
+        let now = Instant::now();
+        let fingerprint = self.fingerprint();
+        let mut excluded = history.excluded.clone();
+        match self.state.strikes.borrow().verdict(&fingerprint, now) {
+            StrikeVerdict::Clear => {}
+            StrikeVerdict::Refused => return Err(crash_refusal().into()),
+            StrikeVerdict::Isolated => {
+                let routes = self.state.current_routes()?;
+                let strikes = self.state.strikes.borrow();
+                let is_barred =
+                    |id: &&EndpointId| !strikes.may_retry_on(&fingerprint, id, now);
+                excluded.extend(routes.endpoints.keys().filter(is_barred).cloned());
+            }
+        }
+        let total = self.context.deadline.saturating_duration_since(self.context.arrived);
+        let deadline = self.context.arrived + total / QUEUE_SHARE;
+        let request = AdmissionRequest {
+            workspace: self.context.workspace.clone(),
+            target: self.target.clone(),
+            route: self.route.clone(),
+            cost: self.reserved.0,
+            excluded,
+            deadline,
+        };
+        let admission = self.state.admission.clone();
+        let with_history = |refusal: Refusal| match history.never_ran {
+            true => refusal,
+            false => Refusal { ran: RunState::MayHaveRun, ..refusal },
+        };
+        let receiver = admission.request(request).map_err(with_history)?;
+        // A resumed request has waited before; it gets at least a moment.
+        let wait = deadline.saturating_duration_since(now).max(self.state.limits.connect_time);
+        match self.caller.unless_gone(timeout(wait, receiver)).await? {
+            Ok(Ok(slot)) => {
+                let report =
+                    self.state.strikes.borrow_mut().record_retry(&fingerprint, &slot.endpoint, now);
+                self.state.share_strikes(report.into_iter().collect());
+                Ok(slot)
+            }
+            Ok(Err(_)) | Err(_) => Err(with_history(admission.overloaded()).into()),
+        }
+    }
+
+    fn attempt_target(&self, slot: &EndpointSlot) -> Option<AttemptTarget> {
+        let routes = self.state.current_routes().ok()?;
+        let config = routes.endpoints.get(&slot.endpoint)?;
+        Some(AttemptTarget { endpoint: slot.endpoint.clone(), address: config.address })
+    }
+
+    /// Takes note of what a failure says about the endpoint and about the request.
+    fn record_failure(&self, target: &AttemptTarget, failed: &FailedCall) {
+        let now = Instant::now();
+        let log = self.log();
+        warn!(log, "attempt failed"; "endpoint" => %target.endpoint, "failure" => ?failed.failure);
+        self.state.admission.update_health(|health| {
+            if failed.is_leaving {
+                health.record_announcement(&target.endpoint, now);
+            }
+            if failed.failure.is_certainly_not_run() || failed.failure.is_crash() {
+                health.record_failure(&target.endpoint, now);
+            }
+        });
+        if failed.failure.is_crash() {
+            let struck = [self.fingerprint()];
+            let reports =
+                self.state.strikes.borrow_mut().record_crash(&target.endpoint, &struck, now);
+            self.state.share_strikes(reports);
+        }
+    }
+
+    /// The refusal that ends the request after a failed attempt; nothing if it is tried again.
+    fn give_up(&self, failed: &FailedCall, history: &AttemptHistory) -> Option<Refusal> {
+        let now = Instant::now();
+        if self.state.strikes.borrow().verdict(&self.fingerprint(), now) == StrikeVerdict::Refused {
+            return Some(crash_refusal());
+        }
+        let input = RetryInput {
+            failure: failed.failure,
+            never_ran: history.never_ran,
+            idempotent: self.idempotent,
+            attempts: history.attempts,
+            deadline: self.context.deadline,
+            now,
+        };
+        match decide_retry(&input) {
+            RetryDecision::GiveUp(refusal) => Some(refusal),
+            RetryDecision::Retry if self.state.retry_budget.borrow_mut().try_retry(now) => None,
+            RetryDecision::Retry => {
+                Some(failure_refusal(failed.failure, history.never_ran, self.idempotent))
+            }
+        }
+    }
+
+    /// Closes the durable claim of a request that did not run. Only a claim that is known to be closed
+    /// allows the answer `not_run` (guarantee G4).
+    async fn close_unsent(&self, ticket: &mut KeyTicket, end: TaskEnd) -> TaskEnd {
+        if self.state.keys.close_unsent(ticket).await {
+            return end;
+        }
+        match end {
+            TaskEnd::Refused(refusal) => TaskEnd::Refused(Refusal {
+                ran: RunState::MayHaveRun,
+                repeat: RepeatAdvice::SameKey,
+                ..refusal
+            }),
+            other => other,
+        }
+    }
+
+    async fn end_without_bill(&mut self, end: &TaskEnd) {
+        match end {
+            TaskEnd::Refused(refusal) => {
+                self.refuse(refusal).await;
+                self.record_end(RequestOutcome::Refused, None);
+            }
+            TaskEnd::CallerGone | TaskEnd::Complete => {
+                self.record_end(RequestOutcome::CallerGone, None);
+            }
+        }
+    }
+
+    async fn refuse(&mut self, refusal: &Refusal) {
+        let code = serde_json::to_value(refusal.code).unwrap_or_default();
+        let label = CodeLabel { code: code.as_str().unwrap_or_default().to_owned() };
+        self.state.metrics.refusals.get_or_create(&label).inc();
+        info!(self.log(), "request refused"; "code" => label.code, "ran" => ?refusal.ran,
+            "message" => &*refusal.message);
+        if self.caller.is_waiting() {
+            // A caller that is gone needs no refusal.
+            let _ = self.caller.finish(refusal_response(refusal, self.context.id));
+        } else {
+            let _ = self.caller.send(refusal_event(refusal)).await;
+            self.caller.end_stream();
+        }
+    }
+
+    fn record_excess(&self, bill: &BillDecision) {
+        if bill.excess > TokenCount(0) {
+            self.state.metrics.tokens_excess.inc_by(bill.excess.0);
+            warn!(self.log(), "usage beyond the reservation is not billed"; "tokens" => bill.excess.0);
+        }
+    }
+
+    fn record_end(&self, outcome: RequestOutcome, bill: Option<&BillDecision>) {
+        let elapsed = self.context.arrived.elapsed();
+        self.state.metrics.requests.get_or_create(&OutcomeLabel { outcome }).inc();
+        if outcome == RequestOutcome::Complete {
+            self.state.metrics.whole_answer.observe(elapsed.as_secs_f64());
+        }
+        info!(self.log(), "request ended"; "outcome" => ?outcome,
+            "billed" => bill.map_or(0, |bill| bill.billed.0),
+            "delivered" => self.runner.delivered().0,
+            "elapsed_ms" => elapsed.as_millis() as u64);
+    }
+
+    fn fingerprint(&self) -> RequestFingerprint {
+        let workspace = self.context.workspace.clone();
+        RequestFingerprint { workspace, body_hash: self.context.hash }
+    }
+
+    fn log(&self) -> slog::Logger {
+        let context = &self.context;
+        self.state.log.new(slog::o!("request" => context.id.to_string(),
+            "workspace" => context.workspace.to_string()))
+    }
+}
+
+fn crash_refusal() -> Refusal {
+    let message = "endpoints crashed while they ran this request; do not repeat it";
+    Refusal::may_have_run(RefusalCode::CrashSuspect, message, RepeatAdvice::Never)
+}
+
+fn replay_response(outcome: &RecordedOutcome, context: &RequestContext) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::from(bytes::Bytes::from(outcome.body.clone())));
+    *response.status_mut() = StatusCode::from_u16(outcome.status).unwrap_or(StatusCode::OK);
+    let content_type = outcome.content_type.as_deref().map(HeaderValue::try_from);
+    if let Some(Ok(content_type)) = content_type {
+        response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+    }
+    insert_request_id(response.headers_mut(), context.id);
+    response
+}
--- /dev/null
+++ b/crates/bramleywind_router/src/router_state.rs
@@ -0,0 +1,177 @@
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Instant,
+};
+
+use bramleywind_claims::{
+    KeyClaimOutcome, KeyClaimRequest, KeyFinishOutcome, KeyFinishRequest, KeyHome, StrikeBook,
+    StrikeReport,
+};
+use bramleywind_routing::RetryBudget;
+use bramleywind_types::{
+    DataCentreId, InstanceId, Refusal, RefusalCode, RepeatAdvice, RequestKey,
+};
+use slog::Logger;
+
+use crate::{
+    Admission, DrainPhase, DrainState, FundsGate, KeyDesk, RequestLimits, RouteTable, RouterMetrics,
+};
+
+/// Who this router is.
+#[derive(Debug, Clone)]
+pub struct RouterIdentity {
+    /// The instance that it runs on.
+    pub instance: InstanceId,
+    /// The data centre of the instance.
+    pub data_centre: DataCentreId,
+    /// The address that callers are told.
+    pub caller_address: SocketAddr,
+    /// The share of the traffic, relative to the other entries.
+    pub capacity: u32,
+}
+
+/// All state of a router, shared by its tasks on one thread. No part is borrowed across an await.
+#[derive(Debug)]
+pub struct RouterState {
+    /// Who this router is.
+    pub identity: RouterIdentity,
+    /// What callers may do.
+    pub limits: RequestLimits,
+    /// The configuration in force.
+    pub routes: RefCell<Option<Rc<RouteTable>>>,
+    /// Queues and endpoints.
+    pub admission: Rc<Admission>,
+    /// The limit on retries.
+    pub retry_budget: RefCell<RetryBudget>,
+    /// Whether this router is leaving.
+    pub drain: RefCell<DrainState>,
+    /// The budgets.
+    pub funds: FundsGate,
+    /// The keys of requests.
+    pub keys: KeyDesk,
+    /// The outcomes that this router keeps as a home of keys.
+    pub key_home: RefCell<KeyHome>,
+    /// The requests that crash endpoints.
+    pub strikes: RefCell<StrikeBook>,
+    /// Counters.
+    pub metrics: RouterMetrics,
+    /// The log.
+    pub log: Logger,
+    running: Cell<usize>,
+}
+
+/// Counts a request as running until it is dropped.
+#[derive(Debug)]
+pub struct RunningGuard(Rc<RouterState>);
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+        self.0.metrics.running.dec();
+    }
+}
+
+impl RouterState {
+    /// A router without a configuration.
+    pub fn new(
+        identity: RouterIdentity,
+        limits: RequestLimits,
+        admission: Rc<Admission>,
+        funds: FundsGate,
+        keys: KeyDesk,
+        log: Logger,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            identity,
+            limits,
+            routes: RefCell::new(None),
+            admission,
+            retry_budget: RefCell::default(),
+            drain: RefCell::default(),
+            funds,
+            keys,
+            key_home: RefCell::default(),
+            strikes: RefCell::default(),
+            metrics: RouterMetrics::default(),
+            log,
+            running: Cell::new(0),
+        })
+    }
+
+    /// The configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// [`RefusalCode::NotReady`] before the first one arrived.
+    pub fn current_routes(&self) -> Result<Rc<RouteTable>, Refusal> {
+        self.routes.borrow().clone().ok_or_else(|| {
+            let message = "no configuration is in force yet; use another entry";
+            Refusal::not_run(RefusalCode::NotReady, message, RepeatAdvice::AfterDelay)
+                .after_ms(NOT_READY_RETRY_AFTER_MS)
+        })
+    }
+
+    /// Puts a configuration in force, unless it is older than the present one.
+    pub fn install_routes(&self, routes: RouteTable) -> bool {
+        let routes = Rc::new(routes);
+        let mut current = self.routes.borrow_mut();
+        if current.as_ref().is_some_and(|current| current.revision >= routes.revision) {
+            return false;
+        }
+        *current = Some(routes.clone());
+        drop(current);
+        let budgets = routes.budgets.iter().map(|(id, tokens)| (id.clone(), *tokens)).collect();
+        self.funds.configure(routes.revision, budgets);
+        self.admission.set_routes(routes);
+        true
+    }
+
+    /// What the drain has come to.
+    pub fn phase(&self) -> DrainPhase {
+        self.drain.borrow().phase(Instant::now(), self.running.get())
+    }
+
+    /// How many requests are running.
+    pub fn running(&self) -> usize {
+        self.running.get()
+    }
+
+    /// The homes of a key, in the order in which they are asked.
+    pub fn key_homes(&self, _key: &RequestKey) -> Vec<InstanceId> {
+        vec![self.identity.instance.clone()]
+    }
+
+    /// Tells a home that a request begins.
+    pub async fn claim_at_home(
+        &self,
+        _home: &InstanceId,
+        request: &KeyClaimRequest,
+    ) -> KeyClaimOutcome {
+        self.key_home.borrow_mut().claim(request, |_| true, Instant::now())
+    }
+
+    /// Tells a home that a request has ended.
+    pub async fn finish_at_home(
+        &self,
+        _home: &InstanceId,
+        request: &KeyFinishRequest,
+    ) -> KeyFinishOutcome {
+        self.key_home.borrow_mut().finish(request, Instant::now())
+    }
+
+    /// Tells all peers of strikes.
+    pub fn share_strikes(&self, _reports: Vec<StrikeReport>) {}
+
+    /// Counts a request as running until the guard is dropped.
+    pub fn begin_request(self: &Rc<Self>) -> RunningGuard {
+        self.running.set(self.running.get() + 1);
+        self.metrics.running.inc();
+        RunningGuard(self.clone())
+    }
+}
+
+/// When to ask a router again that has no configuration yet, in milliseconds. It asks store and peers about
+/// once a second.
+const NOT_READY_RETRY_AFTER_MS: u64 = 1_000;
