--- /dev/null
+++ b/crates/bramleywind_standins/src/program.rs
@@ -0,0 +1,46 @@
+//! What the stand-ins' programs share.
+
+use std::{future::Future, net::SocketAddr, process::ExitCode};
+
+use crate::StandinError;
+
+/// Runs a stand-in's program: starts the stand-in, prints its address and waits for `end`.
+///
+/// # Examples
+///
+/// ```no_run
+/// use bramleywind_standins::{StoreStandin, run_program};
+///
+/// let listen = "127.0.0.1:0".parse().unwrap();
+/// run_program(StoreStandin::start(listen), StoreStandin::address, async |_| std::future::pending().await);
+/// ```
+#[allow(
+    clippy::print_stdout,
+    clippy::print_stderr,
+    reason = "a program's interface to its starter"
+)]
+pub fn run_program<S>(
+    start: impl Future<Output = Result<S, StandinError>>,
+    address: impl FnOnce(&S) -> SocketAddr,
+    end: impl AsyncFnOnce(&S) -> ExitCode,
+) -> ExitCode {
+    let runtime = match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cannot start the runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(async {
+        match start.await {
+            Ok(standin) => {
+                println!("listening on {}", address(&standin));
+                end(&standin).await
+            }
+            Err(error) => {
+                eprintln!("{error}");
+                ExitCode::FAILURE
+            }
+        }
+    })
+}
