--- /dev/null
+++ b/crates/bramleywind_standins/src/bin/standin_engine/main.rs
@@ -0,0 +1,20 @@
+//! Serves the stand-in for a model engine.
+
+mod args;
+
+use std::process::ExitCode;
+
+use args::EngineArgs;
+use bramleywind_standins::{EngineStandin, run_program};
+use clap::Parser as _;
+
+/// The exit status after a crash, as of a process that was aborted.
+const CRASH_STATUS: u8 = 134;
+
+fn main() -> ExitCode {
+    let start = EngineStandin::start(EngineArgs::parse().into_options());
+    run_program(start, EngineStandin::address, async |engine| {
+        engine.crashed().await;
+        ExitCode::from(CRASH_STATUS)
+    })
+}
--- /dev/null
+++ b/crates/bramleywind_standins/src/engine_standin/token_text.rs
@@ -0,0 +1,34 @@
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
+
+use super::chat_messages::ChatMessage;
+
+/// The words of answers. None needs escaping in JSON.
+const WORDS: [&str; 16] = [
+    " river", " stone", " kettle", " north", " copper", " sail", " meadow", " lantern", " harbour",
+    " thread", " winter", " saddle", " orchard", " signal", " timber", " gravel",
+];
+
+/// The text of an answer: token `n` depends only on the messages and on `n`, so that a resumed stream can
+/// be compared with one that was never interrupted.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct TokenText {
+    seed: u64,
+}
+
+impl TokenText {
+    pub(super) fn new(messages: &[ChatMessage]) -> Self {
+        let mut hasher = Xxh3::new();
+        for message in messages {
+            hasher.update(message.role.as_bytes());
+            hasher.update(&[0]);
+            hasher.update(message.content.as_bytes());
+            hasher.update(&[0]);
+        }
+        Self { seed: hasher.digest() }
+    }
+
+    pub(super) fn token(self, index: u32) -> &'static str {
+        let hash = xxh3_64_with_seed(&index.to_le_bytes(), self.seed);
+        WORDS[(hash % WORDS.len() as u64) as usize]
+    }
+}
