--- a/crates/bramleywind_standins/src/bin/standin_store.rs
+++ b/crates/bramleywind_standins/src/bin/standin_store/main.rs
@@ -1,16 +1,12 @@
 //! Serves the stand-in for the key-value store.
 
-use std::process::ExitCode;
+mod args;
 
-use bramleywind_standins::{ListenArgs, StoreStandin, run_program};
-use clap::Parser;
+use std::process::ExitCode;
 
-/// Stand-in for the platform's key-value store.
-#[derive(Debug, Parser)]
-struct StoreArgs {
-    #[command(flatten)]
-    listen: ListenArgs,
-}
+use args::StoreArgs;
+use bramleywind_standins::{StoreStandin, run_program};
+use clap::Parser as _;
 
 fn main() -> ExitCode {
     let args = StoreArgs::parse();
