--- /dev/null
+++ b/crates/bramleywind_standins/tests/engine_standin.rs
@@ -0,0 +1,268 @@
+//! The engine must show what routers rely on: resumable text, cancellation, queueing, and its faults.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+#[path = "support/lib.rs"]
+mod support;
+
+use std::time::Duration;
+
+use bramleywind_standins::{
+    CacheEventKind, CacheEvents, ChatAnswer, ChatUsage, EngineFaults, EngineInventory,
+    EngineOptions, EngineOrder, EngineStandin, EngineState, LEAVING_HEADER, LoadReport, OrderKind,
+    UsageFault,
+};
+use bramleywind_types::FencingToken;
+use futures_util::{StreamExt as _, future::join};
+use http::{Method, StatusCode};
+use support::{block_on, chat, get, send, stream, wait_until};
+use test_case::test_case;
+
+fn fast() -> EngineOptions {
+    EngineOptions { tokens_per_second: 2_000, ..EngineOptions::default() }
+}
+
+fn usage(prompt_tokens: u64, completion_tokens: u64) -> Option<ChatUsage> {
+    Some(ChatUsage { prompt_tokens, completion_tokens })
+}
+
+/// Guards against a resumed answer that differs from the answer it continues.
+#[test]
+fn resumed_stream_continues_the_same_text() {
+    block_on(async {
+        let (first, second) = (
+            EngineStandin::start(fast()).await.unwrap(),
+            EngineStandin::start(fast()).await.unwrap(),
+        );
+        let request = chat("fold the sail twice", 12);
+        let whole = stream(first.address(), &request).await;
+        assert!(whole.is_done);
+        assert_eq!(whole.tokens.len(), 12);
+        let mut resumed = request.clone();
+        resumed.resume_from = 5;
+        let rest = stream(second.address(), &resumed).await;
+        assert_eq!(rest.tokens, whole.tokens[5..]);
+        assert_eq!(rest.last.unwrap().usage, usage(4, 7));
+        let other = stream(first.address(), &chat("another prompt", 12)).await;
+        assert_ne!(other.tokens, whole.tokens);
+    });
+}
+
+/// Guards the shape of the answer that routers and callers parse.
+#[test]
+fn answer_without_stream_has_the_usual_shape() {
+    block_on(async {
+        let options = EngineOptions { stop_after: Some(3), ..fast() };
+        let engine = EngineStandin::start(options).await.unwrap();
+        let mut request = chat("one two", 9);
+        request.stream = false;
+        let path = "/v1/chat/completions";
+        let response = send(Method::POST, engine.address(), path, &request).await.unwrap();
+        let answer: ChatAnswer = response.json().await.unwrap();
+        insta::assert_json_snapshot!(answer, @r#"
+        {
+          "id": "r1",
+          "object": "chat.completion",
+          "created": 0,
+          "model": "standin",
+          "usage": {
+            "prompt_tokens": 2,
+            "completion_tokens": 3
+          },
+          "choices": [
+            {
+              "index": 0,
+              "message": {
+                "role": "assistant",
+                "content": " river thread meadow"
+              },
+              "finish_reason": "stop"
+            }
+          ]
+        }
+        "#);
+    });
+}
+
+/// Guards the figures that bills are made from, and their faults.
+#[test_case(UsageFault::Exact, usage(3, 4))]
+#[test_case(UsageFault::None, None)]
+#[test_case(UsageFault::TooMuch, usage(3, 1_000_004))]
+#[test_case(UsageFault::TooLittle, usage(1, 2))]
+fn usage_is_reported_with_its_fault(fault: UsageFault, expected: Option<ChatUsage>) {
+    block_on(async {
+        let engine = EngineStandin::start(fast()).await.unwrap();
+        engine.set_faults(EngineFaults { usage: fault, ..EngineFaults::default() });
+        let text = stream(engine.address(), &chat("one two three", 4)).await;
+        assert_eq!(text.tokens.len(), 4);
+        assert_eq!(text.last.unwrap().usage, expected);
+    });
+}
+
+/// Guards against paying for tokens that nobody receives: the engine must notice that its client left.
+#[test_case(true ; "streamed")]
+#[test_case(false ; "whole")]
+fn client_that_goes_away_cancels_its_request(is_streamed: bool) {
+    block_on(async {
+        let engine = EngineStandin::start(EngineOptions::default()).await.unwrap();
+        let mut request = chat("a long story", 1_000_000);
+        request.stream = is_streamed;
+        let path = "/v1/chat/completions";
+        {
+            let mut sent = Box::pin(async {
+                let response = send(Method::POST, engine.address(), path, &request).await.unwrap();
+                let mut pieces = std::pin::pin!(response.bytes_stream());
+                while pieces.next().await.is_some() {}
+            });
+            let started = Box::pin(wait_until(|| engine.stats().tokens_generated > 0));
+            futures_util::future::select(&mut sent, started).await;
+        }
+        wait_until(|| engine.stats().requests_cancelled == 1).await;
+        let generated = engine.stats().tokens_generated;
+        // A request after it runs to its end, by which time the cancelled one would have gone on.
+        stream(engine.address(), &chat("next", 5)).await;
+        assert_eq!(engine.stats().tokens_generated, generated + 5);
+        assert_eq!(engine.stats().requests_finished, 1);
+    });
+}
+
+/// Guards against a crash that leaves connections open, or an engine that never returns.
+#[test]
+fn crashing_request_takes_the_engine_down_for_its_time() {
+    block_on(async {
+        let down_time = Duration::from_millis(300);
+        let crash_marker = Some("poison".into());
+        let options = EngineOptions { crash_marker, down_time, ..EngineOptions::default() };
+        let engine = EngineStandin::start(options).await.unwrap();
+        let bystander = chat("bystander", 1_000_000);
+        let crash = async {
+            wait_until(|| engine.stats().tokens_generated > 0).await;
+            stream(engine.address(), &chat("the poison pill", 4)).await
+        };
+        let (cut, crashed) = join(stream(engine.address(), &bystander), crash).await;
+        assert!(!cut.is_done && cut.last.is_none());
+        assert!(!crashed.is_done && crashed.tokens.is_empty());
+        engine.crashed().await;
+        let request = chat("after", 3);
+        let path = "/v1/chat/completions";
+        let refused = send(Method::POST, engine.address(), path, &request).await;
+        assert!(refused.is_err());
+        while send(Method::POST, engine.address(), path, &request).await.is_err() {
+            compio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert!(stream(engine.address(), &request).await.is_done);
+    });
+}
+
+/// Guards the trials of resumed streams: the client must get exactly the tokens before the death.
+#[test]
+fn engine_dies_after_the_given_tokens() {
+    block_on(async {
+        let engine = EngineStandin::start(fast()).await.unwrap();
+        engine.set_faults(EngineFaults { die_after_tokens: Some(7), ..EngineFaults::default() });
+        let text = stream(engine.address(), &chat("one", 50)).await;
+        assert_eq!(text.tokens.len(), 7);
+        assert!(!text.is_done);
+        assert_eq!(engine.stats().crashes, 1);
+    });
+}
+
+/// Guards against a queue that ignores priorities.
+#[test]
+fn queue_is_ordered_by_priority() {
+    block_on(async {
+        let options = EngineOptions { slots: 1, ..fast() };
+        let engine = EngineStandin::start(options).await.unwrap();
+        engine.set_faults(EngineFaults { stalled: true, ..EngineFaults::default() });
+        let (low, mut high) = (chat("low", 2), chat("high", 400));
+        high.priority = 5;
+        let address = engine.address();
+        let blocker = chat("blocker", 2);
+        let first = stream(address, &blocker);
+        let second = async {
+            wait_until(|| engine.stats().requests_received == 1).await;
+            stream(address, &low).await;
+            engine.stats().requests_finished
+        };
+        let third = async {
+            wait_until(|| engine.stats().requests_received == 2).await;
+            let released = async {
+                wait_until(|| engine.stats().requests_received == 3).await;
+                engine.set_faults(EngineFaults::default());
+            };
+            join(stream(address, &high), released).await;
+            engine.stats().requests_finished
+        };
+        let (_, (finished_at_low, finished_at_high)) = join(first, join(second, third)).await;
+        assert_eq!((finished_at_high, finished_at_low), (2, 3));
+    });
+}
+
+/// Guards against a load report that is newer than the platform's.
+#[test]
+fn load_report_lags_behind() {
+    block_on(async {
+        let load_lag = Duration::from_millis(400);
+        let engine = EngineStandin::start(EngineOptions { load_lag, ..fast() }).await.unwrap();
+        engine.set_faults(EngineFaults { leaving: true, ..EngineFaults::default() });
+        let report: LoadReport = get(engine.address(), "/v1/load").await;
+        assert_eq!(report.state, EngineState::Live);
+        let response =
+            send(Method::POST, engine.address(), "/v1/chat/completions", &chat("new", 1))
+                .await
+                .unwrap();
+        assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert!(response.headers().contains_key(LEAVING_HEADER));
+        while get::<LoadReport>(engine.address(), "/v1/load").await.state == EngineState::Live {
+            compio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+}
+
+/// Guards against a cache that grows without bound or whose events have no gaps.
+#[test]
+fn prefix_cache_is_bounded_and_its_events_have_gaps() {
+    block_on(async {
+        let options = EngineOptions { cache_tokens: 32, cache_event_gap: 3, ..fast() };
+        let engine = EngineStandin::start(options).await.unwrap();
+        let (first, second) = ("a ".repeat(32), "b ".repeat(32));
+        for prompt in [&first, &first, &second] {
+            stream(engine.address(), &chat(prompt, 1)).await;
+        }
+        let stats = engine.stats();
+        assert_eq!((stats.prefix_hits, stats.prefix_hit_tokens), (1, 32));
+        let published: CacheEvents = get(engine.address(), "/v1/cache-events?after=1").await;
+        let events: Vec<_> = published
+            .events
+            .iter()
+            .map(|event| (event.sequence, event.kind, event.tokens))
+            .collect();
+        let (stored, evicted) = (CacheEventKind::Stored, CacheEventKind::Evicted);
+        assert_eq!(events, [(2, stored, 32), (4, evicted, 16), (5, stored, 32)]);
+    });
+}
+
+/// Guards against an old lease holder's order taking effect, where the engine checks.
+#[test_case(true, StatusCode::CONFLICT, "new")]
+#[test_case(false, StatusCode::OK, "old")]
+fn old_fencing_token_is_refused_if_checked(checks: bool, status: StatusCode, role: &str) {
+    block_on(async {
+        let options = EngineOptions { checks_fencing: checks, ..fast() };
+        let engine = EngineStandin::start(options).await.unwrap();
+        for (role, fencing, expected) in [("new", 7, StatusCode::OK), ("old", 6, status)] {
+            let order = EngineOrder {
+                order: OrderKind::ChangeRole,
+                model: None,
+                adapter: None,
+                version: None,
+                role: Some(role.into()),
+                fencing: FencingToken(fencing),
+            };
+            let answer = send(Method::POST, engine.address(), "/v1/orders", &order).await.unwrap();
+            assert_eq!(answer.status(), expected);
+        }
+        let inventory: EngineInventory = get(engine.address(), "/v1/orders").await;
+        assert_eq!(inventory.role.as_deref(), Some(role));
+        assert_eq!(engine.stats().orders.len(), 2);
+    });
+}
--- /dev/null
+++ b/crates/bramleywind_standins/tests/platform_standins.rs
@@ -0,0 +1,110 @@
+//! The instance list, the plain service and the weight store must show what routers rely on.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+#[path = "support/lib.rs"]
+mod support;
+
+use std::time::Duration;
+
+use bramleywind_standins::{
+    InstanceFaults, InstancesStandin, ServiceExecutions, ServiceFaults, ServiceOptions,
+    ServiceStandin, WeightsOptions, WeightsStandin,
+};
+use bramleywind_store::{
+    DirectoryOutcome, InstanceDirectory, InstanceKind, InstanceList, InstanceRecord, InstanceState,
+    UnavailableReason,
+};
+use http::{Method, StatusCode};
+use support::{CASE_LIMIT, any_address, block_on, client, get, send};
+use test_case::test_case;
+
+fn record(state: InstanceState) -> InstanceRecord {
+    InstanceRecord {
+        instance: "engine-1".parse().unwrap(),
+        data_centre: "akl-a".parse().unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        kind: InstanceKind::Endpoint,
+        state,
+    }
+}
+
+/// Guards the client and the protocol of the instance list, with its lag and outage.
+#[test]
+fn instance_list_lags_and_fails() {
+    block_on(async {
+        let standin = InstancesStandin::start(any_address()).await.unwrap();
+        let directory = InstanceDirectory::new(standin.address(), CASE_LIMIT).unwrap();
+        let path = "/control/instances/engine-1";
+        let put = send(Method::PUT, standin.address(), path, &record(InstanceState::Live)).await;
+        assert_eq!(put.unwrap().status(), StatusCode::OK);
+        let live = InstanceList { instances: vec![record(InstanceState::Live)] };
+        assert_eq!(directory.fetch().await, DirectoryOutcome::Found(live.clone()));
+
+        standin.set_faults(InstanceFaults { lag_ms: 300, outage: false });
+        standin.put(record(InstanceState::Leaving));
+        assert_eq!(directory.fetch().await, DirectoryOutcome::Found(live.clone()));
+        let leaving = InstanceList { instances: vec![record(InstanceState::Leaving)] };
+        while directory.fetch().await == DirectoryOutcome::Found(live.clone()) {
+            compio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(directory.fetch().await, DirectoryOutcome::Found(leaving));
+
+        standin.set_faults(InstanceFaults { lag_ms: 0, outage: true });
+        let outage = DirectoryOutcome::Unavailable(UnavailableReason::Outage);
+        assert_eq!(directory.fetch().await, outage);
+        let address = standin.address();
+        drop(standin);
+        assert_eq!(InstanceDirectory::new(address, CASE_LIMIT).unwrap().fetch().await, outage);
+    });
+}
+
+/// Guards the proof of "at most once": an execution counts even if its caller never learns of it.
+#[test_case(ServiceFaults::default(), Some(StatusCode::OK), 1 ; "calm")]
+#[test_case(ServiceFaults { fail_next: 1, ..ServiceFaults::default() }, Some(StatusCode::INTERNAL_SERVER_ERROR), 1 ; "failed")]
+#[test_case(ServiceFaults { lose_next: 1, ..ServiceFaults::default() }, None, 1 ; "answer lost")]
+#[test_case(ServiceFaults { refuse_next: 1, ..ServiceFaults::default() }, Some(StatusCode::SERVICE_UNAVAILABLE), 0 ; "refused")]
+#[test_case(ServiceFaults { leaving: true, ..ServiceFaults::default() }, Some(StatusCode::SERVICE_UNAVAILABLE), 0 ; "leaving")]
+fn service_counts_executions(faults: ServiceFaults, expected: Option<StatusCode>, count: u64) {
+    block_on(async {
+        let service = ServiceStandin::start(ServiceOptions::default()).await.unwrap();
+        service.set_faults(faults);
+        let url = format!("http://{}/orders/7", service.address());
+        let builder = client().post(url).unwrap().header("Idempotency-Key", "k1").unwrap();
+        let answer = builder.body("parts").send().await;
+        assert_eq!(answer.ok().map(|answer| answer.status()), expected);
+        let counted: ServiceExecutions = get(service.address(), "/control/executions").await;
+        assert_eq!(counted.executions.get("k1").copied().unwrap_or_default(), count);
+    });
+}
+
+/// Guards against a crash that answers, or that is not counted.
+#[test]
+fn service_crashes_on_its_header() {
+    block_on(async {
+        let crash_header = Some("x-crash".into());
+        let down_time = CASE_LIMIT;
+        let options = ServiceOptions { crash_header, down_time, ..ServiceOptions::default() };
+        let service = ServiceStandin::start(options).await.unwrap();
+        let url = format!("http://{}/orders/7", service.address());
+        let builder = client().post(&*url).unwrap().header("x-crash", "1").unwrap();
+        assert!(builder.send().await.is_err());
+        assert!(client().post(&*url).unwrap().send().await.is_err());
+        assert_eq!(service.executions().without_key, 1);
+    });
+}
+
+/// Guards against downloads over the rate, and against refusals that do not say how long to wait.
+#[test]
+fn weight_store_refuses_over_the_rate() {
+    block_on(async {
+        let weights = WeightsStandin::start(WeightsOptions::default()).await.unwrap();
+        let url = format!("http://{}/v1/weights/base", weights.address());
+        let served = client().get(&*url).unwrap().send().await.unwrap();
+        assert_eq!(served.bytes().await.unwrap().len(), 64 * 1024);
+        let refused = client().get(&*url).unwrap().send().await.unwrap();
+        assert_eq!(refused.status(), StatusCode::TOO_MANY_REQUESTS);
+        assert_eq!(refused.headers()["retry-after"], "1");
+        assert_eq!((weights.counters().served, weights.counters().refused), (1, 1));
+    });
+}
