Add the builder for operators' configuration programs

Operators describe a fleet in a program and print the document. The builder collects every bad name and runs the same check as the tool, so that a program never prints a document that routers would not accept. Bearer keys given as text are hashed, because the document must hold no secret.

--- /dev/null
+++ b/crates/bramleywind_operator/examples/umbrella_menders.rs
@@ -0,0 +1,86 @@
+//! The configuration of a fleet that serves umbrella repair shops: language model engines and an ordering
+//! desk for spare parts, whose orders must not be placed twice.
+//!
+//!     cargo run --example umbrella_menders -- \
+//!         --endpoint engine-1=192.0.2.11:8080 --endpoint desk-1=192.0.2.31:8080
+
+use std::process::ExitCode;
+
+use bramleywind_operator::{
+    EndpointAddress, EndpointSpec, Fleet, ModelSpec, ServiceSpec, WorkspaceSpec,
+};
+use clap::Parser;
+
+const DATA_CENTRES: [&str; 3] = ["akl-a", "akl-b", "akl-c"];
+const MODEL: &str = "weave-small";
+const DESK: &str = "ordering-desk";
+
+/// Workspaces with what they paid in, in tokens: three large ones and seven small ones.
+const WORKSPACES: [(&str, u64); 10] = [
+    ("queen-street-umbrellas", 4_000_000),
+    ("harbour-brolly-works", 3_000_000),
+    ("mission-bay-menders", 2_000_000),
+    ("ponsonby-parasols", 200_000),
+    ("devonport-canopies", 200_000),
+    ("titirangi-ribs", 150_000),
+    ("onehunga-handles", 150_000),
+    ("remuera-rainwear", 100_000),
+    ("newmarket-nylon", 100_000),
+    ("waiheke-windproof", 50_000),
+];
+
+/// Prints the configuration of the umbrella menders' fleet.
+#[derive(Debug, Parser)]
+struct Args {
+    /// An endpoint's address; names begin with `engine-` or `desk-`. Repeatable.
+    #[arg(long = "endpoint", value_name = "ID=IP:PORT", required = true)]
+    endpoints: Vec<EndpointAddress>,
+}
+
+fn workspace_spec(name: &str, prepaid_tokens: u64) -> WorkspaceSpec {
+    let budget = format!("{name}-2027");
+    // Real programs read keys from a file, or use `key_hash`; these keys are for trials on loopback.
+    WorkspaceSpec::new(name)
+        .budget(&budget, prepaid_tokens)
+        .key(&format!("{name}-example-key"), &budget)
+        .may_use_model(MODEL)
+        .may_use_service(DESK)
+}
+
+/// The endpoints are spread over the data centres by the number at the end of their names.
+fn endpoint_spec(endpoint: &EndpointAddress) -> EndpointSpec {
+    let id = endpoint.id.as_str();
+    let number: usize = id.rsplit('-').next().and_then(|end| end.parse().ok()).unwrap_or(1);
+    let data_centre = DATA_CENTRES[number.saturating_sub(1) % DATA_CENTRES.len()];
+    let spec = if id.starts_with("desk-") {
+        EndpointSpec::service(id, DESK).slots(4)
+    } else {
+        EndpointSpec::engine(id, [MODEL]).slots(8).checks_fencing()
+    };
+    spec.placed_in(data_centre).at(&endpoint.address.to_string())
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    let fleet = Fleet::new()
+        .model(ModelSpec::new(MODEL, 4_096))
+        .service(
+            ServiceSpec::new(DESK, 25)
+                .non_idempotent_route("POST", "/orders")
+                .idempotent_route("GET", "/orders"),
+        )
+        .workspaces(WORKSPACES.map(|(name, prepaid_tokens)| workspace_spec(name, prepaid_tokens)))
+        .endpoints(args.endpoints.iter().map(endpoint_spec));
+    exit_code(fleet.print())
+}
+
+#[allow(clippy::print_stderr, reason = "the standard output is for the document")]
+fn exit_code(printed: Result<(), bramleywind_operator::FleetError>) -> ExitCode {
+    match printed {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_operator/src/name_parser.rs
@@ -0,0 +1,27 @@
+use std::{fmt::Display, str::FromStr};
+
+/// Parses texts and collects what is wrong with them, so that all errors are reported together.
+#[derive(Debug, Default)]
+pub(crate) struct NameParser {
+    pub(crate) errors: Vec<Box<str>>,
+}
+
+impl NameParser {
+    /// The parsed text, or nothing and one more error.
+    pub(crate) fn parse<T>(&mut self, text: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        text.parse().map_err(|error: T::Err| self.errors.push(error.to_string().into())).ok()
+    }
+
+    /// All parsed texts; those in error are left out.
+    pub(crate) fn parse_all<T>(&mut self, texts: &[Box<str>]) -> Vec<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        texts.iter().filter_map(|text| self.parse(text)).collect()
+    }
+}
