Compute the typed difference of two configurations, and the JSON schema

An operator who loses a race, or is about to apply, must be told what changes. Objects are compared as JSON by id, so that a field added to a type takes part by itself; the order of objects does not count, that of routes does.

--- /dev/null
+++ b/crates/bramleywind_config/src/config_schema.rs
@@ -0,0 +1,15 @@
+use schemars::{Schema, schema_for};
+
+use crate::ConfigDocument;
+
+/// The JSON schema of the document, for editors and for programs in other languages.
+///
+/// The schema describes the form only; [`check_document`](crate::check_document) also checks the meaning.
+///
+/// ```
+/// let schema = bramleywind_config::config_schema();
+/// assert_eq!(schema.get("title").and_then(|title| title.as_str()), Some("ConfigDocument"));
+/// ```
+pub fn config_schema() -> Schema {
+    schema_for!(ConfigDocument)
+}
--- a/crates/bramleywind_config/src/lib.rs
+++ b/crates/bramleywind_config/src/lib.rs
@@ -5,7 +5,10 @@
 
 mod budget_config;
 mod check_document;
+mod config_change;
+mod config_difference;
 mod config_document;
+mod config_schema;
 mod config_signature;
 mod diagnostic;
 mod document_shape;
@@ -23,7 +26,10 @@
 
 pub use budget_config::BudgetConfig;
 pub use check_document::check_document;
+pub use config_change::{ConfigChange, ConfigObject, ObjectKind};
+pub use config_difference::ConfigDifference;
 pub use config_document::{ConfigDocument, FORMAT_VERSION};
+pub use config_schema::config_schema;
 pub use config_signature::ConfigSignature;
 pub use diagnostic::{Diagnostic, DiagnosticList};
 pub use endpoint_config::{EndpointConfig, EndpointRole};
