--- a/crates/bramleywind_router/src/admission.rs
+++ b/crates/bramleywind_router/src/admission.rs
@@ -16,9 +16,6 @@
 
 use crate::{EndpointHealth, RouteTable, RouteTarget};
 
-/// How many requests may wait for one model or service in this router.
-const QUEUE_LIMIT: usize = 256;
-
 /// The delay that callers of a full queue are told at least, in milliseconds: about half of a short answer.
 const EXPECTED_ROOM_MS: u64 = 500;
 
@@ -59,6 +56,7 @@
     routes: Option<Rc<RouteTable>>,
     queues: BTreeMap<RouteTarget, FairQueue<WaitingRequest>>,
     delay: ReturnDelay,
+    queue_limit: usize,
 }
 
 /// One request's place at an endpoint, given back when dropped.
@@ -80,14 +78,15 @@
 }
 
 impl Admission {
-    /// No endpoints and empty queues.
-    pub fn new(policy: PolicyKind, seed: u64) -> Rc<Self> {
+    /// No endpoints and empty queues, each for `queue_limit` requests.
+    pub fn new(policy: PolicyKind, seed: u64, queue_limit: usize) -> Rc<Self> {
         let state = AdmissionState {
             table: EndpointTable::new(SelectedPolicy::new(policy, seed)),
             health: EndpointHealth::default(),
             routes: None,
             queues: BTreeMap::new(),
             delay: ReturnDelay::new(seed),
+            queue_limit,
         };
         Rc::new_cyclic(|this| Self { this: this.clone(), inner: RefCell::new(state) })
     }
@@ -161,8 +160,8 @@
             deadline: request.deadline,
             payload: WaitingRequest { request, sender },
         };
-        let queue =
-            state.queues.entry(target.clone()).or_insert_with(|| FairQueue::new(QUEUE_LIMIT));
+        let limit = state.queue_limit;
+        let queue = state.queues.entry(target.clone()).or_insert_with(|| FairQueue::new(limit));
         let pushed = queue.push(queued);
         drop(state);
         match pushed {
--- /dev/null
+++ b/crates/bramleywind_router/src/background/config_watch.rs
@@ -0,0 +1,76 @@
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bramleywind_config::{OperatorPublicKey, SignedConfig};
+use bramleywind_store::{Store, StoreKey, StoreVersion, UnavailableReason, WatchOutcome};
+use rand::Rng;
+use slog::{info, warn};
+
+use crate::{RouteTable, RouterState, RouterStore};
+
+/// How long one watch waits. Each watch is one call of the store; six routers make 0.2 calls a second.
+const WATCH_TIME: Duration = Duration::from_secs(30);
+
+/// The first delay after a failed watch. Doubles up to [`LONGEST_DELAY`], with jitter, so that routers do not
+/// return to a recovering store together.
+const SHORTEST_DELAY: Duration = Duration::from_millis(100);
+
+/// The longest delay after a failed watch; below the 15 s in which a change must be in force.
+const LONGEST_DELAY: Duration = Duration::from_secs(3);
+
+/// Follows the configuration in the store.
+pub async fn watch_config(state: Rc<RouterState>, store: RouterStore, key: OperatorPublicKey) {
+    let mut version = StoreVersion::MISSING;
+    let mut delay = SHORTEST_DELAY;
+    loop {
+        match store.watch(&StoreKey::config(), version, Instant::now() + WATCH_TIME).await {
+            WatchOutcome::Changed(found) => {
+                version = found.version;
+                delay = SHORTEST_DELAY;
+                match serde_json::from_slice(&found.value) {
+                    Ok(signed) => accept_config(&state, &signed, &key, "store"),
+                    Err(error) => {
+                        warn!(state.log, "the configuration in the store is not readable";
+                            "error" => %error);
+                    }
+                }
+            }
+            WatchOutcome::Unchanged => delay = SHORTEST_DELAY,
+            WatchOutcome::Unavailable(reason) => {
+                if reason != UnavailableReason::Timeout {
+                    warn!(state.log, "the store does not answer"; "reason" => ?reason);
+                }
+                let jitter = rand::rng().random_range(0.5..1.5);
+                compio::time::sleep(delay.mul_f64(jitter)).await;
+                delay = (2 * delay).min(LONGEST_DELAY);
+            }
+        }
+    }
+}
+
+/// Puts a configuration in force if its signature is valid and its revision higher than the present one.
+pub fn accept_config(
+    state: &RouterState,
+    signed: &SignedConfig,
+    key: &OperatorPublicKey,
+    source: &str,
+) {
+    let current = state.routes.borrow().as_ref().map(|routes| routes.revision);
+    if current.is_some_and(|current| current >= signed.revision) {
+        return;
+    }
+    match signed.open(key) {
+        Ok(document) => {
+            if state.install_routes(RouteTable::new(signed.revision, document), signed) {
+                info!(state.log, "configuration in force"; "revision" => signed.revision.0,
+                    "source" => source);
+            }
+        }
+        Err(error) => {
+            warn!(state.log, "configuration refused"; "revision" => signed.revision.0,
+                "source" => source, "error" => %error);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_router/src/background/instance_poll.rs
@@ -0,0 +1,34 @@
+use std::{rc::Rc, time::Duration};
+
+use bramleywind_store::{DirectoryOutcome, InstanceDirectory, InstanceKind, InstanceState};
+use slog::warn;
+
+use crate::RouterState;
+
+/// How often the instance list is read. A leaving endpoint must get no new work 3 s after it is marked.
+const POLL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Follows the instance list: endpoints that leave get no new work, and this router drains on its own mark.
+/// While the list does not answer, the last known one counts.
+pub async fn poll_instances(state: Rc<RouterState>, directory: InstanceDirectory) {
+    loop {
+        match directory.fetch().await {
+            DirectoryOutcome::Found(list) => {
+                let leaving = || {
+                    let instances = list.instances.iter();
+                    instances.filter(|record| record.state == InstanceState::Leaving)
+                };
+                let endpoints = leaving().filter(|record| record.kind == InstanceKind::Endpoint);
+                let endpoints = endpoints.map(|record| record.instance.clone()).collect();
+                state.admission.update_health(|health| health.set_leaving(endpoints));
+                if leaving().any(|record| record.instance == state.identity.instance) {
+                    state.begin_drain("instance list");
+                }
+            }
+            DirectoryOutcome::Unavailable(reason) => {
+                warn!(state.log, "the instance list does not answer"; "reason" => ?reason);
+            }
+        }
+        compio::time::sleep(POLL_INTERVAL).await;
+    }
+}
--- a/crates/bramleywind_router/src/chat_attempts.rs
+++ b/crates/bramleywind_router/src/chat_attempts.rs
@@ -83,7 +83,7 @@
         caller: &mut CallerLink,
     ) -> EventsEnd {
         let sent = Instant::now();
-        let resumed = self.delivered > TokenCount(0);
+        let base = self.delivered;
         let mut scanner = EventScanner::default();
         loop {
             let idle_time = state
@@ -98,67 +98,96 @@
                 Ok(Ok(Some(piece))) => piece,
             };
             scanner.push(&piece);
-            while let Some(event) = scanner.next_event() {
-                match EngineEvent::of(&event) {
-                    EngineEvent::Token { text, finish_reason } => {
-                        if self.delivered == TokenCount(0) {
-                            record_first_token(state, context, target, sent, &self.request);
-                        }
-                        self.delivered = self.delivered.saturating_add(TokenCount(1));
-                        self.keep_reason(finish_reason);
-                        if !self.request.stream {
-                            self.text.push_str(&text);
-                        }
+            let mut events = Vec::with_capacity(piece.len());
+            let end = self.read_events(&mut scanner, &mut events, base, |request| {
+                record_first_token(state, context, target, sent, request);
+            });
+            if let Err(gone) = self.pass_on(context, events.into(), caller).await {
+                return gone.into();
+            }
+            match end {
+                Some(EventsEnd::Complete) => {
+                    caller.end_stream();
+                    return EventsEnd::Complete;
+                }
+                Some(end) => return end,
+                None if scanner.is_overfull() => {
+                    return EventsEnd::Failed(AttemptFailure::ServerError);
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// Counts the events that have arrived, and adds those for the caller to `events` unchanged. Returns how
+    /// the answer ended, if it did.
+    fn read_events(
+        &mut self,
+        scanner: &mut EventScanner,
+        events: &mut Vec<u8>,
+        base: TokenCount,
+        on_first_token: impl Fn(&ChatRequest),
+    ) -> Option<EventsEnd> {
+        while let Some(event) = scanner.next_event() {
+            match EngineEvent::of(&event) {
+                EngineEvent::Token { text, finish_reason } => {
+                    if self.delivered == TokenCount(0) {
+                        on_first_token(&self.request);
                     }
-                    EngineEvent::Usage(usage) => self.reported = Some(usage),
-                    EngineEvent::Other { finish_reason } => {
-                        // The head of a resumed answer repeats what the caller already has.
-                        if resumed && finish_reason.is_none() {
-                            continue;
-                        }
-                        self.keep_reason(finish_reason);
+                    self.delivered = self.delivered.saturating_add(TokenCount(1));
+                    self.keep_reason(finish_reason);
+                    if !self.request.stream {
+                        self.text.push_str(&text);
                     }
-                    EngineEvent::Empty => continue,
-                    EngineEvent::Done => {
-                        return match self.pass_on(context, event, caller).await {
-                            Ok(()) => {
-                                caller.end_stream();
-                                EventsEnd::Complete
-                            }
-                            Err(gone) => gone.into(),
-                        };
+                }
+                EngineEvent::Usage { usage, finish_reason } => {
+                    // An engine that resumed an answer reports its own part only.
+                    self.reported = Some(ReportedUsage {
+                        total: usage.total.saturating_add(base),
+                        completion: usage.completion.map(|tokens| tokens.saturating_add(base)),
+                    });
+                    self.keep_reason(finish_reason);
+                }
+                EngineEvent::Other { finish_reason } => {
+                    // The head of a resumed answer repeats what the caller already has.
+                    if base > TokenCount(0) && finish_reason.is_none() {
+                        continue;
                     }
-                    EngineEvent::Failed => return EventsEnd::Failed(AttemptFailure::ServerError),
+                    self.keep_reason(finish_reason);
                 }
-                if let Err(gone) = self.pass_on(context, event, caller).await {
-                    return gone.into();
+                EngineEvent::Empty => continue,
+                EngineEvent::Done => {
+                    events.extend_from_slice(&event);
+                    return Some(EventsEnd::Complete);
+                }
+                EngineEvent::Failed => {
+                    return Some(EventsEnd::Failed(AttemptFailure::ServerError));
                 }
             }
-            if scanner.is_overfull() {
-                return EventsEnd::Failed(AttemptFailure::ServerError);
-            }
+            events.extend_from_slice(&event);
         }
+        None
     }
 
     async fn pass_on(
         &mut self,
         context: &RequestContext,
-        event: Bytes,
+        events: Bytes,
         caller: &mut CallerLink,
     ) -> Result<(), CallerGone> {
-        if !self.request.stream {
+        if !self.request.stream || events.is_empty() {
             return Ok(());
         }
         if caller.is_waiting() {
             caller.begin_stream(stream_head(context))?;
         }
         match &mut self.events {
-            Some(events) if events.len() + event.len() <= MAX_HOME_BODY_BYTES => {
-                events.extend_from_slice(&event);
+            Some(kept) if kept.len() + events.len() <= MAX_HOME_BODY_BYTES => {
+                kept.extend_from_slice(&events);
             }
-            events => *events = None,
+            kept => *kept = None,
         }
-        caller.send(event).await
+        caller.send(events).await
     }
 
     fn keep_reason(&mut self, reason: Option<Box<str>>) {
--- /dev/null
+++ b/crates/bramleywind_router/src/daemon.rs
@@ -0,0 +1,67 @@
+use std::{future::pending, process::ExitCode};
+
+use bramleywind_settings::DaemonSettings;
+use compio::runtime::Runtime;
+use futures_util::future::{Either, select};
+use slog::{crit, info};
+
+use crate::{Args, Router, RouterOptions, RouterState, new_logger};
+
+/// The number of the signal by which a process is asked to stop, the same on all Unix systems.
+const SIGTERM: i32 = 15;
+
+/// Runs the daemon until it has drained. The exit status is 0 after a drain and 1 if it could not start.
+#[allow(clippy::print_stderr, reason = "before the settings are read, there is no log")]
+pub fn run_daemon(args: &Args) -> ExitCode {
+    let settings = match DaemonSettings::load(&args.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if args.check {
+        return ExitCode::SUCCESS;
+    }
+    // Kept until the end, because dropping it writes what is left of the log.
+    let (log, _log_guard) = new_logger(&settings);
+    let runtime = match Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            crit!(log, "the runtime could not be started"; "error" => %error);
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(async {
+        let router = match Router::start(RouterOptions::new(settings, log.clone())).await {
+            Ok(router) => router,
+            Err(error) => {
+                crit!(log, "the router could not be started"; "error" => %error);
+                return ExitCode::FAILURE;
+            }
+        };
+        info!(log, "router started"; "caller_address" => %router.caller_address(),
+            "operator_address" => %router.operator_address());
+        let drained = std::pin::pin!(router.drained());
+        let signalled = std::pin::pin!(drain_on_signal(router.state()));
+        match select(drained, signalled).await {
+            Either::Left(((), _)) | Either::Right(((), _)) => {}
+        }
+        info!(log, "router stopped");
+        ExitCode::SUCCESS
+    })
+}
+
+/// Begins the drain at each signal. Never ends: the drain itself does.
+async fn drain_on_signal(state: &RouterState) {
+    loop {
+        let terminated = std::pin::pin!(compio::signal::unix::signal(SIGTERM));
+        let interrupted = std::pin::pin!(compio::signal::ctrl_c());
+        let result = select(terminated, interrupted).await.factor_first().0;
+        if let Err(error) = result {
+            crit!(state.log, "signals cannot be received"; "error" => %error);
+            pending::<()>().await;
+        }
+        state.begin_drain("signal");
+    }
+}
--- a/crates/bramleywind_router/src/drain_state.rs
+++ b/crates/bramleywind_router/src/drain_state.rs
@@ -4,12 +4,6 @@
 
 use bramleywind_macros::domain_type;
 
-/// How long a leaving router still accepts requests: callers keep an entry answer this long.
-pub const DRAIN_GRACE: Duration = Duration::from_secs(5);
-
-/// How long a leaving router waits for its running requests.
-pub const DRAIN_LIMIT: Duration = Duration::from_secs(60);
-
 /// What the router does at present.
 #[domain_type]
 #[derive(Copy, Hash)]
@@ -34,7 +28,7 @@
 /// let now = Instant::now();
 /// let mut drain = DrainState::default();
 /// assert_eq!(drain.phase(now, 3), DrainPhase::Live);
-/// assert!(drain.begin(now));
+/// assert!(drain.begin(now, Duration::from_secs(5), Duration::from_secs(60)));
 /// assert_eq!(drain.phase(now, 3), DrainPhase::Grace);
 /// assert_eq!(drain.phase(now + Duration::from_secs(6), 3), DrainPhase::Finishing);
 /// assert_eq!(drain.phase(now + Duration::from_secs(6), 0), DrainPhase::Finished);
@@ -51,11 +45,12 @@
 }
 
 impl DrainState {
-    /// Begins the drain. Returns whether it had not begun before; a second signal changes no deadline.
-    pub fn begin(&mut self, now: Instant) -> bool {
+    /// Begins the drain: `grace` for requests of callers that have not heard of it, then `bound` for the
+    /// running ones. Returns whether it had not begun before; a second signal changes no deadline.
+    pub fn begin(&mut self, now: Instant, grace: Duration, bound: Duration) -> bool {
         let is_first = self.deadlines.is_none();
-        self.deadlines
-            .get_or_insert(DrainDeadlines { grace: now + DRAIN_GRACE, finish: now + DRAIN_LIMIT });
+        let grace = now + grace;
+        self.deadlines.get_or_insert(DrainDeadlines { grace, finish: grace + bound });
         is_first
     }
 
--- a/crates/bramleywind_router/src/engine_event.rs
+++ b/crates/bramleywind_router/src/engine_event.rs
@@ -17,8 +17,13 @@
         /// Why the answer ends with this chunk.
         finish_reason: Option<Box<str>>,
     },
-    /// The token counts of the whole request.
-    Usage(ReportedUsage),
+    /// The token counts of this call.
+    Usage {
+        /// The counts.
+        usage: ReportedUsage,
+        /// Why the answer ends.
+        finish_reason: Option<Box<str>>,
+    },
     /// A chunk that carries neither text nor usage, such as a role or a finish reason.
     Other {
         /// Why the answer ends.
@@ -89,12 +94,12 @@
         if body.error.is_some() {
             return Self::Failed;
         }
+        let choice = body.choices.into_iter().next();
         if let Some(usage) = body.usage {
-            return Self::Usage(usage.into());
+            let finish_reason = choice.and_then(|choice| choice.finish_reason);
+            return Self::Usage { usage: usage.into(), finish_reason };
         }
-        let Some(choice) = body.choices.into_iter().next() else {
-            return Self::Other { finish_reason: None };
-        };
+        let Some(choice) = choice else { return Self::Other { finish_reason: None } };
         match choice.delta.content {
             Some(text) if !text.is_empty() => {
                 Self::Token { text, finish_reason: choice.finish_reason }
--- a/crates/bramleywind_router/src/funds_gate.rs
+++ b/crates/bramleywind_router/src/funds_gate.rs
@@ -59,8 +59,13 @@
         billed.saturating_sub(reservation.tokens)
     }
 
+    /// The incarnation.
+    pub fn incarnation(&self) -> bramleywind_types::IncarnationId {
+        bramleywind_types::IncarnationId::from_number(0)
+    }
+
     /// What is left.
-    pub fn left(&self, budget: &BudgetId) -> Option<TokenCount> {
+    pub fn balance(&self, budget: &BudgetId) -> Option<TokenCount> {
         self.left.borrow().get(budget).copied()
     }
 }
--- a/crates/bramleywind_router/src/http_listener.rs
+++ b/crates/bramleywind_router/src/http_listener.rs
@@ -31,7 +31,15 @@
     }
 }
 
-/// A port that accepts connections.
+/// A port that is open and does not answer yet.
+#[derive(Debug)]
+pub struct BoundListener {
+    /// Where the port listens.
+    pub address: SocketAddr,
+    listener: TcpListener,
+}
+
+/// A port that accepts connections. It closes, and its connections break, when this is dropped.
 #[derive(Debug)]
 pub struct HttpListener {
     /// Where the port listens.
@@ -41,22 +49,26 @@
 }
 
 impl HttpListener {
-    /// Listens on `listen`, whose port may be zero, and answers each request with `answer`.
+    /// Opens a port; port 0 takes a free one.
     ///
     /// # Errors
     ///
     /// If the address cannot be listened on.
-    pub async fn start<A, F>(
-        listen: SocketAddr,
-        read_time: Duration,
-        answer: A,
-    ) -> std::io::Result<Self>
+    pub async fn bind(listen: SocketAddr) -> std::io::Result<BoundListener> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        Ok(BoundListener { address, listener })
+    }
+}
+
+impl BoundListener {
+    /// Answers each request with `answer`. A caller may take `read_time` for the head of a request.
+    pub fn serve<A, F>(self, read_time: Duration, answer: A) -> HttpListener
     where
         A: Fn(Request<Incoming>) -> F + Clone + 'static,
         F: Future<Output = Result<Response<AnswerBody>, Infallible>> + 'static,
     {
-        let listener = TcpListener::bind(listen).await?;
-        let address = listener.local_addr()?;
+        let Self { address, listener } = self;
         let connections = PortConnections::default();
         let accepted = connections.clone();
         let accepting = compio::runtime::spawn(async move {
@@ -70,7 +82,7 @@
                 }
             }
         });
-        Ok(Self { address, _accepting: accepting, _connections: connections })
+        HttpListener { address, _accepting: accepting, _connections: connections }
     }
 }
 
--- a/crates/bramleywind_router/src/lib.rs
+++ b/crates/bramleywind_router/src/lib.rs
@@ -6,13 +6,16 @@
 
 mod admission;
 mod answer_body;
+mod args;
 mod attempt_runner;
+pub mod background;
 mod bill_rule;
 mod caller_link;
 mod caller_port;
 mod chat_attempts;
 mod chat_request;
 mod counted_store;
+mod daemon;
 mod drain_state;
 mod endpoint_call;
 mod endpoint_health;
@@ -26,19 +29,24 @@
 mod key_check;
 mod key_desk;
 mod key_start;
+mod logger;
 mod lone_link;
+mod operator_port;
 mod refusal_answer;
 mod request_context;
 mod request_limits;
 mod request_task;
 mod retry_decision;
 mod route_table;
+mod router;
 mod router_metrics;
 mod router_state;
 mod service_attempts;
+mod state_dump;
 
 pub use admission::{Admission, AdmissionRequest, EndpointSlot};
 pub use answer_body::{AnswerBody, TruncatedAnswer};
+pub use args::Args;
 pub use attempt_runner::{AttemptEnd, AttemptRunner, AttemptTarget};
 pub use bill_rule::{AnswerEnding, BillDecision, BillInput, ReportedUsage, decide_bill};
 pub use caller_link::{CallerGone, CallerLink};
@@ -46,7 +54,8 @@
 pub use chat_attempts::ChatAttempts;
 pub use chat_request::{ChatRequest, DEFAULT_ANSWER_TOKENS};
 pub use counted_store::CountedStore;
-pub use drain_state::{DRAIN_GRACE, DRAIN_LIMIT, DrainPhase, DrainState};
+pub use daemon::run_daemon;
+pub use drain_state::{DrainPhase, DrainState};
 pub use endpoint_call::{CallTimes, DeclineRule, EndpointAnswer, FailedCall, call_endpoint};
 pub use endpoint_health::EndpointHealth;
 pub use engine_event::{DONE_DATA, EngineEvent};
@@ -55,11 +64,13 @@
 pub use event_scan::{EventFields, EventScanner, MAX_EVENT_BYTES};
 pub use funds_gate::{FundsGate, Reservation, ReserveOutcome};
 pub use funds_refusal::funds_refusal;
-pub use http_listener::{HttpListener, PortConnections};
+pub use http_listener::{BoundListener, HttpListener, PortConnections};
 pub use key_check::{bearer_key, find_key, secrets_match};
 pub use key_desk::KeyDesk;
 pub use key_start::{KeyEnd, KeyStart, KeyTicket};
+pub use logger::new_logger;
 pub use lone_link::LoneLink;
+pub use operator_port::{RouterStatusAnswer, answer_operator};
 pub use refusal_answer::{
     LEAVING_HEADER, REQUEST_ID_HEADER, insert_request_id, json_response, refusal_event,
     refusal_response,
@@ -71,11 +82,13 @@
     AttemptFailure, MAX_ATTEMPTS, RetryDecision, RetryInput, decide_retry, failure_refusal,
 };
 pub use route_table::{KeyOwner, RouteTable, RouteTarget};
+pub use router::{Router, RouterOptions, StartError};
 pub use router_metrics::{
     CodeLabel, OutcomeLabel, PeerLabel, RequestOutcome, RouterMetrics, StoreLabel,
 };
 pub use router_state::{RouterIdentity, RouterState, RunningGuard};
 pub use service_attempts::{ServiceAttempts, ServiceRequest, end_to_end_headers};
+pub use state_dump::StateDump;
 
 /// The store as the router uses it.
 pub type RouterStore = CountedStore<bramleywind_store::HttpStore>;
--- /dev/null
+++ b/crates/bramleywind_router/src/logger.rs
@@ -0,0 +1,40 @@
+use bramleywind_settings::{DaemonSettings, LogFormat, LogLevel};
+use slog::{Drain, Level, LevelFilter, Logger, o};
+use slog_async::{Async, AsyncGuard, OverflowStrategy};
+
+/// How many log lines wait for a slow reader before further ones are dropped and counted.
+const LOG_QUEUE_LINES: usize = 4_096;
+
+/// The log that the settings ask for, one line an event on the standard error, and the guard that writes what
+/// is left of it when dropped.
+pub fn new_logger(settings: &DaemonSettings) -> (Logger, AsyncGuard) {
+    let level = match settings.log.level {
+        LogLevel::Trace => Level::Trace,
+        LogLevel::Debug => Level::Debug,
+        LogLevel::Info => Level::Info,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Error => Level::Error,
+        LogLevel::Critical => Level::Critical,
+    };
+    let (drain, guard) = match settings.log.format {
+        LogFormat::Json => queued(slog_json::Json::default(std::io::stderr()).fuse()),
+        LogFormat::Terminal => {
+            let decorator = slog_term::TermDecorator::new().stderr().build();
+            queued(slog_term::FullFormat::new(decorator).build().fuse())
+        }
+    };
+    let drain = LevelFilter::new(drain, level).fuse();
+    let instance = settings.instance.to_string();
+    (Logger::root(drain, o!("instance" => instance)), guard)
+}
+
+fn queued<D>(drain: D) -> (slog::Fuse<Async>, AsyncGuard)
+where
+    D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
+{
+    let (queue, guard) = Async::new(drain)
+        .chan_size(LOG_QUEUE_LINES)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build_with_guard();
+    (queue.fuse(), guard)
+}
--- a/crates/bramleywind_router/src/main.rs
+++ b/crates/bramleywind_router/src/main.rs
@@ -1,3 +1,10 @@
-//! To be written.
+//! `bramleywindd`, the router's daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+use bramleywind_router::{Args, run_daemon};
+use clap::Parser;
+
+fn main() -> ExitCode {
+    run_daemon(&Args::parse())
+}
--- /dev/null
+++ b/crates/bramleywind_router/src/operator_port.rs
@@ -0,0 +1,112 @@
+//! The port for operators: status, dump, balances, metrics and the drain.
+
+use std::{convert::Infallible, rc::Rc};
+
+use bramleywind_settings::Secret;
+use bramleywind_types::{
+    BudgetId, ConfigRevision, DataCentreId, IncarnationId, InstanceId, Refusal, RefusalCode,
+    RepeatAdvice, RequestId,
+};
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use serde::Serialize;
+
+use crate::{
+    AnswerBody, RouterState, StateDump, bearer_key, json_response, refusal_response, secrets_match,
+};
+
+/// The type of the metrics text.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// The path of balances, followed by the budget.
+const BALANCE_PREFIX: &str = "/v1/balance/";
+
+/// The answer to `GET /v1/status`.
+#[derive(Debug, Clone, Serialize)]
+pub struct RouterStatusAnswer {
+    /// The instance.
+    pub instance: InstanceId,
+    /// The incarnation that it spends under.
+    pub incarnation: IncarnationId,
+    /// Where it runs.
+    pub data_centre: DataCentreId,
+    /// The revision in force; zero before the first one.
+    pub revision: ConfigRevision,
+    /// `live` or `leaving`.
+    pub state: &'static str,
+}
+
+/// Answers one request of an operator.
+pub async fn answer_operator(
+    state: Rc<RouterState>,
+    token: Secret,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let id = RequestId::random();
+    let answer = match bearer_key(request.headers()) {
+        Some(given) if secrets_match(given, token.expose()) => {
+            route_operator(&state, id, &request)
+        }
+        _ => Err(Refusal::not_run(
+            RefusalCode::Unauthorized,
+            "the operators' token is missing or wrong; send `authorization: Bearer <token>`",
+            RepeatAdvice::Never,
+        )),
+    };
+    Ok(answer.unwrap_or_else(|refusal| refusal_response(&refusal, id)))
+}
+
+fn route_operator(
+    state: &Rc<RouterState>,
+    id: RequestId,
+    request: &Request<Incoming>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/v1/status") => Ok(json(&router_status(state), id)),
+        (&Method::GET, "/v1/dump") => Ok(json(&StateDump::of(state), id)),
+        (&Method::GET, "/metrics") => Ok(metrics(state)),
+        (&Method::POST, "/v1/drain") => {
+            state.begin_drain("operator");
+            Ok(json(&router_status(state), id))
+        }
+        (&Method::GET, path) if path.starts_with(BALANCE_PREFIX) => {
+            let name = path.strip_prefix(BALANCE_PREFIX).unwrap_or_default();
+            let not_found =
+                |message| Refusal::not_run(RefusalCode::NotFound, message, RepeatAdvice::Never);
+            let budget: BudgetId = name
+                .parse()
+                .map_err(|error| not_found(format!("the path names no budget: {error}")))?;
+            let balance = state.funds.balance(&budget).ok_or_else(|| {
+                not_found(format!("the budget `{budget}` was not used by this router"))
+            })?;
+            Ok(json(&balance, id))
+        }
+        (method, path) => {
+            let message = format!("there is no `{method} {path}`");
+            Err(Refusal::not_run(RefusalCode::NotFound, message, RepeatAdvice::Never))
+        }
+    }
+}
+
+fn router_status(state: &RouterState) -> RouterStatusAnswer {
+    let routes = state.routes.borrow();
+    RouterStatusAnswer {
+        instance: state.identity.instance.clone(),
+        incarnation: state.funds.incarnation(),
+        data_centre: state.identity.data_centre.clone(),
+        revision: routes.as_ref().map_or(ConfigRevision(0), |routes| routes.revision),
+        state: if state.drain.borrow().is_leaving() { "leaving" } else { "live" },
+    }
+}
+
+fn metrics(state: &RouterState) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::from(Bytes::from(state.metrics.encode())));
+    let text = HeaderValue::from_static(METRICS_TYPE);
+    response.headers_mut().insert(header::CONTENT_TYPE, text);
+    response
+}
+
+fn json(value: &impl Serialize, id: RequestId) -> Response<AnswerBody> {
+    json_response(StatusCode::OK, serde_json::to_vec(value).unwrap_or_default().into(), id)
+}
--- a/crates/bramleywind_router/src/request_limits.rs
+++ b/crates/bramleywind_router/src/request_limits.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use bramleywind_settings::RouterLimits;
+
 /// What a caller may send and how long things may take.
 ///
 /// They are arguments of the router rather than constants so that tests can reach them quickly.
@@ -24,20 +26,29 @@
     /// The largest answer of a plain service, in bytes. Such answers are held in memory until they are
     /// whole, so that a broken one can be retried.
     pub service_answer_bytes: usize,
+    /// How long a draining router still accepts requests.
+    pub drain_grace: Duration,
+    /// How long a draining router finishes its requests for after the grace.
+    pub drain_bound: Duration,
 }
 
-impl Default for RequestLimits {
-    fn default() -> Self {
+impl RequestLimits {
+    /// The limits that the settings name, with fixed ones for endpoints and for writing.
+    pub fn from_settings(settings: &RouterLimits) -> Self {
         Self {
-            header_bytes: 16 * 1024,
-            body_bytes: 1024 * 1024,
-            read_time: Duration::from_secs(10),
-            total_time: Duration::from_secs(300),
+            header_bytes: settings.header_bytes,
+            body_bytes: settings.body_bytes,
+            read_time: settings.request_read_timeout,
+            total_time: settings.request_timeout,
+            // A caller on a slow link reads a piece of a few KB within this time.
             write_time: Duration::from_secs(20),
             connect_time: Duration::from_secs(1),
-            first_byte_time: Duration::from_secs(60),
-            idle_time: Duration::from_secs(20),
+            first_byte_time: Duration::from_secs(30),
+            // Far above the 80 ms between tokens that callers are promised.
+            idle_time: Duration::from_secs(10),
             service_answer_bytes: 4 * 1024 * 1024,
+            drain_grace: settings.drain_grace,
+            drain_bound: settings.drain_bound,
         }
     }
 }
--- a/crates/bramleywind_router/src/router_state.rs
+++ b/crates/bramleywind_router/src/router_state.rs
@@ -9,11 +9,12 @@
     KeyClaimOutcome, KeyClaimRequest, KeyFinishOutcome, KeyFinishRequest, KeyHome, StrikeBook,
     StrikeReport,
 };
+use bramleywind_config::SignedConfig;
 use bramleywind_routing::RetryBudget;
 use bramleywind_types::{
     DataCentreId, InstanceId, Refusal, RefusalCode, RepeatAdvice, RequestKey,
 };
-use slog::Logger;
+use slog::{Logger, info};
 
 use crate::{
     Admission, DrainPhase, DrainState, FundsGate, KeyDesk, RequestLimits, RouteTable, RouterMetrics,
@@ -41,6 +42,8 @@
     pub limits: RequestLimits,
     /// The configuration in force.
     pub routes: RefCell<Option<Rc<RouteTable>>>,
+    /// The same configuration as the operators signed it, for peers.
+    pub signed_config: RefCell<Option<SignedConfig>>,
     /// Queues and endpoints.
     pub admission: Rc<Admission>,
     /// The limit on retries.
@@ -81,12 +84,14 @@
         admission: Rc<Admission>,
         funds: FundsGate,
         keys: KeyDesk,
+        metrics: RouterMetrics,
         log: Logger,
     ) -> Rc<Self> {
         Rc::new(Self {
             identity,
             limits,
-            routes: RefCell::new(None),
+            routes: RefCell::default(),
+            signed_config: RefCell::default(),
             admission,
             retry_budget: RefCell::default(),
             drain: RefCell::default(),
@@ -94,7 +99,7 @@
             keys,
             key_home: RefCell::default(),
             strikes: RefCell::default(),
-            metrics: RouterMetrics::default(),
+            metrics,
             log,
             running: Cell::new(0),
         })
@@ -114,7 +119,7 @@
     }
 
     /// Puts a configuration in force, unless it is older than the present one.
-    pub fn install_routes(&self, routes: RouteTable) -> bool {
+    pub fn install_routes(&self, routes: RouteTable, signed: &SignedConfig) -> bool {
         let routes = Rc::new(routes);
         let mut current = self.routes.borrow_mut();
         if current.as_ref().is_some_and(|current| current.revision >= routes.revision) {
@@ -122,12 +127,21 @@
         }
         *current = Some(routes.clone());
         drop(current);
+        *self.signed_config.borrow_mut() = Some(signed.clone());
         let budgets = routes.budgets.iter().map(|(id, tokens)| (id.clone(), *tokens)).collect();
         self.funds.configure(routes.revision, budgets);
         self.admission.set_routes(routes);
         true
     }
 
+    /// Begins the drain, unless it has begun.
+    pub fn begin_drain(&self, reason: &str) {
+        let (grace, bound) = (self.limits.drain_grace, self.limits.drain_bound);
+        if self.drain.borrow_mut().begin(Instant::now(), grace, bound) {
+            info!(self.log, "drain begun"; "reason" => reason, "running" => self.running.get());
+        }
+    }
+
     /// What the drain has come to.
     pub fn phase(&self) -> DrainPhase {
         self.drain.borrow().phase(Instant::now(), self.running.get())
