Implement budget records, the witness book and the funds keeper

A reservation is used only after a witness of each member record that may be in force has acknowledged it, and a slice is closed only after all witnesses of a final record were sealed, so what is counted at the close contains every reservation that was sent.

--- /dev/null
+++ b/crates/bramleywind_ledger/src/funds_keeper/keeper_state.rs
@@ -0,0 +1,301 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use bramleywind_store::{StoreKey, StoreVersion};
+use bramleywind_types::{
+    BudgetId, ConfigRevision, IncarnationId, JournalSequence, RequestKey, TokenCount,
+};
+
+use super::{
+    membership_state::MembershipState,
+    page_state::{DemandAnswer, LateSettlement, PageState, PoolDemand},
+    reclaim_task::{ClosingReport, ReclaimTask},
+};
+use crate::{
+    BudgetBalance, BudgetPage, JournalEntry, KeeperSettings, LoanId, PeerRecord, SealReport,
+    WitnessBook, WitnessId, holder_journal::HolderJournal, holder_slice::HolderSlice,
+    loan_desk::LoanDesk, witness_copies::WitnessCopies,
+};
+
+/// After this time without a reservation, the unused part of a slice goes back to the pool.
+const IDLE_TIME: Duration = Duration::from_secs(10);
+
+/// All that a keeper knows. Its methods do no I/O and never wait.
+#[derive(Debug)]
+pub(crate) struct KeeperState {
+    pub(crate) settings: KeeperSettings,
+    pub(crate) run: IncarnationId,
+    pub(crate) incarnation: IncarnationId,
+    pub(crate) journal: HolderJournal,
+    pub(crate) slices: BTreeMap<BudgetId, HolderSlice>,
+    pub(crate) witnesses: WitnessCopies,
+    pub(crate) membership: MembershipState,
+    pub(crate) peers: Vec<PeerRecord>,
+    pub(crate) revision: ConfigRevision,
+    pub(crate) configured: BTreeMap<BudgetId, TokenCount>,
+    pub(crate) pages: BTreeMap<StoreKey, PageState>,
+    pub(crate) page_queue: BTreeSet<StoreKey>,
+    pub(crate) demands: BTreeMap<u64, PoolDemand>,
+    pub(crate) next_ticket: u64,
+    pub(crate) reclaims: BTreeMap<IncarnationId, ReclaimTask>,
+    pub(crate) closing: BTreeMap<IncarnationId, ClosingReport>,
+    pub(crate) book: WitnessBook,
+    pub(crate) loans: LoanDesk,
+    pub(crate) stopping: bool,
+    pub(crate) store_writes: u64,
+    pub(crate) store_reads: u64,
+}
+
+impl KeeperState {
+    pub(crate) fn new(settings: KeeperSettings) -> Self {
+        let run = IncarnationId::random();
+        let own = WitnessId { instance: settings.instance.clone(), run };
+        Self {
+            settings,
+            run,
+            incarnation: run,
+            journal: HolderJournal::new(run),
+            slices: BTreeMap::new(),
+            witnesses: WitnessCopies::default(),
+            membership: MembershipState::default(),
+            peers: Vec::new(),
+            revision: ConfigRevision(0),
+            configured: BTreeMap::new(),
+            pages: BTreeMap::new(),
+            page_queue: BTreeSet::new(),
+            demands: BTreeMap::new(),
+            next_ticket: 0,
+            reclaims: BTreeMap::new(),
+            closing: BTreeMap::new(),
+            book: WitnessBook::new(own),
+            loans: LoanDesk::default(),
+            stopping: false,
+            store_writes: 0,
+            store_reads: 0,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.settings.clock.now()
+    }
+
+    pub(crate) fn page(&mut self, key: &StoreKey) -> &mut PageState {
+        self.pages.entry(key.clone()).or_default()
+    }
+
+    pub(crate) fn available(&self, budget: &BudgetId) -> TokenCount {
+        self.slices.get(budget).map_or(TokenCount(0), HolderSlice::available)
+    }
+
+    /// Reserves within the slice and journals it. The request must not be sent before the entry is covered
+    /// by the witnesses.
+    pub(crate) fn claim(
+        &mut self,
+        budget: &BudgetId,
+        tokens: TokenCount,
+        key: Option<&RequestKey>,
+    ) -> Option<JournalSequence> {
+        let now = self.now();
+        let slice = self.slices.get_mut(budget).filter(|slice| slice.available() >= tokens)?;
+        slice.open = slice.open.saturating_add(tokens);
+        slice.last_used = now;
+        slice.usage.add(now, tokens);
+        slice.gives_back = false;
+        let entry = JournalEntry::Reserve { budget: budget.clone(), tokens, key: key.cloned() };
+        Some(self.journal.push(entry))
+    }
+
+    /// Settles a reservation of this or an earlier incarnation. Repeating it changes nothing.
+    ///
+    /// Freed tokens may be reserved again at once: the entry that reserves them stands behind this one in
+    /// the journal, so a witness that has the later one has this one too.
+    pub(crate) fn settle_share(
+        &mut self,
+        budget: &BudgetId,
+        incarnation: IncarnationId,
+        reservation: JournalSequence,
+        billed: TokenCount,
+    ) {
+        if incarnation != self.incarnation {
+            let late = LateSettlement { budget: budget.clone(), incarnation, reservation, billed };
+            self.settle_late(late);
+            return;
+        }
+        let Some(tokens) = self.journal.open_tokens(budget, reservation) else { return };
+        let billed = billed.min(tokens);
+        self.journal.push(JournalEntry::Settle { reservation, billed });
+        if let Some(slice) = self.slices.get_mut(budget) {
+            slice.open = slice.open.saturating_sub(tokens);
+            slice.settled = slice.settled.saturating_add(billed);
+        }
+    }
+
+    /// Settles a reservation of a sealed incarnation, whoever's it is, in the store (rule R5).
+    pub(crate) fn settle_late(&mut self, late: LateSettlement) {
+        let key = StoreKey::budget_page(&late.budget);
+        self.page(&key).late.push(late);
+        self.page_queue.insert(key);
+    }
+
+    pub(crate) fn is_covered(&self, incarnation: IncarnationId, entry: JournalSequence) -> bool {
+        self.incarnation == incarnation && self.witnesses.cover(entry.next())
+    }
+
+    pub(crate) fn journal_is_covered(&self) -> bool {
+        self.witnesses.cover(self.journal.next())
+    }
+
+    /// Gives the incarnation up, because a witness or the store showed that it was sealed (rule R5).
+    ///
+    /// From here on nothing is reserved under it, so this process's own journal is as good a report as the
+    /// witnesses', and closes the slices even if a witness is lost. Reservations that were not sent yet are
+    /// settled late with nothing by those who wait for them.
+    pub(crate) fn become_sealed(&mut self) {
+        let report = SealReport::from_journals([self.journal.snapshot().clone()]);
+        let instance = self.settings.instance.clone();
+        let task = ReclaimTask { report, ..ReclaimTask::new(instance) };
+        self.reclaims.insert(self.incarnation, task);
+        self.incarnation = IncarnationId::random();
+        self.journal = HolderJournal::new(self.incarnation);
+        self.slices.clear();
+        self.witnesses = WitnessCopies::default();
+        self.membership.begin_again();
+        self.loans.forget_lent();
+    }
+
+    pub(crate) fn add_demand(&mut self, budget: &BudgetId, tokens: TokenCount) -> u64 {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        let page = StoreKey::budget_page(budget);
+        let demand =
+            PoolDemand { budget: budget.clone(), tokens, page: page.clone(), answer: None };
+        self.demands.insert(ticket, demand);
+        self.page_queue.insert(page);
+        ticket
+    }
+
+    pub(crate) fn answer_demands(
+        &mut self,
+        answer: DemandAnswer,
+        mut applies_to: impl FnMut(&PoolDemand) -> bool,
+    ) {
+        for demand in self.demands.values_mut() {
+            if demand.answer.is_none() && applies_to(demand) {
+                demand.answer = Some(answer);
+            }
+        }
+    }
+
+    /// Takes over what a page says of this incarnation's slices. The page must be one that no write of ours
+    /// in doubt can still replace.
+    pub(crate) fn adopt_page(&mut self, key: &StoreKey, page: &BudgetPage) {
+        let now = self.now();
+        let incarnation = self.incarnation;
+        for (budget, record) in &page.budgets {
+            if let Some(record) = record.slices.get(&incarnation) {
+                let slice =
+                    self.slices.entry(budget.clone()).or_insert_with(|| HolderSlice::new(now));
+                slice.usable = record.granted;
+            }
+        }
+        let is_gone = |(budget, slice): (&BudgetId, &HolderSlice)| {
+            let record = page.budgets.get(budget);
+            slice.usable > TokenCount(0)
+                && StoreKey::budget_page(budget) == *key
+                && record.is_none_or(|record| !record.slices.contains_key(&incarnation))
+        };
+        if self.slices.iter().any(is_gone) {
+            self.become_sealed();
+        }
+    }
+
+    /// Lowers the local bounds to those of a page that is about to be written, which may take effect at any
+    /// time from then on.
+    pub(crate) fn restrict_to_page(&mut self, key: &StoreKey, page: &BudgetPage) {
+        for (budget, slice) in &mut self.slices {
+            if StoreKey::budget_page(budget) != *key {
+                continue;
+            }
+            let record = page.budgets.get(budget);
+            let slice_record = record.and_then(|record| record.slices.get(&self.incarnation));
+            let granted = slice_record.map_or(TokenCount(0), |record| record.granted);
+            slice.usable = slice.usable.min(granted);
+        }
+    }
+
+    /// Queues what has become due with time.
+    pub(crate) fn queue_due_work(&mut self) {
+        let now = self.now();
+        let stopping = self.stopping;
+        for (budget, slice) in &mut self.slices {
+            let is_idle = now.duration_since(slice.last_used) >= IDLE_TIME;
+            if (is_idle && slice.available() > TokenCount(0)) || stopping {
+                slice.gives_back = true;
+                self.page_queue.insert(StoreKey::budget_page(budget));
+            }
+        }
+        for (key, page) in &mut self.pages {
+            if page.has_lasting_work(now) {
+                self.page_queue.insert(key.clone());
+            }
+        }
+        for (loan, budget) in self.loans.take_expired(now) {
+            self.bill_in_full(&budget, loan);
+        }
+        self.queue_rescans(now);
+        let peers = &self.peers;
+        let is_peer = |witness: &WitnessId| peers.iter().any(|peer| peer.witness == *witness);
+        let targets: Vec<WitnessId> = self.witnesses.targets().cloned().collect();
+        self.witnesses.copies.retain(|witness, copy| {
+            copy.in_flight || targets.contains(witness) || is_peer(witness)
+        });
+    }
+
+    pub(crate) fn bill_in_full(&mut self, budget: &BudgetId, loan: LoanId) {
+        if let Some(tokens) = self.journal.open_tokens(budget, loan.reservation) {
+            self.settle_share(budget, loan.incarnation, loan.reservation, tokens);
+        }
+    }
+
+    fn queue_rescans(&mut self, now: Instant) {
+        let mut forgotten = Vec::new();
+        for (incarnation, closing) in &mut self.closing {
+            if closing.take_due_rescan(now) && !self.reclaims.contains_key(incarnation) {
+                let mut task = ReclaimTask::new(closing.instance.clone());
+                task.report = Some(closing.report.clone());
+                self.reclaims.insert(*incarnation, task);
+            } else if closing.is_over(now) {
+                forgotten.push(*incarnation);
+            }
+        }
+        for incarnation in forgotten {
+            if let Some(closing) = self.closing.remove(&incarnation)
+                && closing.instance == self.settings.instance
+            {
+                self.membership.forgettable.insert(incarnation);
+            }
+        }
+    }
+
+    pub(crate) fn balance(&self, budget: &BudgetId) -> Option<BudgetBalance> {
+        let page = self.pages.get(&StoreKey::budget_page(budget))?;
+        let (_, page) = page.cached.as_ref()?;
+        let record = page.budgets.get(budget)?;
+        let slice = self.slices.get(budget);
+        Some(BudgetBalance {
+            credit: record.credit(),
+            settled: record.settled,
+            pool: record.pool(),
+            granted: record.granted(),
+            slice_available: self.available(budget),
+            slice_open: slice.map_or(TokenCount(0), |slice| slice.open),
+        })
+    }
+
+    /// The highest version that a page of the store is known to have reached.
+    pub(crate) fn known_version(&mut self, key: &StoreKey) -> StoreVersion {
+        self.page(key).known
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_ledger/src/funds_keeper/pending_shares.rs
@@ -0,0 +1,123 @@
+use std::rc::Rc;
+
+use bramleywind_types::{
+    BudgetId, IncarnationId, InstanceId, JournalSequence, RequestKey, TokenCount,
+};
+
+use super::keeper_core::KeeperCore;
+use crate::{
+    LoanRequest, LoanSettlement, LoanShare, OwnShare, Reservation,
+    loan_desk::{LoanMessage, LoanMessageContent},
+};
+
+/// The shares of a reservation that is not complete. What was collected is handed back when it is dropped,
+/// also if the caller goes away while it waits.
+pub(super) struct PendingShares {
+    core: Rc<KeeperCore>,
+    budget: BudgetId,
+    own: Option<OwnShare>,
+    loans: Vec<LoanShare>,
+    /// A loan request that has not been answered.
+    asked: Option<(InstanceId, LoanRequest)>,
+}
+
+impl PendingShares {
+    pub(super) fn new(core: &Rc<KeeperCore>, budget: &BudgetId) -> Self {
+        let (core, budget) = (Rc::clone(core), budget.clone());
+        Self { core, budget, own: None, loans: Vec::new(), asked: None }
+    }
+
+    /// Reserves in the slice, if it has the tokens.
+    pub(super) fn claim(&mut self, tokens: TokenCount, key: Option<&RequestKey>) -> bool {
+        let mut state = self.core.state.borrow_mut();
+        let Some(sequence) = state.claim(&self.budget, tokens, key) else { return false };
+        self.own = Some(OwnShare { incarnation: state.incarnation, sequence, tokens });
+        true
+    }
+
+    pub(super) fn budget(&self) -> &BudgetId {
+        &self.budget
+    }
+
+    pub(super) fn own_entry(&self) -> Option<(IncarnationId, JournalSequence)> {
+        self.own.map(|share| (share.incarnation, share.sequence))
+    }
+
+    pub(super) fn tokens(&self) -> TokenCount {
+        let own = self.own.map_or(TokenCount(0), |share| share.tokens);
+        own.saturating_add(self.loans.iter().map(|share| share.tokens).sum())
+    }
+
+    /// Notes a request before it is sent, so that it is cancelled if no answer comes.
+    pub(super) fn ask(&mut self, lender: &InstanceId, request: &LoanRequest) {
+        self.asked = Some((lender.clone(), request.clone()));
+    }
+
+    /// The lender has answered that it reserved nothing.
+    pub(super) fn got_nothing(&mut self) {
+        self.asked = None;
+    }
+
+    pub(super) fn got_loan(&mut self, share: LoanShare) {
+        self.asked = None;
+        self.loans.push(share);
+    }
+
+    /// Gives up on the answer of the lender that was asked last.
+    pub(super) fn cancel_asked(&mut self) {
+        if let Some((lender, request)) = self.asked.take() {
+            let content = LoanMessageContent::Cancel(request);
+            let message = LoanMessage::new(lender, self.budget.clone(), content);
+            self.core.state.borrow_mut().loans.messages.push(message);
+            self.core.work.notify();
+        }
+    }
+
+    pub(super) fn complete(mut self, key: Option<&RequestKey>) -> Reservation {
+        Reservation {
+            budget: self.budget.clone(),
+            key: key.cloned(),
+            own: self.own.take(),
+            loans: std::mem::take(&mut self.loans),
+        }
+    }
+}
+
+impl Drop for PendingShares {
+    fn drop(&mut self) {
+        self.cancel_asked();
+        if self.own.is_none() && self.loans.is_empty() {
+            return;
+        }
+        self.core.settle_shares(&self.budget, self.own.take(), &self.loans, TokenCount(0));
+    }
+}
+
+impl KeeperCore {
+    /// Bills the shares: the own one first, so that the lenders get back as much as possible.
+    pub(super) fn settle_shares(
+        &self,
+        budget: &BudgetId,
+        own: Option<OwnShare>,
+        loans: &[LoanShare],
+        billed: TokenCount,
+    ) {
+        let mut rest = billed;
+        let mut state = self.state.borrow_mut();
+        if let Some(share) = own {
+            let part = rest.min(share.tokens);
+            rest = rest.saturating_sub(part);
+            state.settle_share(budget, share.incarnation, share.sequence, part);
+        }
+        for share in loans {
+            let part = rest.min(share.tokens);
+            rest = rest.saturating_sub(part);
+            let settlement = LoanSettlement { loan: share.loan, billed: part };
+            let content = LoanMessageContent::Settle(settlement);
+            let message = LoanMessage::new(share.lender.clone(), budget.clone(), content);
+            state.loans.messages.push(message);
+        }
+        drop(state);
+        self.work.notify();
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_ledger/src/funds_keeper/reclaim_task.rs
@@ -0,0 +1,66 @@
+use std::time::{Duration, Instant};
+
+use bramleywind_types::InstanceId;
+
+use crate::{ReclaimObstacle, SealReport, WitnessId, retry_delay::RetryDelay};
+
+/// When pages are looked through again after a close, for grants to the sealed incarnation that took effect
+/// late. The store's calls end within seconds, so the second look is for a store that is down meanwhile.
+const RESCAN_AFTER: [Duration; 2] = [Duration::from_secs(15), Duration::from_secs(60)];
+/// How long a report is kept to close slices that appear even later on pages that are read anyway.
+const KEEP_REPORT: Duration = Duration::from_secs(120);
+
+/// A reclaim that has not ended.
+#[derive(Debug)]
+pub(crate) struct ReclaimTask {
+    pub(crate) instance: InstanceId,
+    /// The final witnesses, once the member record is known to be sealed.
+    pub(crate) witnesses: Option<Vec<WitnessId>>,
+    /// What the incarnation spent, once it is known.
+    pub(crate) report: Option<SealReport>,
+    pub(crate) in_flight: bool,
+    pub(crate) retry: RetryDelay,
+    pub(crate) attempts: u64,
+    pub(crate) obstacle: Option<ReclaimObstacle>,
+}
+
+/// The report of an incarnation whose slices are being closed, or have been.
+#[derive(Debug)]
+pub(crate) struct ClosingReport {
+    pub(crate) instance: InstanceId,
+    pub(crate) report: SealReport,
+    /// When the pages had all been closed for the first time.
+    pub(crate) closed_at: Option<Instant>,
+    pub(crate) rescans: usize,
+}
+
+impl ReclaimTask {
+    pub(crate) fn new(instance: InstanceId) -> Self {
+        Self {
+            instance,
+            witnesses: None,
+            report: None,
+            in_flight: false,
+            retry: RetryDelay::default(),
+            attempts: 0,
+            obstacle: None,
+        }
+    }
+}
+
+impl ClosingReport {
+    pub(crate) fn take_due_rescan(&mut self, now: Instant) -> bool {
+        let (Some(closed_at), Some(delay)) = (self.closed_at, RESCAN_AFTER.get(self.rescans))
+        else {
+            return false;
+        };
+        let is_due = now.duration_since(closed_at) >= *delay;
+        self.rescans += usize::from(is_due);
+        is_due
+    }
+
+    pub(crate) fn is_over(&self, now: Instant) -> bool {
+        self.rescans == RESCAN_AFTER.len()
+            && self.closed_at.is_some_and(|instant| now.duration_since(instant) >= KEEP_REPORT)
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_ledger/src/holder_slice.rs
@@ -0,0 +1,40 @@
+use std::time::Instant;
+
+use bramleywind_types::TokenCount;
+
+use crate::usage_window::UsageWindow;
+
+/// A slice as its holder sees it. All counts are cumulative within the slice.
+#[derive(Debug, Clone)]
+pub(crate) struct HolderSlice {
+    /// What the store is known to grant, lowered before each write that may lower it. It is raised only by
+    /// a page that no write of ours can still replace.
+    pub(crate) usable: TokenCount,
+    pub(crate) settled: TokenCount,
+    pub(crate) open: TokenCount,
+    pub(crate) last_used: Instant,
+    pub(crate) usage: UsageWindow,
+    /// The unused part shall go back to the pool.
+    pub(crate) gives_back: bool,
+}
+
+impl HolderSlice {
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            usable: TokenCount(0),
+            settled: TokenCount(0),
+            open: TokenCount(0),
+            last_used: now,
+            usage: UsageWindow::new(now),
+            gives_back: false,
+        }
+    }
+
+    pub(crate) fn committed(&self) -> TokenCount {
+        self.settled.saturating_add(self.open)
+    }
+
+    pub(crate) fn available(&self) -> TokenCount {
+        self.usable.saturating_sub(self.committed())
+    }
+}
--- a/crates/bramleywind_ledger/src/journal.rs
+++ b/crates/bramleywind_ledger/src/journal.rs
@@ -66,3 +66,32 @@
     /// The key of the request, if its caller gave one.
     pub key: Option<RequestKey>,
 }
+
+impl JournalSnapshot {
+    /// The state of a journal without entries.
+    pub fn empty(incarnation: IncarnationId) -> Self {
+        Self { incarnation, next: JournalSequence(0), budgets: BTreeMap::new() }
+    }
+
+    /// Adds the entry that has the sequence number `next`. Returns whether it changed a balance: settling
+    /// what is not open does not.
+    pub fn apply(&mut self, entry: &JournalEntry) -> bool {
+        let sequence = self.next;
+        self.next = sequence.next();
+        match entry {
+            JournalEntry::Reserve { budget, tokens, key } => {
+                let reservation = OpenReservation { tokens: *tokens, key: key.clone() };
+                self.budgets.entry(budget.clone()).or_default().open.insert(sequence, reservation);
+                true
+            }
+            JournalEntry::Settle { reservation, billed } => {
+                let is_open =
+                    |budget: &&mut JournalledBudget| budget.open.contains_key(reservation);
+                let Some(budget) = self.budgets.values_mut().find(is_open) else { return false };
+                budget.open.remove(reservation);
+                budget.settled = budget.settled.saturating_add(*billed);
+                true
+            }
+        }
+    }
+}
--- a/crates/bramleywind_ledger/src/lib.rs
+++ b/crates/bramleywind_ledger/src/lib.rs
@@ -3,7 +3,12 @@
 //! A router spends from slices that were granted durably, and journals each reservation at witnesses
 //! before the request is sent, so that a slice whose holder died can be reclaimed exactly.
 
+mod base_credit;
+mod budget_page;
+mod budget_record;
 mod funds_keeper;
+mod holder_journal;
+mod holder_slice;
 mod journal;
 mod journal_link;
 mod keeper_clock;
@@ -11,10 +16,23 @@
 mod keeper_outcomes;
 mod keeper_settings;
 mod loan;
+mod loan_desk;
+mod member_record;
 mod peer_record;
 mod reservation;
+mod retry_delay;
+mod seal_report;
+mod signal;
+mod slice_record;
+mod unresolved_reservation;
+mod usage_window;
+mod witness_book;
+mod witness_copies;
 mod witness_id;
 
+pub use base_credit::BaseCredit;
+pub use budget_page::BudgetPage;
+pub use budget_record::{BudgetError, BudgetRecord, MAX_UNRESOLVED};
 pub use funds_keeper::FundsKeeper;
 pub use journal::{JournalBatch, JournalEntry, JournalSnapshot, JournalledBudget, OpenReservation};
 pub use journal_link::{AppendOutcome, JournalLink, SealOutcome};
@@ -26,6 +44,11 @@
 };
 pub use keeper_settings::KeeperSettings;
 pub use loan::{LoanId, LoanOutcome, LoanRequest, LoanSettlement, SettlementOutcome};
+pub use member_record::MemberRecord;
 pub use peer_record::PeerRecord;
 pub use reservation::{LoanShare, OwnShare, Reservation};
+pub use seal_report::SealReport;
+pub use slice_record::SliceRecord;
+pub use unresolved_reservation::UnresolvedReservation;
+pub use witness_book::WitnessBook;
 pub use witness_id::WitnessId;
--- /dev/null
+++ b/crates/bramleywind_ledger/src/loan_desk.rs
@@ -0,0 +1,121 @@
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use bramleywind_types::{BudgetId, IncarnationId, InstanceId, TokenCount};
+
+use crate::{LoanId, LoanRequest, LoanSettlement, retry_delay::RetryDelay};
+
+/// A loan that is not settled after this time is billed in full: its borrower is dead, or its request runs
+/// longer than any is allowed to.
+const LOAN_EXPIRY: Duration = Duration::from_secs(600);
+/// How many answers to loan requests are remembered. A repeated request comes within seconds, and a router
+/// makes a few loans a second at most.
+const MAX_ANSWERS: usize = 10_000;
+/// How many attempts to reach a lender are made: half an hour at the longest delay.
+const MAX_ATTEMPTS: u32 = 900;
+
+/// The loans that this router gave, and the messages it owes to routers that lent to it.
+#[derive(Debug, Default)]
+pub(crate) struct LoanDesk {
+    given: BTreeMap<(IncarnationId, u64), GivenLoan>,
+    order: VecDeque<(IncarnationId, u64)>,
+    pub(crate) messages: Vec<LoanMessage>,
+    pub(crate) messages_in_flight: bool,
+    next_number: u64,
+}
+
+/// The answer to a loan request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum GivenLoan {
+    /// The reservation waits for a witness.
+    Pending,
+    /// The reservation was made.
+    Lent { loan: LoanId, budget: BudgetId, tokens: TokenCount, expiry: Instant },
+    /// Nothing was lent, and nothing will be for this request.
+    Nothing,
+}
+
+/// A message that must reach a lender, who otherwise keeps the tokens reserved.
+#[derive(Debug, Clone)]
+pub(crate) struct LoanMessage {
+    pub(crate) lender: InstanceId,
+    pub(crate) budget: BudgetId,
+    pub(crate) content: LoanMessageContent,
+    pub(crate) retry: RetryDelay,
+}
+
+/// What a lender is to be told.
+#[derive(Debug, Clone)]
+pub(crate) enum LoanMessageContent {
+    Settle(LoanSettlement),
+    /// A request got no answer. It is repeated to learn the loan's name, and the loan is then settled with
+    /// nothing.
+    Cancel(LoanRequest),
+}
+
+impl LoanMessage {
+    pub(crate) fn new(lender: InstanceId, budget: BudgetId, content: LoanMessageContent) -> Self {
+        Self { lender, budget, content, retry: RetryDelay::default() }
+    }
+
+    pub(crate) fn is_hopeless(&self) -> bool {
+        self.retry.failures() >= MAX_ATTEMPTS
+    }
+}
+
+impl LoanDesk {
+    pub(crate) fn next_number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    pub(crate) fn given(&self, borrower: IncarnationId, number: u64) -> Option<&GivenLoan> {
+        self.given.get(&(borrower, number))
+    }
+
+    /// Remembers an answer. Returns a loan that is forgotten for it, which is to be billed in full.
+    pub(crate) fn answer(
+        &mut self,
+        borrower: IncarnationId,
+        number: u64,
+        loan: GivenLoan,
+    ) -> Option<(LoanId, BudgetId)> {
+        let request = (borrower, number);
+        if self.given.insert(request, loan).is_none() {
+            self.order.push_back(request);
+        }
+        if self.order.len() <= MAX_ANSWERS {
+            return None;
+        }
+        let oldest = self.order.pop_front()?;
+        match self.given.remove(&oldest)? {
+            GivenLoan::Lent { loan, budget, .. } => Some((loan, budget)),
+            GivenLoan::Pending | GivenLoan::Nothing => None,
+        }
+    }
+
+    /// Forgets the loans of a sealed incarnation, which are now settled in the store.
+    pub(crate) fn forget_lent(&mut self) {
+        self.given.clear();
+        self.order.clear();
+    }
+
+    pub(crate) fn take_expired(&mut self, now: Instant) -> Vec<(LoanId, BudgetId)> {
+        let mut expired = Vec::new();
+        for given in self.given.values_mut() {
+            if let GivenLoan::Lent { loan, budget, expiry, .. } = given
+                && *expiry <= now
+            {
+                expired.push((*loan, budget.clone()));
+                *given = GivenLoan::Nothing;
+            }
+        }
+        expired
+    }
+
+    pub(crate) fn expiry(now: Instant) -> Instant {
+        now + LOAN_EXPIRY
+    }
+}
