Add peer connections, membership and the mesh client

Each router dials every other one: requests go out and replies come back on one h2 stream per direction, after both ends have proved that they know the fleet secret. Heartbeats drive the membership view. Sending is paced below the limit that receivers enforce, because a burst that the network bunches up would otherwise look like a flood.

--- /dev/null
+++ b/crates/bramleywind_peer/src/mesh_shared.rs
@@ -0,0 +1,221 @@
+//! State that the client handle and all connections share. Never borrowed across an await.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Instant,
+};
+
+use bramleywind_types::InstanceId;
+use bytes::Bytes;
+use futures_channel::oneshot;
+
+use crate::{
+    ConnectionError, Heartbeat, LinkFault, MembershipView, MeshSettings, PeerRecord, PeerTraffic,
+    RouterStatus,
+    membership::Membership,
+    message_bucket::MessageBucket,
+    outbound_queue::OutboundReceiver,
+    peer_link::PeerLink,
+    wire::{FRAME_PREFIX_BYTES, FrameWriter, PeerIdentity},
+};
+
+/// The most addresses that are dialed. The full mesh is for tens of routers.
+const MAX_DIALED: usize = 1_024;
+
+#[derive(Debug)]
+pub(crate) struct MeshShared {
+    pub(crate) settings: MeshSettings,
+    /// Where peers reach this process.
+    pub(crate) peer_address: SocketAddr,
+    pub(crate) state: RefCell<MeshState>,
+    dial_requests: async_channel::Sender<SocketAddr>,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct MeshState {
+    pub(crate) membership: Membership,
+    /// The connections that this process dialed, by peer.
+    pub(crate) links: BTreeMap<InstanceId, Rc<PeerLink>>,
+    /// The connections that this process accepted, by peer.
+    accepted: BTreeMap<InstanceId, AcceptedSlot>,
+    dialed: BTreeSet<SocketAddr>,
+    traffic: BTreeMap<InstanceId, PeerTraffic>,
+    fault: LinkFault,
+    refused_connections: u64,
+    next_connection: u64,
+}
+
+#[derive(Debug)]
+struct AcceptedSlot {
+    connection: u64,
+    /// Dropped when a newer connection takes the place.
+    _replaced: oneshot::Sender<()>,
+}
+
+impl MeshShared {
+    pub(crate) fn new(
+        settings: MeshSettings,
+        peer_address: SocketAddr,
+        dial_requests: async_channel::Sender<SocketAddr>,
+    ) -> Self {
+        Self { settings, peer_address, state: RefCell::default(), dial_requests }
+    }
+
+    pub(crate) fn identity(&self) -> PeerIdentity {
+        PeerIdentity { instance: self.settings.instance.clone(), run: self.settings.run }
+    }
+
+    pub(crate) fn heartbeat(&self, status: RouterStatus) -> Heartbeat {
+        Heartbeat {
+            instance: self.settings.instance.clone(),
+            run: self.settings.run,
+            data_centre: self.settings.data_centre.clone(),
+            peer_address: self.peer_address,
+            status,
+        }
+    }
+
+    /// Dials an address from now on, unless it is dialed already.
+    pub(crate) fn request_dial(&self, address: SocketAddr) {
+        let mut state = self.state.borrow_mut();
+        if address == self.peer_address || state.dialed.len() >= MAX_DIALED {
+            return;
+        }
+        if state.dialed.insert(address) {
+            // The channel is unbounded; it is closed only when the mesh has stopped.
+            let _ = self.dial_requests.try_send(address);
+        }
+    }
+
+    pub(crate) fn forget_dialed(&self, address: SocketAddr) {
+        self.state.borrow_mut().dialed.remove(&address);
+    }
+
+    pub(crate) fn link(&self, instance: &InstanceId) -> Option<Rc<PeerLink>> {
+        self.state.borrow().links.get(instance).cloned()
+    }
+
+    pub(crate) fn add_link(&self, link: Rc<PeerLink>) {
+        let mut state = self.state.borrow_mut();
+        state.links.insert(link.peer.instance.clone(), link);
+        state.membership.announce_change();
+    }
+
+    pub(crate) fn remove_link(&self, link: &Rc<PeerLink>) {
+        let mut state = self.state.borrow_mut();
+        let current = state.links.get(&link.peer.instance);
+        if current.is_some_and(|current| Rc::ptr_eq(current, link)) {
+            state.links.remove(&link.peer.instance);
+            state.membership.announce_change();
+        }
+    }
+
+    /// Records an accepted connection in place of an older one of the same peer. The receiver ends when a newer
+    /// one takes its place.
+    pub(crate) fn add_accepted(&self, instance: &InstanceId) -> (u64, oneshot::Receiver<()>) {
+        let mut state = self.state.borrow_mut();
+        state.next_connection += 1;
+        let connection = state.next_connection;
+        let (sender, receiver) = oneshot::channel();
+        let slot = AcceptedSlot { connection, _replaced: sender };
+        state.accepted.insert(instance.clone(), slot);
+        (connection, receiver)
+    }
+
+    pub(crate) fn remove_accepted(&self, instance: &InstanceId, connection: u64) {
+        let mut state = self.state.borrow_mut();
+        if state.accepted.get(instance).is_some_and(|slot| slot.connection == connection) {
+            state.accepted.remove(instance);
+        }
+    }
+
+    pub(crate) fn set_fault(&self, fault: LinkFault) {
+        self.state.borrow_mut().fault = fault;
+    }
+
+    pub(crate) fn is_cut_to(&self, instance: &InstanceId) -> bool {
+        self.state.borrow().fault.cut_to.contains(instance)
+    }
+
+    pub(crate) fn is_cut_from(&self, instance: &InstanceId) -> bool {
+        self.state.borrow().fault.cut_from.contains(instance)
+    }
+
+    pub(crate) fn count_in(&self, instance: &InstanceId, message: &Bytes) {
+        let mut state = self.state.borrow_mut();
+        let traffic = state.traffic.entry(instance.clone()).or_default();
+        traffic.messages_in += 1;
+        traffic.bytes_in += (FRAME_PREFIX_BYTES + message.len()) as u64;
+    }
+
+    fn count_out(&self, instance: &InstanceId, bytes: usize) {
+        let mut state = self.state.borrow_mut();
+        let traffic = state.traffic.entry(instance.clone()).or_default();
+        traffic.messages_out += 1;
+        traffic.bytes_out += bytes as u64;
+    }
+
+    /// Counts an ended connection, of an authenticated peer or of an unknown one.
+    pub(crate) fn count_end(&self, instance: Option<&InstanceId>, error: &ConnectionError) {
+        let mut state = self.state.borrow_mut();
+        match instance {
+            Some(instance) if error.is_violation() => {
+                state.traffic.entry(instance.clone()).or_default().violations += 1;
+            }
+            Some(_) => {}
+            None => state.refused_connections += 1,
+        }
+    }
+
+    pub(crate) fn view(&self) -> MembershipView {
+        let now = Instant::now();
+        let state = self.state.borrow();
+        let record = |(instance, peer): (&InstanceId, &crate::membership::TrackedPeer)| {
+            let record = PeerRecord {
+                heartbeat: peer.heartbeat.clone(),
+                state: peer.state,
+                connected: state.links.contains_key(instance),
+                silent_ms: now.saturating_duration_since(peer.last_heard).as_millis() as u64,
+                round_trip_us: peer.round_trip.map(|duration| duration.as_micros() as u64),
+                traffic: state.traffic.get(instance).copied().unwrap_or_default(),
+            };
+            (instance.clone(), record)
+        };
+        MembershipView {
+            generation: state.membership.generation,
+            peers: state.membership.peers.iter().map(record).collect(),
+            refused_connections: state.refused_connections,
+            fault: state.fault.clone(),
+        }
+    }
+
+    /// Writes the frames of a queue until the connection fails. `pace` limits the rate.
+    pub(crate) async fn write_frames(
+        &self,
+        instance: &InstanceId,
+        queue: OutboundReceiver,
+        mut writer: FrameWriter,
+        mut pace: Option<MessageBucket>,
+    ) -> ConnectionError {
+        while let Some(frame) = queue.next().await {
+            if let Some(bucket) = &mut pace {
+                while let Err(wait) = bucket.take(Instant::now()) {
+                    compio::time::sleep(wait).await;
+                }
+            }
+            if self.is_cut_to(instance) {
+                continue;
+            }
+            let bytes = frame.len();
+            match compio::time::timeout(self.settings.timing.dead_after, writer.send(frame)).await {
+                Err(_) => return ConnectionError::Stalled,
+                Ok(Err(error)) => return error,
+                Ok(Ok(())) => self.count_out(instance, bytes),
+            }
+        }
+        ConnectionError::Closed
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_peer/src/wire.rs
@@ -0,0 +1,19 @@
+//! The protocol between routers, as it stands on the wire.
+//!
+//! A connection is one h2 stream. Both sides send frames: a length of 4 bytes, most significant first, and a
+//! bincode message of that length. The dialer sends [`DialerMessage`]s, the acceptor [`AcceptorMessage`]s.
+
+mod frame;
+mod frame_stream;
+mod handshake;
+mod messages;
+
+pub use frame::{FRAME_PREFIX_BYTES, MAX_FRAME_BYTES, decode_message, encode_frame};
+pub use frame_stream::{FrameReader, FrameWriter};
+pub use handshake::{
+    HandshakeTranscript, Nonce, PROTOCOL_VERSION, PeerIdentity, Proof, ProofSide, RefusalReason,
+};
+pub use messages::{
+    AcceptorMessage, ConfigCopy, DialerMessage, PeerReply, PeerRequest, ReplyEnvelope,
+    RequestEnvelope,
+};
--- /dev/null
+++ b/crates/bramleywind_peer/src/wire/frame.rs
@@ -0,0 +1,48 @@
+//! Encoding of single messages.
+
+use bytes::{BufMut as _, Bytes, BytesMut};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::ConnectionError;
+
+/// The largest message, in bytes, without its length.
+pub const MAX_FRAME_BYTES: usize = 1024 * 1024;
+
+/// The length before each message, in bytes.
+pub const FRAME_PREFIX_BYTES: usize = 4;
+
+/// Encodes a message with its length.
+///
+/// # Errors
+///
+/// Fails if the message is over [`MAX_FRAME_BYTES`].
+pub fn encode_frame<M: Serialize>(message: &M) -> Result<Bytes, ConnectionError> {
+    let mut frame = BytesMut::new();
+    frame.put_u32(0);
+    let mut writer = frame.writer();
+    bincode::serde::encode_into_std_write(message, &mut writer, bincode::config::standard())
+        .map_err(|error| ConnectionError::Malformed { detail: error.to_string().into() })?;
+    let mut frame = writer.into_inner();
+    let length = frame.len() - FRAME_PREFIX_BYTES;
+    if length > MAX_FRAME_BYTES {
+        return Err(ConnectionError::Oversize { length });
+    }
+    frame[..FRAME_PREFIX_BYTES].copy_from_slice(&(length as u32).to_be_bytes());
+    Ok(frame.freeze())
+}
+
+/// Decodes a message without its length.
+///
+/// # Errors
+///
+/// Fails if the bytes are not exactly one message.
+pub fn decode_message<M: DeserializeOwned>(bytes: &[u8]) -> Result<M, ConnectionError> {
+    // The limit keeps a forged length inside the message from reserving memory.
+    let config = bincode::config::standard().with_limit::<{ 2 * MAX_FRAME_BYTES }>();
+    let (message, used) = bincode::serde::decode_from_slice(bytes, config)
+        .map_err(|error| ConnectionError::Malformed { detail: error.to_string().into() })?;
+    if used != bytes.len() {
+        return Err(ConnectionError::Malformed { detail: "bytes after the message".into() });
+    }
+    Ok(message)
+}
--- /dev/null
+++ b/crates/bramleywind_peer/src/wire/frame_stream.rs
@@ -0,0 +1,96 @@
+//! Frames over the two halves of an h2 stream. The types are only used together.
+
+use std::{
+    future::poll_fn,
+    task::{Poll, ready},
+};
+
+use bytes::{Buf as _, Bytes, BytesMut};
+use h2::{RecvStream, SendStream};
+use snafu::ResultExt as _;
+
+use super::frame::{FRAME_PREFIX_BYTES, MAX_FRAME_BYTES};
+use crate::{ConnectionError, connection_error::TransportSnafu};
+
+/// Receives frames.
+#[derive(Debug)]
+pub struct FrameReader {
+    stream: RecvStream,
+    buffer: BytesMut,
+}
+
+impl FrameReader {
+    /// Reads from the receiving half of a stream.
+    pub fn new(stream: RecvStream) -> Self {
+        Self { stream, buffer: BytesMut::new() }
+    }
+
+    /// Waits for the next message, without its length. Dropping the future loses nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer closed the stream, or announced a frame over the limit.
+    pub async fn next(&mut self) -> Result<Bytes, ConnectionError> {
+        loop {
+            if let Some(message) = self.take_message()? {
+                return Ok(message);
+            }
+            let data = poll_fn(|context| self.stream.poll_data(context)).await;
+            let data = data.ok_or(ConnectionError::Closed)?.context(TransportSnafu)?;
+            self.buffer.extend_from_slice(&data);
+            // The buffer holds at most one frame and one h2 window, so the window is given back at once.
+            self.stream.flow_control().release_capacity(data.len()).context(TransportSnafu)?;
+        }
+    }
+
+    fn take_message(&mut self) -> Result<Option<Bytes>, ConnectionError> {
+        let Some(prefix) = self.buffer.first_chunk::<FRAME_PREFIX_BYTES>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*prefix) as usize;
+        if length > MAX_FRAME_BYTES {
+            return Err(ConnectionError::Oversize { length });
+        }
+        if self.buffer.len() < FRAME_PREFIX_BYTES + length {
+            return Ok(None);
+        }
+        self.buffer.advance(FRAME_PREFIX_BYTES);
+        Ok(Some(self.buffer.split_to(length).freeze()))
+    }
+}
+
+/// Sends frames.
+#[derive(Debug)]
+pub struct FrameWriter {
+    stream: SendStream<Bytes>,
+}
+
+impl FrameWriter {
+    /// Writes to the sending half of a stream.
+    pub fn new(stream: SendStream<Bytes>) -> Self {
+        Self { stream }
+    }
+
+    /// Sends bytes as the peer's window allows. To be polled to its end: a dropped future leaves half a frame.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stream is closed.
+    pub async fn send(&mut self, mut frame: Bytes) -> Result<(), ConnectionError> {
+        while !frame.is_empty() {
+            self.stream.reserve_capacity(frame.len());
+            let capacity = poll_fn(|context| {
+                // The h2 layer reports only changes, so capacity that is there already is taken first.
+                while self.stream.capacity() == 0 {
+                    match ready!(self.stream.poll_capacity(context)) {
+                        None => return Poll::Ready(Err(ConnectionError::Closed)),
+                        Some(granted) => granted.context(TransportSnafu)?,
+                    };
+                }
+                Poll::Ready(Ok(self.stream.capacity()))
+            })
+            .await?;
+            let chunk = frame.split_to(capacity.min(frame.len()));
+            self.stream.send_data(chunk, false).context(TransportSnafu)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_peer/src/wire/handshake.rs
@@ -0,0 +1,117 @@
+//! The first messages of a connection: version, identities, and mutual proof of the fleet secret.
+
+use std::fmt;
+
+use bramleywind_macros::domain_type;
+use bramleywind_types::{IncarnationId, InstanceId};
+use hmac::{Hmac, Mac as _};
+use sha2::Sha256;
+
+use crate::FleetSecret;
+
+/// The version of the protocol. Routers of different versions do not connect.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+/// A random number that is used once, so that a proof cannot be replayed.
+pub type Nonce = [u8; 32];
+
+/// An HMAC-SHA-256 over a [`HandshakeTranscript`].
+pub type Proof = [u8; 32];
+
+/// Who one end of a connection is.
+#[domain_type]
+pub struct PeerIdentity {
+    /// The instance.
+    pub instance: InstanceId,
+    /// The process run.
+    pub run: IncarnationId,
+}
+
+/// Which end proves. The ends prove different things, so that neither can send the other's proof back.
+#[domain_type]
+#[derive(Copy)]
+pub enum ProofSide {
+    /// The end that accepted the connection, which proves first.
+    Acceptor,
+    /// The end that dialed.
+    Dialer,
+}
+
+/// Everything that both ends said before the proofs.
+#[domain_type]
+pub struct HandshakeTranscript {
+    /// The version that both speak.
+    pub version: u32,
+    /// Who dialed.
+    pub dialer: PeerIdentity,
+    /// Who accepted.
+    pub acceptor: PeerIdentity,
+    /// The dialer's random number.
+    pub dialer_nonce: Nonce,
+    /// The acceptor's random number.
+    pub acceptor_nonce: Nonce,
+}
+
+impl HandshakeTranscript {
+    /// The proof of one side.
+    ///
+    /// ```
+    /// use bramleywind_peer::{FleetSecret, wire::*};
+    /// use bramleywind_types::IncarnationId;
+    ///
+    /// let identity = PeerIdentity {
+    ///     instance: "akl-a-1".parse().unwrap(),
+    ///     run: IncarnationId::from_number(1),
+    /// };
+    /// let transcript = HandshakeTranscript {
+    ///     version: PROTOCOL_VERSION,
+    ///     dialer: identity.clone(),
+    ///     acceptor: identity,
+    ///     dialer_nonce: [1; 32],
+    ///     acceptor_nonce: [2; 32],
+    /// };
+    /// let secret = FleetSecret::new(vec![7; 32]).unwrap();
+    /// let proof = transcript.prove(&secret, ProofSide::Dialer);
+    /// assert!(transcript.verify(&secret, ProofSide::Dialer, &proof));
+    /// assert!(!transcript.verify(&secret, ProofSide::Acceptor, &proof));
+    /// ```
+    pub fn prove(&self, secret: &FleetSecret, side: ProofSide) -> Proof {
+        self.mac(secret, side).finalize().into_bytes().into()
+    }
+
+    /// Whether a proof is the one of that side, compared in constant time.
+    pub fn verify(&self, secret: &FleetSecret, side: ProofSide, proof: &Proof) -> bool {
+        self.mac(secret, side).verify_slice(proof).is_ok()
+    }
+
+    fn mac(&self, secret: &FleetSecret, side: ProofSide) -> Hmac<Sha256> {
+        let mut mac =
+            Hmac::<Sha256>::new_from_slice(secret.bytes()).expect("HMAC takes a key of any length");
+        let message = bincode::serde::encode_to_vec((side, self), bincode::config::standard())
+            .expect("a transcript has only fields that bincode can encode");
+        mac.update(&message);
+        mac
+    }
+}
+
+/// Why an acceptor refuses a connection.
+#[domain_type]
+#[derive(Copy)]
+pub enum RefusalReason {
+    /// The dialer speaks another version; this is the acceptor's.
+    Version(u32),
+    /// The dialer's proof is wrong.
+    Secret,
+    /// A newer run of the same instance has connected before.
+    RetiredRun,
+}
+
+impl fmt::Display for RefusalReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Version(version) => write!(f, "it speaks protocol version {version}"),
+            Self::Secret => f.write_str("the fleet secrets differ"),
+            Self::RetiredRun => f.write_str("a newer run of this instance has connected"),
+        }
+    }
+}
