--- a/crates/bramleywind_router/src/entry_answer.rs
+++ b/crates/bramleywind_router/src/entry_answer.rs
@@ -17,6 +17,14 @@
         weight: entry_weight(identity.capacity, state.running()),
     };
     let is_leaving = state.drain.borrow().is_leaving();
-    let entries = (!is_leaving).then_some(own).into_iter().collect();
+    let peers = state.live_peers().into_iter().map(|record| record.heartbeat);
+    let peers = peers.filter(|heartbeat| !heartbeat.status.leaving).map(|heartbeat| EntryAddress {
+        instance: heartbeat.instance,
+        data_centre: heartbeat.data_centre,
+        address: heartbeat.status.caller_address,
+        weight: heartbeat.status.weight,
+    });
+    let mut entries: Vec<_> = (!is_leaving).then_some(own).into_iter().chain(peers).collect();
+    entries.sort_by(|left, right| left.instance.cmp(&right.instance));
     EntryList { entries, valid_until_ms: UnixDeadline::after(ENTRY_VALIDITY) }
 }
--- a/crates/bramleywind_router/src/lib.rs
+++ b/crates/bramleywind_router/src/lib.rs
@@ -23,15 +23,14 @@
 mod entry_answer;
 mod entry_weights;
 mod event_scan;
-mod funds_gate;
 mod funds_refusal;
 mod http_listener;
 mod key_check;
 mod key_desk;
 mod key_start;
 mod logger;
-mod lone_link;
 mod operator_port;
+mod peer_answers;
 mod refusal_answer;
 mod request_context;
 mod request_limits;
@@ -39,6 +38,7 @@
 mod retry_decision;
 mod route_table;
 mod router;
+mod router_link;
 mod router_metrics;
 mod router_state;
 mod service_attempts;
@@ -62,15 +62,14 @@
 pub use entry_answer::{ENTRY_VALIDITY, entry_list};
 pub use entry_weights::entry_weight;
 pub use event_scan::{EventFields, EventScanner, MAX_EVENT_BYTES};
-pub use funds_gate::{FundsGate, Reservation, ReserveOutcome};
 pub use funds_refusal::funds_refusal;
 pub use http_listener::{BoundListener, HttpListener, PortConnections};
 pub use key_check::{bearer_key, find_key, secrets_match};
 pub use key_desk::KeyDesk;
 pub use key_start::{KeyEnd, KeyStart, KeyTicket};
 pub use logger::new_logger;
-pub use lone_link::LoneLink;
 pub use operator_port::{RouterStatusAnswer, answer_operator};
+pub use peer_answers::PeerAnswers;
 pub use refusal_answer::{
     LEAVING_HEADER, REQUEST_ID_HEADER, insert_request_id, json_response, refusal_event,
     refusal_response,
@@ -83,6 +82,7 @@
 };
 pub use route_table::{KeyOwner, RouteTable, RouteTarget};
 pub use router::{Router, RouterOptions, StartError};
+pub use router_link::RouterLink;
 pub use router_metrics::{
     CodeLabel, OutcomeLabel, PeerLabel, RequestOutcome, RouterMetrics, StoreLabel,
 };
@@ -92,6 +92,3 @@
 
 /// The store as the router uses it.
 pub type RouterStore = CountedStore<bramleywind_store::HttpStore>;
-
-/// The link to other routers.
-pub type RouterLink = LoneLink;
--- /dev/null
+++ b/crates/bramleywind_router/src/peer_answers.rs
@@ -0,0 +1,94 @@
+use std::{rc::Rc, time::Instant};
+
+use bramleywind_claims::{
+    ClaimQuery, ClaimStatus, KeyClaimOutcome, KeyClaimRequest, KeyFinishOutcome, KeyFinishRequest,
+    StrikeReport,
+};
+use bramleywind_ledger::{
+    AppendOutcome, JournalBatch, JournalSnapshot, LoanOutcome, LoanRequest, LoanSettlement,
+    SealOutcome, SettlementOutcome, WitnessId,
+};
+use bramleywind_peer::{PeerHandler, RouterStatus, wire::ConfigCopy};
+use bramleywind_types::{IncarnationId, InstanceId};
+
+use crate::{RouterState, entry_weight};
+
+/// Answers the requests of peers from the router's state.
+#[derive(Debug)]
+pub struct PeerAnswers {
+    state: Rc<RouterState>,
+    own: WitnessId,
+}
+
+impl PeerAnswers {
+    /// Answers from `state`.
+    pub fn new(state: Rc<RouterState>) -> Self {
+        let instance = state.identity.instance.clone();
+        let own = WitnessId { instance, run: state.funds.run_id() };
+        Self { state, own }
+    }
+}
+
+impl PeerHandler for PeerAnswers {
+    fn status(&self) -> RouterStatus {
+        let state = &self.state;
+        RouterStatus {
+            incarnation: state.funds.incarnation(),
+            caller_address: state.identity.caller_address,
+            weight: entry_weight(state.identity.capacity, state.running()),
+            leaving: state.drain.borrow().is_leaving(),
+            revision: state.routes.borrow().as_ref().map(|routes| routes.revision),
+        }
+    }
+
+    async fn config_document(&self) -> Option<ConfigCopy> {
+        let signed = self.state.signed_config.borrow();
+        let signed = signed.as_ref()?;
+        let document = serde_json::to_vec(signed).ok()?;
+        Some(ConfigCopy { revision: signed.revision, document })
+    }
+
+    async fn journal_append(&self, _from: &InstanceId, batch: JournalBatch) -> AppendOutcome {
+        self.state.funds.handle_append(&self.own, &batch)
+    }
+
+    async fn journal_snapshot(
+        &self,
+        _from: &InstanceId,
+        snapshot: JournalSnapshot,
+    ) -> AppendOutcome {
+        self.state.funds.handle_snapshot(&self.own, &snapshot)
+    }
+
+    async fn seal(&self, _from: &InstanceId, incarnation: IncarnationId) -> SealOutcome {
+        self.state.funds.handle_seal(&self.own, incarnation)
+    }
+
+    async fn borrow(&self, _from: &InstanceId, request: LoanRequest) -> LoanOutcome {
+        self.state.funds.handle_borrow(&request).await
+    }
+
+    async fn settle_loan(
+        &self,
+        _from: &InstanceId,
+        settlement: LoanSettlement,
+    ) -> SettlementOutcome {
+        self.state.funds.handle_settle_loan(&settlement)
+    }
+
+    async fn key_claim(&self, _from: &InstanceId, request: KeyClaimRequest) -> KeyClaimOutcome {
+        self.state.claim_here(&request)
+    }
+
+    async fn key_finish(&self, _from: &InstanceId, request: KeyFinishRequest) -> KeyFinishOutcome {
+        self.state.key_home.borrow_mut().finish(&request, Instant::now())
+    }
+
+    async fn claim_query(&self, _from: &InstanceId, query: ClaimQuery) -> ClaimStatus {
+        self.state.keys.claims.answer_query(&query)
+    }
+
+    async fn strike(&self, _from: &InstanceId, report: StrikeReport) {
+        self.state.strikes.borrow_mut().apply(&report, Instant::now());
+    }
+}
--- a/crates/bramleywind_router/src/request_task.rs
+++ b/crates/bramleywind_router/src/request_task.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeSet, rc::Rc, time::Instant};
 
 use bramleywind_claims::{RecordedOutcome, RequestFingerprint, StrikeVerdict};
+use bramleywind_ledger::{Reservation, ReserveOutcome};
 use bramleywind_routing::RouteRequest;
 use bramleywind_types::{EndpointId, Refusal, RefusalCode, RepeatAdvice, RunState, TokenCount};
 use compio::time::timeout;
@@ -13,7 +14,7 @@
     AdmissionRequest, AnswerBody, AnswerEnding, AttemptEnd, AttemptRunner, AttemptTarget,
     BillDecision, BillInput, CallerGone, CallerLink, CodeLabel, EndpointSlot, FailedCall, KeyEnd,
     KeyStart, KeyTicket, OutcomeLabel, RequestContext, RequestOutcome, RetryDecision, RetryInput,
-    Reservation, ReserveOutcome, RouteTarget, RouterState, RunningGuard, decide_bill, decide_retry, failure_refusal,
+    RouteTarget, RouterState, RunningGuard, decide_bill, decide_retry, failure_refusal,
     funds_refusal, insert_request_id, refusal_event, refusal_response,
 };
 
@@ -159,6 +160,7 @@
         match reserve.await {
             ReserveOutcome::Reserved(reservation) => Ok(reservation),
             ReserveOutcome::Exhausted => Err(funds_refusal(None, context).into()),
+            ReserveOutcome::Unavailable(cause) => Err(funds_refusal(Some(cause), context).into()),
         }
     }
 
@@ -220,8 +222,7 @@
             StrikeVerdict::Isolated => {
                 let routes = self.state.current_routes()?;
                 let strikes = self.state.strikes.borrow();
-                let is_barred =
-                    |id: &&EndpointId| !strikes.may_retry_on(&fingerprint, id, now);
+                let is_barred = |id: &&EndpointId| !strikes.may_retry_on(&fingerprint, id, now);
                 excluded.extend(routes.endpoints.keys().filter(is_barred).cloned());
             }
         }
--- a/crates/bramleywind_router/src/router.rs
+++ b/crates/bramleywind_router/src/router.rs
@@ -5,18 +5,20 @@
 };
 
 use bramleywind_claims::{ClaimHolder, ClaimKeeper};
+use bramleywind_ledger::{FundsKeeper, KeeperClock, KeeperSettings};
+use bramleywind_peer::{FleetSecret, MeshError, MeshSettings, MeshTiming, PeerMesh, SecretError};
 use bramleywind_routing::PolicyKind;
 use bramleywind_settings::DaemonSettings;
 use bramleywind_store::{ClientError, HttpStore, InstanceDirectory};
 use bramleywind_types::IncarnationId;
 use compio::runtime::JoinHandle;
-use slog::Logger;
+use slog::{Logger, info};
 use snafu::{ResultExt, Snafu};
 
 use crate::{
-    Admission, CountedStore, DrainPhase, FundsGate, HttpListener, KeyDesk, LoneLink, RequestLimits,
-    RouterIdentity, RouterMetrics, RouterState, answer_caller, answer_operator,
-    background::{poll_instances, poll_loads, watch_config},
+    Admission, CountedStore, DrainPhase, HttpListener, KeyDesk, PeerAnswers, RequestLimits,
+    RouterIdentity, RouterLink, RouterMetrics, RouterState, answer_caller, answer_operator,
+    background::{keep_funds, poll_instances, poll_loads, watch_config, watch_peers},
 };
 
 /// How long one call of the store may take. The store answers within milliseconds when it is well.
@@ -61,6 +63,18 @@
         /// The operating system's reason.
         source: std::io::Error,
     },
+    /// The peer port could not be opened.
+    #[snafu(display("{source}"))]
+    Mesh {
+        /// The reason.
+        source: MeshError,
+    },
+    /// The fleet secret is too short.
+    #[snafu(display("{source}"))]
+    FleetSecret {
+        /// The reason.
+        source: SecretError,
+    },
     /// The client of the store or of the instance list could not be built.
     #[snafu(display("cannot build an HTTP client: {source}"))]
     Client {
@@ -69,12 +83,31 @@
     },
 }
 
+fn mesh_settings(
+    settings: &DaemonSettings,
+    run: IncarnationId,
+) -> Result<MeshSettings, StartError> {
+    let secret = settings.fleet_secret.expose().as_bytes().to_vec();
+    let advertise = Some(settings.peer_address).filter(|address| address.port() != 0);
+    Ok(MeshSettings {
+        instance: settings.instance.clone(),
+        run,
+        data_centre: settings.data_centre.clone(),
+        listen: settings.peer_listen,
+        advertise,
+        seeds: settings.peers.iter().map(|peer| peer.peer_address).collect(),
+        secret: FleetSecret::new(secret).context(FleetSecretSnafu)?,
+        timing: MeshTiming::default(),
+    })
+}
+
 /// A running router. It stops at once, and its connections break, when it is dropped.
 #[derive(Debug)]
 pub struct Router {
     state: Rc<RouterState>,
     caller: HttpListener,
     operator: HttpListener,
+    peer_address: SocketAddr,
     _tasks: Vec<JoinHandle<()>>,
 }
 
@@ -87,13 +120,24 @@
     pub async fn start(options: RouterOptions) -> Result<Self, StartError> {
         let RouterOptions { settings, limits, log } = options;
         let metrics = RouterMetrics::default();
-        let client = HttpStore::new(settings.store_address, STORE_CALL_TIME).context(ClientSnafu)?;
+        let client =
+            HttpStore::new(settings.store_address, STORE_CALL_TIME).context(ClientSnafu)?;
         let store = CountedStore::new(client, metrics.store_calls.clone());
         let directory = InstanceDirectory::new(settings.instance_list_address, DIRECTORY_CALL_TIME)
             .context(ClientSnafu)?;
-        let run = IncarnationId::random();
-        let holder = ClaimHolder { instance: settings.instance.clone(), run };
-        let claims = ClaimKeeper::new(store.clone(), LoneLink, holder);
+        let link = RouterLink::default();
+        let keeper_settings = KeeperSettings {
+            instance: settings.instance.clone(),
+            data_centre: settings.data_centre.clone(),
+            clock: KeeperClock::System,
+        };
+        let funds = FundsKeeper::new(keeper_settings, store.clone(), link.clone());
+        let holder = ClaimHolder { instance: settings.instance.clone(), run: funds.run_id() };
+        let claims = ClaimKeeper::new(store.clone(), link.clone(), holder);
+        let mesh = PeerMesh::bind(mesh_settings(&settings, funds.run_id())?).await;
+        let mesh = mesh.context(MeshSnafu)?;
+        link.connect(mesh.client());
+        let peer_address = mesh.peer_address();
         let policy = settings.endpoint_policy.to_string().parse().unwrap_or(PolicyKind::TwoChoices);
         let admission = Admission::new(policy, rand::random(), settings.limits.queue_length);
         let listen = settings.caller_listen;
@@ -109,18 +153,10 @@
         };
         let keys = KeyDesk { claims: claims.clone() };
         let read_time = limits.read_time;
-        let state = RouterState::new(
-            identity,
-            limits,
-            admission,
-            FundsGate::default(),
-            keys,
-            metrics,
-            log,
-        );
+        let state =
+            RouterState::new(identity, limits, admission, funds.clone(), link, keys, metrics, log);
         let answers = state.clone();
-        let caller =
-            bound.serve(read_time, move |request| answer_caller(answers.clone(), request));
+        let caller = bound.serve(read_time, move |request| answer_caller(answers.clone(), request));
         let listen = settings.operator_listen;
         let bound = HttpListener::bind(listen).await.context(ListenSnafu { address: listen })?;
         let (answers, token) = (state.clone(), settings.operator_token.clone());
@@ -128,13 +164,20 @@
             answer_operator(answers.clone(), token.clone(), request)
         });
         let key = settings.operator_public_key;
+        let client = mesh.client();
+        let answers = Rc::new(PeerAnswers::new(state.clone()));
+        let log = state.log.clone();
         let tasks = vec![
+            compio::runtime::spawn(mesh.run(answers, log)),
+            compio::runtime::spawn(async move { funds.run().await }),
+            compio::runtime::spawn(keep_funds(state.clone(), settings.peers.len())),
+            compio::runtime::spawn(watch_peers(state.clone(), client, key)),
             compio::runtime::spawn(watch_config(state.clone(), store, key)),
             compio::runtime::spawn(poll_instances(state.clone(), directory)),
             compio::runtime::spawn(poll_loads(state.clone())),
             compio::runtime::spawn(async move { claims.maintain().await }),
         ];
-        Ok(Self { state, caller, operator, _tasks: tasks })
+        Ok(Self { state, caller, operator, peer_address, _tasks: tasks })
     }
 
     /// The state that the router's tasks share.
@@ -147,6 +190,11 @@
         self.caller.address
     }
 
+    /// Where peers connect.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
     /// Where operators connect.
     pub fn operator_address(&self) -> SocketAddr {
         self.operator.address
@@ -158,6 +206,8 @@
             compio::time::sleep(DRAIN_POLL).await;
         }
         let deadline = Instant::now() + HAND_BACK_TIME;
+        let outcome = self.state.funds.hand_back_all(deadline).await;
+        info!(self.state.log, "slices handed back"; "outcome" => ?outcome);
         self.state.keys.claims.drain(deadline).await;
     }
 }
--- a/crates/bramleywind_router/src/router_state.rs
+++ b/crates/bramleywind_router/src/router_state.rs
@@ -1,23 +1,25 @@
 use std::{
     cell::{Cell, RefCell},
+    fmt,
     net::SocketAddr,
     rc::Rc,
     time::Instant,
 };
 
 use bramleywind_claims::{
-    KeyClaimOutcome, KeyClaimRequest, KeyFinishOutcome, KeyFinishRequest, KeyHome, StrikeBook,
-    StrikeReport,
+    HomeCandidate, KeyClaimOutcome, KeyClaimRequest, KeyFinishOutcome, KeyFinishRequest, KeyHome,
+    StrikeBook, StrikeReport, choose_homes,
 };
 use bramleywind_config::SignedConfig;
+use bramleywind_ledger::FundsKeeper;
+use bramleywind_peer::{PeerClient, PeerRecord, PeerState};
 use bramleywind_routing::RetryBudget;
-use bramleywind_types::{
-    DataCentreId, InstanceId, Refusal, RefusalCode, RepeatAdvice, RequestKey,
-};
+use bramleywind_types::{DataCentreId, InstanceId, Refusal, RefusalCode, RepeatAdvice, RequestKey};
 use slog::{Logger, info};
 
 use crate::{
-    Admission, DrainPhase, DrainState, FundsGate, KeyDesk, RequestLimits, RouteTable, RouterMetrics,
+    Admission, DrainPhase, DrainState, KeyDesk, RequestLimits, RouteTable, RouterLink,
+    RouterMetrics, RouterStore,
 };
 
 /// Who this router is.
@@ -34,7 +36,6 @@
 }
 
 /// All state of a router, shared by its tasks on one thread. No part is borrowed across an await.
-#[derive(Debug)]
 pub struct RouterState {
     /// Who this router is.
     pub identity: RouterIdentity,
@@ -51,7 +52,9 @@
     /// Whether this router is leaving.
     pub drain: RefCell<DrainState>,
     /// The budgets.
-    pub funds: FundsGate,
+    pub funds: FundsKeeper<RouterStore, RouterLink>,
+    /// The link to the other routers.
+    pub link: RouterLink,
     /// The keys of requests.
     pub keys: KeyDesk,
     /// The outcomes that this router keeps as a home of keys.
@@ -65,6 +68,12 @@
     running: Cell<usize>,
 }
 
+impl fmt::Debug for RouterState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RouterState").field("identity", &self.identity).finish_non_exhaustive()
+    }
+}
+
 /// Counts a request as running until it is dropped.
 #[derive(Debug)]
 pub struct RunningGuard(Rc<RouterState>);
@@ -82,7 +91,8 @@
         identity: RouterIdentity,
         limits: RequestLimits,
         admission: Rc<Admission>,
-        funds: FundsGate,
+        funds: FundsKeeper<RouterStore, RouterLink>,
+        link: RouterLink,
         keys: KeyDesk,
         metrics: RouterMetrics,
         log: Logger,
@@ -96,6 +106,7 @@
             retry_budget: RefCell::default(),
             drain: RefCell::default(),
             funds,
+            link,
             keys,
             key_home: RefCell::default(),
             strikes: RefCell::default(),
@@ -152,31 +163,76 @@
         self.running.get()
     }
 
+    /// The peers that are alive, without this router.
+    pub fn live_peers(&self) -> Vec<PeerRecord> {
+        let Some(client) = self.link.client() else { return Vec::new() };
+        client.view().live().cloned().collect()
+    }
+
     /// The homes of a key, in the order in which they are asked.
-    pub fn key_homes(&self, _key: &RequestKey) -> Vec<InstanceId> {
-        vec![self.identity.instance.clone()]
+    pub fn key_homes(&self, key: &RequestKey) -> Vec<InstanceId> {
+        let identity = &self.identity;
+        let own = HomeCandidate {
+            instance: identity.instance.clone(),
+            data_centre: identity.data_centre.clone(),
+        };
+        let peers = self.live_peers().into_iter().map(|record| HomeCandidate {
+            instance: record.heartbeat.instance,
+            data_centre: record.heartbeat.data_centre,
+        });
+        let candidates: Vec<_> = std::iter::once(own).chain(peers).collect();
+        let homes = choose_homes(key, &candidates);
+        homes.first.into_iter().chain(homes.second).collect()
+    }
+
+    /// Notes at this router, as a home of the key, that a request begins. An attempt of a router that is
+    /// dead has ended.
+    pub fn claim_here(&self, request: &KeyClaimRequest) -> KeyClaimOutcome {
+        let own = &self.identity.instance;
+        let view = self.link.client().map(PeerClient::view);
+        let is_live = |holder: &InstanceId| {
+            let peer = view.as_ref().and_then(|view| view.peers.get(holder));
+            holder == own || peer.is_some_and(|record| record.state != PeerState::Dead)
+        };
+        self.key_home.borrow_mut().claim(request, is_live, Instant::now())
     }
 
     /// Tells a home that a request begins.
     pub async fn claim_at_home(
         &self,
-        _home: &InstanceId,
+        home: &InstanceId,
         request: &KeyClaimRequest,
     ) -> KeyClaimOutcome {
-        self.key_home.borrow_mut().claim(request, |_| true, Instant::now())
+        match self.link.client() {
+            Some(client) if *home != self.identity.instance => {
+                client.claim_key(home, request.clone()).await
+            }
+            _ => self.claim_here(request),
+        }
     }
 
     /// Tells a home that a request has ended.
     pub async fn finish_at_home(
         &self,
-        _home: &InstanceId,
+        home: &InstanceId,
         request: &KeyFinishRequest,
     ) -> KeyFinishOutcome {
-        self.key_home.borrow_mut().finish(request, Instant::now())
+        match self.link.client() {
+            Some(client) if *home != self.identity.instance => {
+                client.finish_key(home, request.clone()).await
+            }
+            _ => self.key_home.borrow_mut().finish(request, Instant::now()),
+        }
     }
 
     /// Tells all peers of strikes.
-    pub fn share_strikes(&self, _reports: Vec<StrikeReport>) {}
+    pub fn share_strikes(&self, reports: Vec<StrikeReport>) {
+        if let Some(client) = self.link.client() {
+            for report in reports {
+                client.share_strike(&report);
+            }
+        }
+    }
 
     /// Counts a request as running until the guard is dropped.
     pub fn begin_request(self: &Rc<Self>) -> RunningGuard {
--- a/crates/bramleywind_router/src/state_dump.rs
+++ b/crates/bramleywind_router/src/state_dump.rs
@@ -1,3 +1,6 @@
+use bramleywind_claims::ClaimStats;
+use bramleywind_ledger::KeeperDump;
+use bramleywind_peer::{MembershipView, PeerClient};
 use bramleywind_routing::EndpointTableDump;
 use bramleywind_types::{ConfigRevision, DataCentreId, InstanceId};
 use serde::Serialize;
@@ -21,6 +24,12 @@
     pub waiting: usize,
     /// The endpoints.
     pub endpoints: EndpointTableDump,
+    /// The budgets.
+    pub funds: KeeperDump,
+    /// The durable claims.
+    pub claims: ClaimStats,
+    /// The other routers; nothing before the peer connections are up.
+    pub peers: Option<MembershipView>,
     /// Keys that this router remembers as a home.
     pub home_keys: usize,
 }
@@ -37,6 +46,9 @@
             running: state.running(),
             waiting: state.admission.waiting(),
             endpoints: state.admission.dump(),
+            funds: state.funds.dump(),
+            claims: state.keys.claims.stats(),
+            peers: state.link.client().map(PeerClient::view),
             home_keys: state.key_home.borrow().len(),
         }
     }
