router: answer slow heads with a typed refusal and close connections gently

Hyper closes a connection whose head is late without an answer, and a socket closed with unread data resets, which can lose the refusal of a large body.

--- a/crates/bramleywind_router/src/http_listener.rs
+++ b/crates/bramleywind_router/src/http_listener.rs
@@ -1,21 +1,40 @@
 //! The connections of the caller and operator ports, one task each.
 
-use std::{cell::RefCell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell, convert::Infallible, future::poll_fn, net::SocketAddr, rc::Rc, time::Duration,
+};
 
+use bramleywind_types::{Refusal, RefusalCode, RepeatAdvice, RequestId};
 use compio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     runtime::JoinHandle,
+    time::timeout,
 };
 use cyper_core::{CompioTimer, HyperStream};
+use futures_util::{AsyncReadExt, AsyncWriteExt};
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 
-use crate::AnswerBody;
+use crate::{AnswerBody, refusal_answer::refusal_json};
 
 /// The largest request head that hyper reads before it answers 431 itself, in bytes. Larger than the
 /// router's own limit, so that all but absurd heads get the router's typed refusal.
 const HEAD_BUFFER_BYTES: usize = 64 * 1024;
 
+/// The kernel's buffer for each connection's answers, in bytes (the kernel doubles it). A few hundred tokens,
+/// so that a caller that stops reading is noticed and holds little memory; the default on a fast link is
+/// megabytes.
+const SEND_BUFFER_BYTES: u32 = 32 * 1024;
+
+/// Connections that wait to be accepted.
+const LISTEN_BACKLOG: i32 = 1_024;
+
+/// How long, and for how many bytes, a connection that is being closed is still read.
+const DRAIN_TIME: Duration = Duration::from_secs(1);
+
+/// See [`DRAIN_TIME`].
+const MAX_DRAIN_BYTES: usize = 4 * 1024 * 1024;
+
 /// How long to wait after a failed accept, so that a lack of descriptors does not spin the process.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -55,7 +74,7 @@
     ///
     /// If the address cannot be listened on.
     pub async fn bind(listen: SocketAddr) -> std::io::Result<BoundListener> {
-        let listener = TcpListener::bind(listen).await?;
+        let listener = bind_listener(listen).await?;
         let address = listener.local_addr()?;
         Ok(BoundListener { address, listener })
     }
@@ -65,7 +84,7 @@
     /// Answers each request with `answer`. A caller may take `read_time` for the head of a request.
     pub fn serve<A, F>(self, read_time: Duration, answer: A) -> HttpListener
     where
-        A: Fn(Request<Incoming>) -> F + Clone + 'static,
+        A: Fn(Request<Incoming>) -> F + Clone + Unpin + 'static,
         F: Future<Output = Result<Response<AnswerBody>, Infallible>> + 'static,
     {
         let Self { address, listener } = self;
@@ -88,16 +107,79 @@
 
 async fn serve_connection<A, F>(stream: TcpStream, read_time: Duration, answer: A)
 where
-    A: Fn(Request<Incoming>) -> F + 'static,
+    A: Fn(Request<Incoming>) -> F + Unpin + 'static,
     F: Future<Output = Result<Response<AnswerBody>, Infallible>> + 'static,
 {
     // Tokens are small and late ones are visible to callers. A socket that refuses the option still works.
     let _ = stream.set_nodelay(true);
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(read_time)
         .max_buf_size(HEAD_BUFFER_BYTES)
-        .serve_connection(HyperStream::new_plain(stream), service_fn(answer));
-    // A broken connection is an ordinary end: callers go away, and hyper has answered malformed requests.
-    let _ = connection.await;
+        .serve_connection(
+            HyperStream::new_plain(stream),
+            service_fn(move |request| Box::pin(answer(request))),
+        );
+    let end = poll_fn(|context| connection.poll_without_shutdown(context)).await;
+    let parts = connection.into_parts();
+    let mut stream = parts.io;
+    match end {
+        Ok(()) => close_gently(&mut stream).await,
+        // Hyper has answered a malformed head itself.
+        Err(error) if error.is_parse() => close_gently(&mut stream).await,
+        // A connection without a request may be closed without a word.
+        Err(error) if error.is_timeout() && !parts.read_buf.is_empty() => {
+            if stream.write_all(&timeout_answer()).await.is_ok() {
+                close_gently(&mut stream).await;
+            }
+        }
+        // A broken connection is an ordinary end: callers go away.
+        Err(_) => {}
+    }
+}
+
+/// Ends the answers, and reads what the caller still sends for a moment. A socket that is closed with unread
+/// data resets the connection, and the caller may then lose an answer that it has not read.
+async fn close_gently(stream: &mut HyperStream<TcpStream>) {
+    let drain = async {
+        stream.close().await?;
+        let mut left = MAX_DRAIN_BYTES;
+        let mut unread = [0; 4096];
+        while left > 0 {
+            match stream.read(&mut unread).await? {
+                0 => break,
+                count => left = left.saturating_sub(count),
+            }
+        }
+        std::io::Result::Ok(())
+    };
+    // A caller that does not close in time is closed upon.
+    let _ = timeout(DRAIN_TIME, drain).await;
+}
+
+/// The answer to a caller whose request head did not arrive in time, which hyper leaves unanswered.
+fn timeout_answer() -> Vec<u8> {
+    let message = "the head of the request was not received in time";
+    let refusal = Refusal::not_run(RefusalCode::RequestTimeout, message, RepeatAdvice::AfterDelay)
+        .after_ms(0);
+    let body = refusal_json(&refusal);
+    let head = format!(
+        "HTTP/1.1 408 Request Timeout\r\ncontent-type: application/json\r\nretry-after: 0\r\n\
+         x-request-id: {}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        RequestId::random(),
+        body.len()
+    );
+    [head.as_bytes(), &body].concat()
+}
+
+async fn bind_listener(listen: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match listen {
+        SocketAddr::V4(_) => TcpSocket::new_v4().await?,
+        SocketAddr::V6(_) => TcpSocket::new_v6().await?,
+    };
+    socket.set_reuseaddr(true)?;
+    // Accepted sockets inherit the size.
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    socket.bind(listen).await?;
+    socket.listen(LISTEN_BACKLOG).await
 }
--- a/crates/bramleywind_router/src/refusal_answer.rs
+++ b/crates/bramleywind_router/src/refusal_answer.rs
@@ -46,7 +46,8 @@
     }
 }
 
-fn refusal_json(refusal: &Refusal) -> Bytes {
+/// The body that carries a refusal.
+pub(crate) fn refusal_json(refusal: &Refusal) -> Bytes {
     let body = RefusalBody { error: refusal.clone() };
     // The type has no maps with keys other than text, so serializing it has no reason to fail.
     serde_json::to_vec(&body).unwrap_or_default().into()
