--- a/crates/bramleywind_router/src/admission.rs
+++ b/crates/bramleywind_router/src/admission.rs
@@ -109,6 +109,15 @@
         self.start_all();
     }
 
+    /// Whether an endpoint gets no new work because it is leaving.
+    pub fn is_leaving(&self, endpoint: &EndpointId) -> bool {
+        let state = self.inner.borrow();
+        let config = state.routes.as_ref().and_then(|routes| routes.endpoints.get(endpoint));
+        config.is_some_and(|config| {
+            state.health.is_leaving(endpoint, &config.instance, Instant::now())
+        })
+    }
+
     /// Takes in an endpoint's load report.
     pub fn record_report(&self, endpoint: &EndpointId, report: LoadReport) {
         self.inner.borrow_mut().table.record_report(endpoint, report);
--- a/crates/bramleywind_router/src/request_task.rs
+++ b/crates/bramleywind_router/src/request_task.rs
@@ -11,11 +11,11 @@
 use slog::{info, warn};
 
 use crate::{
-    AdmissionRequest, AnswerBody, AnswerEnding, AttemptEnd, AttemptRunner, AttemptTarget,
-    BillDecision, BillInput, CallerGone, CallerLink, CodeLabel, EndpointSlot, FailedCall, KeyEnd,
-    KeyStart, KeyTicket, OutcomeLabel, RequestContext, RequestOutcome, RetryDecision, RetryInput,
-    RouteTarget, RouterState, RunningGuard, decide_bill, decide_retry, failure_refusal,
-    funds_refusal, insert_request_id, refusal_event, refusal_response,
+    AdmissionRequest, AnswerBody, AnswerEnding, AttemptEnd, AttemptFailure, AttemptRunner,
+    AttemptTarget, BillDecision, BillInput, CallerGone, CallerLink, CodeLabel, EndpointSlot,
+    FailedCall, KeyEnd, KeyStart, KeyTicket, OutcomeLabel, RequestContext, RequestOutcome,
+    RetryDecision, RetryInput, RouteTarget, RouterState, RunningGuard, decide_bill, decide_retry,
+    failure_refusal, funds_refusal, insert_request_id, refusal_event, refusal_response,
 };
 
 /// The part of a request's time that it may spend in the queue: one half, so that the other is left to run.
@@ -71,6 +71,22 @@
     attempts: u32,
     /// Whether every failed attempt certainly did not run.
     never_ran: bool,
+    last_failure: Option<AttemptFailure>,
+}
+
+impl AttemptHistory {
+    /// What a refusal to queue the next attempt means for the whole request.
+    fn refusal(&self, refusal: Refusal, idempotent: bool) -> Refusal {
+        match self.last_failure {
+            None => refusal,
+            // All endpoints were tried: the reason is how they failed.
+            Some(failure) if refusal.code == RefusalCode::NoEndpoint => {
+                failure_refusal(failure, self.never_ran, idempotent)
+            }
+            Some(_) if self.never_ran => refusal,
+            Some(_) => Refusal { ran: RunState::MayHaveRun, ..refusal },
+        }
+    }
 }
 
 impl<R: AttemptRunner> RequestTask<R> {
@@ -103,8 +119,12 @@
 
     async fn run_reserved(mut self, mut ticket: KeyTicket, reservation: Reservation) {
         let state = self.state.clone();
-        let mut history =
-            AttemptHistory { excluded: BTreeSet::new(), attempts: 0, never_ran: true };
+        let mut history = AttemptHistory {
+            excluded: BTreeSet::new(),
+            attempts: 0,
+            never_ran: true,
+            last_failure: None,
+        };
         let mut end = self.run_attempts(&mut ticket, &mut history).await;
         let ending = match &end {
             TaskEnd::Complete => AnswerEnding::Complete,
@@ -202,6 +222,7 @@
                 AttemptEnd::Failed(failed) => {
                     self.record_failure(&target, &failed);
                     history.never_ran &= failed.failure.is_certainly_not_run();
+                    history.last_failure = Some(failed.failure);
                     history.excluded.insert(target.endpoint);
                     if let Some(refusal) = self.give_up(&failed, history) {
                         return refusal.into();
@@ -237,11 +258,9 @@
             deadline,
         };
         let admission = self.state.admission.clone();
-        let with_history = |refusal: Refusal| match history.never_ran {
-            true => refusal,
-            false => Refusal { ran: RunState::MayHaveRun, ..refusal },
-        };
-        let receiver = admission.request(request).map_err(with_history)?;
+        let receiver = admission
+            .request(request)
+            .map_err(|refusal| history.refusal(refusal, self.idempotent))?;
         // A resumed request has waited before; it gets at least a moment.
         let wait = deadline.saturating_duration_since(now).max(self.state.limits.connect_time);
         match self.caller.unless_gone(timeout(wait, receiver)).await? {
@@ -251,7 +270,9 @@
                 self.state.share_strikes(report.into_iter().collect());
                 Ok(slot)
             }
-            Ok(Err(_)) | Err(_) => Err(with_history(admission.overloaded()).into()),
+            Ok(Err(_)) | Err(_) => {
+                Err(history.refusal(admission.overloaded(), self.idempotent).into())
+            }
         }
     }
 
--- a/crates/bramleywind_router/tests/router/harness.rs
+++ b/crates/bramleywind_router/tests/router/harness.rs
@@ -12,10 +12,14 @@
 use bramleywind_standins::{
     EngineOptions, EngineStandin, InstancesStandin, ServiceOptions, ServiceStandin, StoreStandin,
 };
-use bramleywind_store::StoreKey;
+use bramleywind_store::{InstanceKind, InstanceRecord, InstanceState, StoreKey};
 use bramleywind_types::{ConfigRevision, RefusalBody, TokenCount};
 use bytes::Bytes;
-use compio::{net::TcpStream, runtime::JoinHandle, time::timeout};
+use compio::{
+    net::{TcpSocket, TcpStream},
+    runtime::JoinHandle,
+    time::timeout,
+};
 use cyper_core::HyperStream;
 use http::{Method, Request, StatusCode, response::Parts};
 use http_body_util::{BodyExt, Full};
@@ -56,7 +60,7 @@
 /// An engine that answers within milliseconds.
 pub fn fast_engine() -> EngineOptions {
     EngineOptions {
-        models: vec![MODEL.parse().unwrap()],
+        models: vec![MODEL.parse().unwrap(), "weave-once".parse().unwrap()],
         tokens_per_second: 2_000,
         prefill_tokens_per_second: 1_000_000,
         down_time: Duration::from_secs(60),
@@ -139,6 +143,27 @@
         }
     }
 
+    /// Marks an endpoint's instance as leaving in the instance list.
+    pub fn mark_leaving(&self, instance: &str, address: SocketAddr) {
+        self.instances.put(InstanceRecord {
+            instance: instance.parse().unwrap(),
+            data_centre: "dc-0".parse().unwrap(),
+            address,
+            kind: InstanceKind::Endpoint,
+            state: InstanceState::Leaving,
+        });
+    }
+
+    /// Starts another router that reaches its peers and not the store.
+    pub async fn start_cut_off_router(&self) -> Router {
+        let signing_key = OperatorSigningKey::from_seed([7; 32]);
+        let mut settings = self.settings(self.routers.len(), &FleetPlan::default(), &signing_key);
+        // Nothing listens on the discard port of the loopback address.
+        settings.store_address = "127.0.0.1:9".parse().unwrap();
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        Router::start(RouterOptions::new(settings, log)).await.unwrap()
+    }
+
     pub fn caller(&self) -> SocketAddr {
         self.routers[0].caller_address()
     }
@@ -172,7 +197,8 @@
 
 fn fleet_document(plan: &FleetPlan, engines: &[EngineStandin], service: &ServiceStandin) -> String {
     let mut fleet = Fleet::new()
-        .model(ModelSpec::new(MODEL, 4_096))
+        .model(ModelSpec::new(MODEL, 100_000))
+        .model(ModelSpec::new("weave-once", 4_096).non_idempotent())
         .model(ModelSpec::new("weave-large", 4_096))
         .service(
             ServiceSpec::new("desk", 10)
@@ -184,6 +210,7 @@
                 .budget(BUDGET, plan.credit)
                 .key(KEY, BUDGET)
                 .may_use_model(MODEL)
+                .may_use_model("weave-once")
                 .may_use_service("desk"),
         )
         .workspace(
@@ -201,7 +228,8 @@
     for (index, engine) in engines.iter().enumerate() {
         let options = &plan.engines[index];
         fleet = fleet.endpoint(
-            EndpointSpec::engine(&format!("engine-{index}"), [MODEL, "weave-large"])
+            EndpointSpec::engine(&format!("engine-{index}"), [MODEL, "weave-once", "weave-large"])
+                .on_instance(&format!("engine-{index}"))
                 .placed_in("dc-0")
                 .at(&engine.address().to_string())
                 .slots(options.slots),
@@ -238,8 +266,18 @@
     pub body: Bytes,
 }
 
+/// Sends a request over a connection with a small receive buffer, as a caller that reads slowly.
+pub async fn open_slowly(address: SocketAddr, request: Request<Full<Bytes>>) -> OpenAnswer {
+    let socket = TcpSocket::new_v4().await.unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    open_on(socket.connect(address).await.unwrap(), request).await
+}
+
 pub async fn open(address: SocketAddr, request: Request<Full<Bytes>>) -> OpenAnswer {
-    let stream = TcpStream::connect(address).await.unwrap();
+    open_on(TcpStream::connect(address).await.unwrap(), request).await
+}
+
+async fn open_on(stream: TcpStream, request: Request<Full<Bytes>>) -> OpenAnswer {
     let (mut sender, connection) = http1::handshake(HyperStream::new_plain(stream)).await.unwrap();
     let connection = compio::runtime::spawn(async move {
         let _ = connection.await;
@@ -301,8 +339,12 @@
 
 /// A chat request for `tokens` tokens.
 pub fn chat(prompt: &str, tokens: u32, stream: bool) -> Request<Full<Bytes>> {
+    chat_with(MODEL, prompt, tokens, stream)
+}
+
+pub fn chat_with(model: &str, prompt: &str, tokens: u32, stream: bool) -> Request<Full<Bytes>> {
     let body = serde_json::json!({
-        "model": MODEL,
+        "model": model,
         "messages": [{ "role": "user", "content": prompt }],
         "max_tokens": tokens,
         "stream": stream,
--- /dev/null
+++ b/crates/bramleywind_router/tests/router/repeats.rs
@@ -0,0 +1,237 @@
+use bramleywind_standins::{EngineOptions, ServiceFaults};
+use bramleywind_store::StoreFaults;
+use bramleywind_types::{RefusalCode, RepeatAdvice, RunState};
+use http::StatusCode;
+use test_case::test_case;
+
+use crate::harness::{
+    FleetPlan, KEY, TestFleet, chat, eventually, fast_engine, get, keyed, open, post, run,
+};
+
+/// Guards against a second run, or a second bill, of a request that is repeated while it runs or afterwards.
+#[test_case(1, true; "streamed")]
+#[test_case(1, false; "whole")]
+#[test_case(2, true; "at another router")]
+fn a_repeat_gets_the_first_outcome(routers: usize, stream: bool) {
+    run(async move {
+        let engine = EngineOptions { tokens_per_second: 200, ..fast_engine() };
+        let plan = FleetPlan { engines: vec![engine], routers, ..FleetPlan::default() };
+        let fleet = TestFleet::start(plan).await;
+        let request = move || keyed(chat("sing it again", 40, stream), "song-1");
+        let (first, last) = (fleet.caller(), fleet.routers[routers - 1].caller_address());
+        let running =
+            compio::runtime::spawn(async move { open(first, request()).await.whole().await });
+        eventually("the first runs", || fleet.engines[0].stats().requests_started == 1).await;
+        let during = open(last, request()).await.whole().await;
+        let original = running.await.unwrap();
+        let after = open(last, request()).await.whole().await;
+        assert_eq!(original.head.status, StatusCode::OK);
+        for repeat in [during, after] {
+            assert_eq!(repeat.body, original.body);
+            assert_eq!(
+                repeat.head.headers.get("content-type"),
+                original.head.headers.get("content-type")
+            );
+        }
+        assert_eq!(fleet.engines[0].stats().requests_received, 1);
+        fleet.settled().await;
+        if routers == 1 {
+            assert_eq!((fleet.spent(), fleet.reserved()), (3 + 40, 0));
+        }
+        let other = keyed(chat("sing another", 40, stream), "song-1");
+        let refusal = open(last, other).await.whole().await.refusal();
+        assert_eq!(refusal.code, RefusalCode::KeyReused);
+        assert_eq!(fleet.engines[0].stats().requests_received, 1);
+    });
+}
+
+/// Guards against a key that stays blocked by a caller that went away.
+#[test]
+fn a_key_is_free_again_after_its_caller_left() {
+    run(async {
+        let engine = EngineOptions { tokens_per_second: 200, ..fast_engine() };
+        let fleet =
+            TestFleet::start(FleetPlan { engines: vec![engine], ..FleetPlan::default() }).await;
+        let request = || keyed(chat("sing it again", 60, true), "song-2");
+        let mut gone = open(fleet.caller(), request()).await;
+        gone.piece().await.unwrap();
+        drop(gone);
+        let repeat = open(fleet.caller(), request()).await.whole().await;
+        assert_eq!(repeat.tokens().len(), 60);
+        assert_eq!(fleet.engines[0].stats().requests_received, 2);
+    });
+}
+
+fn executions(fleet: &TestFleet, key: &str) -> u64 {
+    fleet.service.executions().executions.get(key).copied().unwrap_or_default()
+}
+
+/// Guards against a second order: copies that run side by side, and one that comes afterwards.
+#[test_case(1; "one router")]
+#[test_case(2; "two routers")]
+fn an_order_runs_once_for_each_key(routers: usize) {
+    run(async move {
+        let fleet = TestFleet::start(FleetPlan { routers, ..FleetPlan::default() }).await;
+        fleet.service.set_faults(ServiceFaults { delay_ms: 50, ..ServiceFaults::default() });
+        let order = || keyed(post("/services/desk/orders/ribs", r#"{"ribs": 8}"#), "order-7");
+        let copies: Vec<_> = (0..6)
+            .map(|index| {
+                let address = fleet.routers[index % routers].caller_address();
+                compio::runtime::spawn(async move { open(address, order()).await.whole().await })
+            })
+            .collect();
+        let mut bodies = Vec::new();
+        for copy in copies {
+            let answer = copy.await.unwrap();
+            assert_eq!(answer.head.status, StatusCode::OK, "{}", answer.text());
+            bodies.push(answer.body);
+        }
+        let later = open(fleet.caller(), order()).await.whole().await;
+        bodies.push(later.body);
+        assert!(bodies.iter().all(|body| *body == bodies[0]));
+        assert!(bodies[0].starts_with(br#"{"method":"POST","path":"/orders/ribs""#));
+        assert_eq!(executions(&fleet, "order-7"), 1);
+        fleet.settled().await;
+        if routers == 1 {
+            assert_eq!((fleet.spent(), fleet.reserved()), (10, 0));
+        }
+        let other = keyed(post("/services/desk/orders/ribs", r#"{"ribs": 9}"#), "order-7");
+        let refusal = open(fleet.caller(), other).await.whole().await.refusal();
+        assert_eq!(refusal.code, RefusalCode::KeyReused);
+    });
+}
+
+/// Guards against a lost answer that is taken for an order that did not run.
+#[test]
+fn an_order_whose_answer_is_lost_is_not_sent_again() {
+    run(async {
+        let fleet = TestFleet::start(FleetPlan::default()).await;
+        fleet.service.set_faults(ServiceFaults { lose_next: 1, ..ServiceFaults::default() });
+        let order = || keyed(post("/services/desk/orders", "{}"), "order-8");
+        let lost = open(fleet.caller(), order()).await.whole().await.refusal();
+        assert_eq!((lost.code, lost.ran), (RefusalCode::EndpointFailed, RunState::MayHaveRun));
+        let repeat = open(fleet.caller(), order()).await.whole().await.refusal();
+        assert_eq!(repeat.code, RefusalCode::OutcomeUnknown);
+        assert_eq!(executions(&fleet, "order-8"), 1);
+    });
+}
+
+/// Guards against an order that is lost with its caller's connection.
+#[test]
+fn an_order_is_carried_out_although_its_caller_leaves() {
+    run(async {
+        let fleet = TestFleet::start(FleetPlan::default()).await;
+        fleet.service.set_faults(ServiceFaults { delay_ms: 200, ..ServiceFaults::default() });
+        let order = || keyed(post("/services/desk/orders", "{}"), "order-9");
+        let address = fleet.caller();
+        let leaving = compio::runtime::spawn(async move {
+            open(address, order()).await;
+        });
+        eventually("the order runs", || executions(&fleet, "order-9") == 1).await;
+        drop(leaving);
+        let repeat = open(fleet.caller(), order()).await.whole().await;
+        assert_eq!(repeat.head.status, StatusCode::OK);
+        assert_eq!(executions(&fleet, "order-9"), 1);
+    });
+}
+
+/// Guards against a refusal that is not true, or that stays when the reason is gone.
+#[test]
+fn an_order_that_did_not_run_may_be_repeated() {
+    run(async {
+        let fleet = TestFleet::start(FleetPlan::default()).await;
+        fleet.service.set_faults(ServiceFaults { leaving: true, ..ServiceFaults::default() });
+        let order = || keyed(post("/services/desk/orders", "{}"), "order-10");
+        let refusal = open(fleet.caller(), order()).await.whole().await.refusal();
+        assert_eq!((refusal.code, refusal.ran), (RefusalCode::NoEndpoint, RunState::NotRun));
+        fleet.service.set_faults(ServiceFaults::default());
+        let state = fleet.routers[0].state();
+        // The service has come back under the same name: the router must not wait for its announcement to
+        // expire, so the test clears it.
+        state.admission.update_health(|health| *health = Default::default());
+        let repeat = open(fleet.caller(), order()).await.whole().await;
+        assert_eq!(repeat.head.status, StatusCode::OK, "{}", repeat.text());
+        assert_eq!(executions(&fleet, "order-10"), 1);
+    });
+}
+
+/// Guards against orders without a durable claim, and against outages that stop what needs no claim.
+#[test]
+fn a_store_outage_refuses_orders_and_nothing_else() {
+    run(async {
+        // The first request leaves most of its grant in the slice, which pays during the outage.
+        let engine = EngineOptions { stop_after: Some(10), ..fast_engine() };
+        let fleet =
+            TestFleet::start(FleetPlan { engines: vec![engine], ..FleetPlan::default() }).await;
+        let warm = open(fleet.caller(), chat("warm up", 200, true)).await.whole().await;
+        assert_eq!(warm.tokens().len(), 10);
+        fleet.settled().await;
+        fleet.store.store().set_faults(StoreFaults { outage: true, ..StoreFaults::default() });
+        let order = keyed(post("/services/desk/orders", "{}"), "order-11");
+        let refusal = open(fleet.caller(), order).await.whole().await.refusal();
+        assert_eq!((refusal.code, refusal.ran), (RefusalCode::ClaimUnavailable, RunState::NotRun));
+        assert!(refusal.retry_after_ms.is_some());
+        assert_eq!(executions(&fleet, "order-11"), 0);
+        let answer = open(fleet.caller(), chat("go on", 5, true)).await.whole().await;
+        assert_eq!(answer.tokens().len(), 5);
+    });
+}
+
+/// Guards against spending beyond the credit, and against a refusal that does not say that nothing ran.
+#[test_case(None; "without a key")]
+#[test_case(Some("song-3"); "with a key")]
+fn an_exhausted_budget_is_refused_as_not_run(key: Option<&'static str>) {
+    run(async move {
+        let fleet = TestFleet::start(FleetPlan { credit: 100, ..FleetPlan::default() }).await;
+        let request = |tokens| match key {
+            Some(key) => keyed(chat("ab", tokens, true), &format!("{key}-{tokens}")),
+            None => chat("ab", tokens, true),
+        };
+        let answer = open(fleet.caller(), request(60)).await.whole().await;
+        assert_eq!(answer.tokens().len(), 60);
+        fleet.settled().await;
+        assert_eq!(fleet.spent(), 61);
+        let refusal = open(fleet.caller(), request(50)).await.whole().await.refusal();
+        assert_eq!((refusal.code, refusal.ran), (RefusalCode::BudgetExhausted, RunState::NotRun));
+        assert_eq!(refusal.repeat, RepeatAdvice::AfterDelay);
+        let small = open(fleet.caller(), request(30)).await.whole().await;
+        assert_eq!(small.tokens().len(), 30);
+        fleet.settled().await;
+        assert_eq!((fleet.spent(), fleet.reserved()), (92, 0));
+    });
+}
+
+/// Guards against an order that is refused for want of funds and then cannot be repeated.
+#[test]
+fn an_order_that_the_budget_cannot_pay_for_is_not_run() {
+    run(async {
+        let fleet = TestFleet::start(FleetPlan { credit: 9, ..FleetPlan::default() }).await;
+        for _ in 0..2 {
+            let order = keyed(post("/services/desk/orders", "{}"), "order-12");
+            let refusal = open(fleet.caller(), order).await.whole().await.refusal();
+            assert_eq!(
+                (refusal.code, refusal.ran),
+                (RefusalCode::BudgetExhausted, RunState::NotRun)
+            );
+        }
+        assert_eq!(executions(&fleet, "order-12"), 0);
+    });
+}
+
+/// Guards against a service that sees the caller's secret, or a caller that loses the service's answer.
+#[test]
+fn an_idempotent_call_is_forwarded_and_retried() {
+    run(async {
+        let fleet = TestFleet::start(FleetPlan::default()).await;
+        let answer = open(fleet.caller(), get("/services/desk/stock?item=ribs", KEY)).await;
+        let answer = answer.whole().await;
+        assert_eq!(answer.head.status, StatusCode::OK);
+        assert!(answer.text().contains(r#""path":"/stock""#), "{}", answer.text());
+        fleet.service.set_faults(ServiceFaults { fail_next: 1, ..ServiceFaults::default() });
+        let failed = open(fleet.caller(), get("/services/desk/stock", KEY)).await.whole().await;
+        // A plain service's own error is its answer.
+        assert_eq!(failed.head.status, StatusCode::INTERNAL_SERVER_ERROR);
+        fleet.settled().await;
+        assert_eq!((fleet.spent(), fleet.reserved()), (20, 0));
+    });
+}
