router: keep the order of waiting requests and refuse hopeless ones at once

Each look at a full queue took a request out and put it back at the end of its lane, which changed the order and charged the workspace. Requests for endpoints that are down waited for their deadline.

--- a/crates/bramleywind_router/src/admission.rs
+++ b/crates/bramleywind_router/src/admission.rs
@@ -8,8 +8,8 @@
 };
 
 use bramleywind_routing::{
-    EndpointTable, EndpointTableDump, FairQueue, LoadReport, PolicyKind, QueuedRequest,
-    ReturnDelay, RouteRequest, SelectedPolicy,
+    EndpointState, EndpointTable, EndpointTableDump, FairQueue, LoadReport, PolicyKind,
+    QueuedRequest, ReturnDelay, RouteRequest, SelectedPolicy,
 };
 use bramleywind_types::{EndpointId, Refusal, RefusalCode, RepeatAdvice, WorkspaceId};
 use futures_channel::oneshot;
@@ -39,7 +39,7 @@
 #[derive(Debug)]
 struct WaitingRequest {
     request: AdmissionRequest,
-    sender: oneshot::Sender<EndpointSlot>,
+    sender: oneshot::Sender<Result<EndpointSlot, Refusal>>,
 }
 
 /// The queues and the endpoint table of a router.
@@ -144,8 +144,8 @@
         self.inner.borrow().queues.values().map(FairQueue::len).sum()
     }
 
-    /// Asks for an endpoint. The slot arrives through the receiver; the queue forgets a request whose
-    /// receiver was dropped. A cancelled receiver means that the request was displaced from a full queue.
+    /// Asks for an endpoint. The slot, or a later refusal, arrives through the receiver; the queue forgets a
+    /// request whose receiver was dropped.
     ///
     /// # Errors
     ///
@@ -153,15 +153,13 @@
     pub fn request(
         &self,
         request: AdmissionRequest,
-    ) -> Result<oneshot::Receiver<EndpointSlot>, Refusal> {
+    ) -> Result<oneshot::Receiver<Result<EndpointSlot, Refusal>>, Refusal> {
         let (sender, receiver) = oneshot::channel();
         let target = request.target.clone();
         let mut state = self.inner.borrow_mut();
         if !state.has_candidate(&request) {
-            let message = "no live endpoint can take the request";
-            let refusal =
-                Refusal::not_run(RefusalCode::NoEndpoint, message, RepeatAdvice::AfterDelay);
-            return Err(refusal.after_ms(state.delay.after_expected(EXPECTED_ROOM_MS)));
+            drop(state);
+            return Err(self.no_endpoint());
         }
         let queued = QueuedRequest {
             workspace: request.workspace.clone(),
@@ -175,8 +173,10 @@
         drop(state);
         match pushed {
             Ok(displaced) => {
-                // Dropping the sender of a displaced request tells its task.
-                drop(displaced);
+                if let Some(displaced) = displaced {
+                    // Its caller may be gone.
+                    drop(displaced.payload.sender.send(Err(self.overloaded())));
+                }
                 self.start_waiting(&target);
                 Ok(receiver)
             }
@@ -184,6 +184,13 @@
         }
     }
 
+    fn no_endpoint(&self) -> Refusal {
+        let delay_ms = self.inner.borrow_mut().delay.after_expected(EXPECTED_ROOM_MS);
+        let message = "no live endpoint can take the request";
+        Refusal::not_run(RefusalCode::NoEndpoint, message, RepeatAdvice::AfterDelay)
+            .after_ms(delay_ms)
+    }
+
     /// The refusal of a request for which there is no room.
     pub fn overloaded(&self) -> Refusal {
         let delay_ms = self.inner.borrow_mut().delay.after_expected(EXPECTED_ROOM_MS);
@@ -202,43 +209,49 @@
     /// Gives free slots to waiting requests of a target.
     fn start_waiting(&self, target: &RouteTarget) {
         loop {
-            let (gone, started) = self.inner.borrow_mut().start_next(target);
-            // Senders are dropped outside the borrow, because that wakes their tasks.
+            let NextRequest { gone, hopeless, started } =
+                self.inner.borrow_mut().start_next(target);
+            // Senders are used and dropped outside the borrow, because that wakes their tasks.
             drop(gone);
+            for queued in hopeless {
+                drop(queued.payload.sender.send(Err(self.no_endpoint())));
+            }
             let Some((waiting, endpoint)) = started else { return };
             let slot =
                 EndpointSlot { endpoint, target: target.clone(), admission: self.this.clone() };
             // A slot that nobody waits for any more comes back and is given to the next request.
-            drop(waiting.sender.send(slot));
+            drop(waiting.sender.send(Ok(slot)));
         }
     }
 }
 
-type StartedRequest = (WaitingRequest, EndpointId);
+/// What a look at a queue has found.
+#[derive(Debug, Default)]
+struct NextRequest {
+    /// Requests whose callers are gone.
+    gone: Vec<QueuedRequest<WaitingRequest>>,
+    /// Requests that no endpoint can take any more.
+    hopeless: Vec<QueuedRequest<WaitingRequest>>,
+    /// The request that goes next, with its endpoint.
+    started: Option<(WaitingRequest, EndpointId)>,
+}
 
 impl AdmissionState {
-    fn start_next(
-        &mut self,
-        target: &RouteTarget,
-    ) -> (Vec<QueuedRequest<WaitingRequest>>, Option<StartedRequest>) {
-        let Some(mut queue) = self.queues.remove(target) else { return (Vec::new(), None) };
-        let gone = queue.take_if(|queued| queued.payload.sender.is_canceled());
+    fn start_next(&mut self, target: &RouteTarget) -> NextRequest {
+        let mut next = NextRequest::default();
+        let Some(mut queue) = self.queues.remove(target) else { return next };
+        next.gone = queue.take_if(|queued| queued.payload.sender.is_canceled());
+        next.hopeless = queue.take_if(|queued| !self.has_candidate(&queued.payload.request));
+        // Taking a request out costs its workspace its turn, so that is done only for a free slot.
         let mut passed_over = Vec::new();
-        let mut started = None;
-        while let Some(queued) = queue.pop() {
+        while self.has_free_slot(target)
+            && next.started.is_none()
+            && let Some(queued) = queue.pop()
+        {
             match self.begin(&queued.payload.request) {
-                Some(endpoint) => {
-                    started = Some((queued.payload, endpoint));
-                    break;
-                }
-                None => {
-                    // A request that excludes the free endpoints does not hold up the others.
-                    let is_general = queued.payload.request.excluded.is_empty();
-                    passed_over.push(queued);
-                    if is_general {
-                        break;
-                    }
-                }
+                Some(endpoint) => next.started = Some((queued.payload, endpoint)),
+                // A request that must not go to the free endpoints does not hold up the others.
+                None => passed_over.push(queued),
             }
         }
         for queued in passed_over {
@@ -248,7 +261,19 @@
         if !queue.is_empty() {
             self.queues.insert(target.clone(), queue);
         }
-        (gone, started)
+        next
+    }
+
+    fn has_free_slot(&self, target: &RouteTarget) -> bool {
+        let now = Instant::now();
+        let Some(routes) = &self.routes else { return false };
+        routes.endpoints.values().any(|config| {
+            routes.serves(&config.id, target)
+                && self.table.state(&config.id).is_some_and(EndpointState::has_free_slot)
+                && !self.health.is_leaving(&config.id, &config.instance, now)
+                && !self.health.is_avoided(&config.id, now)
+                && !self.health.is_down(&config.id, now)
+        })
     }
 
     fn begin(&mut self, request: &AdmissionRequest) -> Option<EndpointId> {
@@ -279,4 +304,5 @@
     routes.serves(endpoint, &request.target)
         && !request.excluded.contains(endpoint)
         && !health.is_leaving(endpoint, &config.instance, now)
+        && !health.is_down(endpoint, now)
 }
--- a/crates/bramleywind_router/src/background/load_poll.rs
+++ b/crates/bramleywind_router/src/background/load_poll.rs
@@ -13,7 +13,7 @@
 use http_body_util::Full;
 use serde::Deserialize;
 
-use crate::{CallTimes, DeclineRule, RouterState, call_endpoint};
+use crate::{AttemptFailure, CallTimes, DeclineRule, RouterState, call_endpoint};
 
 /// How often endpoints are asked for their load.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
@@ -47,8 +47,16 @@
 }
 
 async fn poll_engine(state: &RouterState, endpoint: &EndpointId, address: SocketAddr) {
-    // A poll that fails says nothing: requests find out whether the engine is up.
-    let Some(report) = fetch_report(address).await else { return };
+    let report = match fetch_report(address).await {
+        Ok(report) => report,
+        Err(AttemptFailure::NotConnected) => {
+            let now = Instant::now();
+            return state.admission.update_health(|health| health.record_down(endpoint, now));
+        }
+        // A late or odd report says nothing: requests find out how the engine is.
+        Err(_) => return,
+    };
+    state.admission.update_health(|health| health.record_up(endpoint));
     let load = LoadReport { running: report.running, queued: report.queued };
     state.admission.record_report(endpoint, load);
     if report.state.as_deref() == Some("leaving") {
@@ -57,16 +65,15 @@
     }
 }
 
-async fn fetch_report(address: SocketAddr) -> Option<EngineReport> {
+async fn fetch_report(address: SocketAddr) -> Result<EngineReport, AttemptFailure> {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = Uri::from_static("/v1/load");
-    let host = HeaderValue::try_from(address.to_string()).ok()?;
-    request.headers_mut().insert(header::HOST, host);
-    let times = CallTimes { connect: REPORT_TIME, first_byte: REPORT_TIME };
-    let answer = call_endpoint(address, request, times, DeclineRule::LeavingOnly).await.ok()?;
-    if !answer.head.status.is_success() {
-        return None;
+    if let Ok(host) = HeaderValue::try_from(address.to_string()) {
+        request.headers_mut().insert(header::HOST, host);
     }
-    let body = answer.collect(REPORT_TIME, REPORT_BYTES).await.ok()?;
-    serde_json::from_slice(&body).ok()
+    let times = CallTimes { connect: REPORT_TIME, first_byte: REPORT_TIME };
+    let call = call_endpoint(address, request, times, DeclineRule::LeavingOnly).await;
+    let answer = call.map_err(|failed| failed.failure)?;
+    let body = answer.collect(REPORT_TIME, REPORT_BYTES).await?;
+    serde_json::from_slice(&body).map_err(|_| AttemptFailure::ServerError)
 }
--- a/crates/bramleywind_router/src/chat_attempts.rs
+++ b/crates/bramleywind_router/src/chat_attempts.rs
@@ -115,7 +115,10 @@
                     }
                     return EventsEnd::Complete;
                 }
-                Some(end) => return end,
+                Some(end) => {
+                    state.metrics.late_chunks.inc_by(u64::from(scanner.has_remainder()));
+                    return end;
+                }
                 None if scanner.is_overfull() => {
                     return EventsEnd::Failed(AttemptFailure::ServerError);
                 }
@@ -246,6 +249,10 @@
         if status.is_server_error() {
             return AttemptEnd::Failed(AttemptFailure::ServerError.into());
         }
+        // The engine has not loaded the model, or has unloaded it; another one may have it.
+        if status == StatusCode::NOT_FOUND {
+            return AttemptEnd::Failed(AttemptFailure::Declined.into());
+        }
         if status != StatusCode::OK {
             let body = answer.collect(state.limits.idle_time, ERROR_EXCERPT_BYTES).await;
             let excerpt = body.map(|body| String::from_utf8_lossy(&body).into_owned());
--- a/crates/bramleywind_router/src/endpoint_health.rs
+++ b/crates/bramleywind_router/src/endpoint_health.rs
@@ -5,10 +5,13 @@
 
 use bramleywind_types::{EndpointId, InstanceId};
 
-/// How long an endpoint is passed over after it could not be connected to or declined a request. One poll of
-/// the instance list, by which a dead endpoint is usually known.
+/// How long an endpoint is passed over after it declined a request.
 const AVOID_TIME: Duration = Duration::from_secs(1);
 
+/// How long an endpoint counts as down after a connection failed. A little longer than the interval between
+/// two load polls, the next of which tells whether it is back.
+const DOWN_TIME: Duration = Duration::from_millis(1_500);
+
 /// How long an endpoint's own announcement that it is leaving counts. The instance list lags, but names a
 /// leaving instance within this time; afterwards only the list counts, since the instance may be a new one.
 const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(30);
@@ -19,6 +22,7 @@
     leaving_instances: BTreeSet<InstanceId>,
     announced: BTreeMap<EndpointId, Instant>,
     avoided: BTreeMap<EndpointId, Instant>,
+    down: BTreeMap<EndpointId, Instant>,
 }
 
 impl EndpointHealth {
@@ -32,25 +36,34 @@
         self.announced.insert(endpoint.clone(), now + ANNOUNCEMENT_TIME);
     }
 
-    /// Notes that an endpoint could not take a request.
-    pub fn record_failure(&mut self, endpoint: &EndpointId, now: Instant) {
+    /// Notes that an endpoint declined a request.
+    pub fn record_declined(&mut self, endpoint: &EndpointId, now: Instant) {
         self.avoided.insert(endpoint.clone(), now + AVOID_TIME);
     }
 
+    /// Notes that an endpoint could not be connected to, or crashed.
+    pub fn record_down(&mut self, endpoint: &EndpointId, now: Instant) {
+        self.down.insert(endpoint.clone(), now + DOWN_TIME);
+    }
+
+    /// Notes that an endpoint answered.
+    pub fn record_up(&mut self, endpoint: &EndpointId) {
+        self.down.remove(endpoint);
+    }
+
+    /// Whether the endpoint could not be reached a moment ago.
+    pub fn is_down(&self, endpoint: &EndpointId, now: Instant) -> bool {
+        self.down.get(endpoint).is_some_and(|until| now < *until)
+    }
+
     /// Whether the endpoint is leaving, by the list or its own word.
     pub fn is_leaving(&self, endpoint: &EndpointId, instance: &InstanceId, now: Instant) -> bool {
         self.leaving_instances.contains(instance)
             || self.announced.get(endpoint).is_some_and(|until| now < *until)
     }
 
-    /// Whether the endpoint failed a moment ago.
+    /// Whether the endpoint declined a request a moment ago.
     pub fn is_avoided(&self, endpoint: &EndpointId, now: Instant) -> bool {
         self.avoided.get(endpoint).is_some_and(|until| now < *until)
     }
-
-    /// Forgets what has expired.
-    pub fn drop_expired(&mut self, now: Instant) {
-        self.announced.retain(|_, until| now < *until);
-        self.avoided.retain(|_, until| now < *until);
-    }
 }
--- a/crates/bramleywind_router/src/request_task.rs
+++ b/crates/bramleywind_router/src/request_task.rs
@@ -1,6 +1,10 @@
 //! The path of one request from its key to its bill, in the order of section 9 of the design.
 
-use std::{collections::BTreeSet, rc::Rc, time::Instant};
+use std::{
+    collections::BTreeSet,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bramleywind_claims::{RecordedOutcome, RequestFingerprint, StrikeVerdict};
 use bramleywind_ledger::{Reservation, ReserveOutcome};
@@ -21,6 +25,10 @@
 /// The part of a request's time that it may spend in the queue: one half, so that the other is left to run.
 const QUEUE_SHARE: u32 = 2;
 
+/// How long a request waits for its tokens. Long enough for a slow store to answer a few calls; a refusal
+/// after it says that nothing ran.
+const RESERVE_TIME: Duration = Duration::from_secs(10);
+
 /// A request with all that its path needs.
 #[derive(Debug)]
 pub struct RequestTask<R> {
@@ -174,7 +182,7 @@
             &context.budget,
             self.reserved,
             context.key.as_ref(),
-            context.deadline,
+            context.deadline.min(Instant::now() + RESERVE_TIME),
         );
         // Not dropped when the caller goes away: a reservation that nobody settles stays counted as spent.
         match reserve.await {
@@ -264,12 +272,13 @@
         // A resumed request has waited before; it gets at least a moment.
         let wait = deadline.saturating_duration_since(now).max(self.state.limits.connect_time);
         match self.caller.unless_gone(timeout(wait, receiver)).await? {
-            Ok(Ok(slot)) => {
+            Ok(Ok(Ok(slot))) => {
                 let report =
                     self.state.strikes.borrow_mut().record_retry(&fingerprint, &slot.endpoint, now);
                 self.state.share_strikes(report.into_iter().collect());
                 Ok(slot)
             }
+            Ok(Ok(Err(refusal))) => Err(history.refusal(refusal, self.idempotent).into()),
             Ok(Err(_)) | Err(_) => {
                 Err(history.refusal(admission.overloaded(), self.idempotent).into())
             }
@@ -291,8 +300,12 @@
             if failed.is_leaving {
                 health.record_announcement(&target.endpoint, now);
             }
-            if failed.failure.is_certainly_not_run() || failed.failure.is_crash() {
-                health.record_failure(&target.endpoint, now);
+            match failed.failure {
+                AttemptFailure::Declined => health.record_declined(&target.endpoint, now),
+                AttemptFailure::NotConnected | AttemptFailure::Broken => {
+                    health.record_down(&target.endpoint, now);
+                }
+                AttemptFailure::ServerError | AttemptFailure::TimedOut => {}
             }
         });
         if failed.failure.is_crash() {
