--- a/crates/bramleywind_store/src/memory_store.rs
+++ b/crates/bramleywind_store/src/memory_store.rs
@@ -54,7 +54,9 @@
     counters: CallCounters,
     read_bucket: TokenBucket,
     write_bucket: TokenBucket,
-    wakers: Vec<Waker>,
+    /// The wakers of the waiting watches, by watch; a watch that ends removes its own.
+    wakers: BTreeMap<u64, Option<Waker>>,
+    last_watch: u64,
 }
 
 /// A value with the one before it, which stale reads show.
@@ -73,7 +75,8 @@
             counters: CallCounters::default(),
             read_bucket: TokenBucket::new(0),
             write_bucket: TokenBucket::new(0),
-            wakers: Vec::new(),
+            wakers: BTreeMap::new(),
+            last_watch: 0,
         }
     }
 }
@@ -100,7 +103,8 @@
 
     /// How many calls the store has received.
     pub fn counters(&self) -> CallCounters {
-        self.state.borrow().counters
+        let state = self.state.borrow();
+        CallCounters { waiting_watches: state.wakers.len() as u64, ..state.counters }
     }
 
     /// The current value of a key. Neither counted nor subject to faults, for checks by tests.
@@ -161,6 +165,7 @@
         context: &Context<'_>,
         key: &StoreKey,
         after: StoreVersion,
+        watch: u64,
     ) -> Poll<WatchOutcome> {
         let mut state = self.state.borrow_mut();
         if let Err(reason) = state.check_outage() {
@@ -171,9 +176,7 @@
                 Poll::Ready(WatchOutcome::Changed(stored.current.clone()))
             }
             _ => {
-                if !state.wakers.iter().any(|waker| waker.will_wake(context.waker())) {
-                    state.wakers.push(context.waker().clone());
-                }
+                state.wakers.insert(watch, Some(context.waker().clone()));
                 Poll::Pending
             }
         }
@@ -204,7 +207,7 @@
     }
 
     fn wake_all(&mut self) {
-        self.wakers.drain(..).for_each(Waker::wake);
+        self.wakers.values_mut().filter_map(Option::take).for_each(Waker::wake);
     }
 
     fn check_outage(&self) -> Result<(), UnavailableReason> {
@@ -220,19 +223,25 @@
     }
 }
 
-/// Counts a waiting watch for as long as it is held, so that a cancelled watch is not counted further.
-struct WaitingGuard<'a>(&'a MemoryStore);
+/// A watch for as long as it waits, so that a cancelled one is neither counted nor woken further.
+struct WaitingWatch<'a> {
+    store: &'a MemoryStore,
+    id: u64,
+}
 
-impl<'a> WaitingGuard<'a> {
+impl<'a> WaitingWatch<'a> {
     fn new(store: &'a MemoryStore) -> Self {
-        store.state.borrow_mut().counters.waiting_watches += 1;
-        Self(store)
+        let mut state = store.state.borrow_mut();
+        state.last_watch += 1;
+        let id = state.last_watch;
+        state.wakers.insert(id, None);
+        Self { store, id }
     }
 }
 
-impl Drop for WaitingGuard<'_> {
+impl Drop for WaitingWatch<'_> {
     fn drop(&mut self) {
-        self.0.state.borrow_mut().counters.waiting_watches -= 1;
+        self.store.state.borrow_mut().wakers.remove(&self.id);
     }
 }
 
@@ -292,8 +301,8 @@
         if let Err(reason) = self.admit_read(|counters| counters.watches += 1).await {
             return WatchOutcome::Unavailable(reason);
         }
-        let _guard = WaitingGuard::new(self);
-        let changed = poll_fn(|context| self.poll_watch(context, key, after));
+        let watch = WaitingWatch::new(self);
+        let changed = poll_fn(|context| self.poll_watch(context, key, after, watch.id));
         compio::time::timeout_at(deadline, changed).await.unwrap_or(WatchOutcome::Unchanged)
     }
 
