--- /dev/null
+++ b/crates/bramleywind_store/tests/http_mapping.rs
@@ -0,0 +1,145 @@
+//! Every HTTP and connection result must map to the one outcome that is true of it: above all, a write may
+//! be reported as not applied only where that is proven.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use std::time::{Duration, Instant};
+
+use bramleywind_store::{
+    HttpStore, Lease, LeaseOutcome, ListOutcome, NotAppliedReason, ReadOutcome, RenewOutcome,
+    Store as _, StoreKey, StoreVersion, UnavailableReason, WatchOutcome, WriteOutcome,
+};
+use bramleywind_types::FencingToken;
+use compio::{
+    BufResult,
+    io::{AsyncRead as _, AsyncWriteExt as _},
+    net::TcpListener,
+};
+use test_case::test_case;
+
+/// The longest that any single case may take.
+const CASE_LIMIT: Duration = Duration::from_secs(10);
+/// The deadline of calls that are answered.
+const CALL_LIMIT: Duration = Duration::from_secs(3);
+/// The deadline of calls that are never answered.
+const SHORT_LIMIT: Duration = Duration::from_millis(100);
+
+/// What the scripted server does with the request that it receives.
+#[derive(Clone, Copy)]
+enum Script {
+    /// Sends these bytes and closes.
+    Send(&'static str),
+    /// Keeps the connection open and silent.
+    Hang,
+}
+
+/// The status line and headers of an answer without a body.
+macro_rules! status {
+    ($line:literal) => {
+        Script::Send(concat!("HTTP/1.1 ", $line, "\r\ncontent-length: 0\r\n\r\n"))
+    };
+}
+
+/// An answer cut off in the middle of its body.
+const CUT_OFF: Script =
+    Script::Send("HTTP/1.1 200 OK\r\nx-version: 3\r\ncontent-length: 10\r\n\r\nhalf");
+const CLOSED: Script = Script::Send("");
+const NOT_HTTP: Script = Script::Send("220 mail.example ESMTP\r\n\r\n");
+
+/// Runs a call against a server that follows the script.
+fn run<T>(script: Script, call: impl AsyncFnOnce(HttpStore) -> T) -> T {
+    let runtime = compio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = compio::runtime::spawn(async move {
+            let mut kept = Vec::new();
+            loop {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let BufResult(read, _) = stream.read(Vec::with_capacity(4096)).await;
+                read.unwrap();
+                match script {
+                    Script::Send(answer) => stream.write_all(answer).await.0.unwrap(),
+                    Script::Hang => kept.push(stream),
+                }
+            }
+        });
+        let limit = if matches!(script, Script::Hang) { SHORT_LIMIT } else { CALL_LIMIT };
+        let store = HttpStore::new(address, limit).unwrap();
+        let outcome = compio::time::timeout(CASE_LIMIT, call(store)).await.unwrap();
+        drop(server);
+        outcome
+    })
+}
+
+#[test_case(status!("200 OK\r\nx-version: 3"), WriteOutcome::Applied(StoreVersion(3)))]
+#[test_case(status!("200 OK"), WriteOutcome::Unknown ; "without version")]
+#[test_case(status!("200 OK\r\nx-version: three"), WriteOutcome::Unknown ; "with a bad version")]
+#[test_case(status!("409 Conflict\r\nx-version: 3"), WriteOutcome::Conflict)]
+#[test_case(status!("413 Payload Too Large"), WriteOutcome::NotApplied(NotAppliedReason::TooLarge))]
+#[test_case(status!("429 Too Many Requests"), WriteOutcome::NotApplied(NotAppliedReason::RateLimited))]
+#[test_case(status!("503 Service Unavailable"), WriteOutcome::NotApplied(NotAppliedReason::Outage))]
+#[test_case(status!("500 Internal Server Error"), WriteOutcome::Unknown)]
+#[test_case(status!("502 Bad Gateway"), WriteOutcome::Unknown)]
+#[test_case(status!("504 Gateway Timeout"), WriteOutcome::Unknown)]
+#[test_case(status!("404 Not Found"), WriteOutcome::Unknown)]
+#[test_case(status!("307 Temporary Redirect\r\nlocation: /elsewhere"), WriteOutcome::Unknown ; "redirect")]
+#[test_case(CUT_OFF, WriteOutcome::Unknown ; "cut off")]
+#[test_case(CLOSED, WriteOutcome::Unknown ; "closed")]
+#[test_case(NOT_HTTP, WriteOutcome::Unknown ; "another protocol")]
+#[test_case(Script::Hang, WriteOutcome::Unknown ; "no answer")]
+fn write_result_maps_to(script: Script, expected: WriteOutcome) {
+    let outcome = run(script, async |store| {
+        store.write(&StoreKey::config(), b"{}".to_vec(), StoreVersion(2)).await
+    });
+    assert_eq!(outcome, expected);
+}
+
+#[test_case(status!("404 Not Found"), None)]
+#[test_case(status!("429 Too Many Requests"), Some(UnavailableReason::RateLimited))]
+#[test_case(status!("503 Service Unavailable"), Some(UnavailableReason::Outage))]
+#[test_case(status!("500 Internal Server Error"), Some(UnavailableReason::Outage))]
+#[test_case(status!("200 OK"), Some(UnavailableReason::Malformed) ; "without version")]
+#[test_case(status!("418 Teapot"), Some(UnavailableReason::Malformed))]
+#[test_case(CUT_OFF, Some(UnavailableReason::Outage) ; "cut off")]
+#[test_case(CLOSED, Some(UnavailableReason::Outage) ; "closed")]
+#[test_case(Script::Hang, Some(UnavailableReason::Timeout) ; "no answer")]
+fn read_result_maps_to(script: Script, reason: Option<UnavailableReason>) {
+    let expected = reason.map_or(ReadOutcome::Missing, ReadOutcome::Unavailable);
+    assert_eq!(run(script, async |store| store.read(&StoreKey::config()).await), expected);
+}
+
+#[test_case(status!("304 Not Modified"), WatchOutcome::Unchanged)]
+#[test_case(status!("404 Not Found"), WatchOutcome::Unavailable(UnavailableReason::Malformed))]
+#[test_case(CLOSED, WatchOutcome::Unavailable(UnavailableReason::Outage) ; "closed")]
+#[test_case(Script::Hang, WatchOutcome::Unavailable(UnavailableReason::Timeout) ; "no answer")]
+fn watch_result_maps_to(script: Script, expected: WatchOutcome) {
+    let outcome = run(script, async |store| {
+        store.watch(&StoreKey::config(), StoreVersion(2), Instant::now()).await
+    });
+    assert_eq!(outcome, expected);
+}
+
+#[test_case(Script::Send("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n[]"), None)]
+#[test_case(
+    Script::Send("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}"),
+    Some(UnavailableReason::Malformed)
+)]
+#[test_case(status!("503 Service Unavailable"), Some(UnavailableReason::Outage))]
+fn list_result_maps_to(script: Script, reason: Option<UnavailableReason>) {
+    let expected = reason.map_or(ListOutcome::Found(Vec::new()), ListOutcome::Unavailable);
+    assert_eq!(run(script, async |store| store.list("a/b").await), expected);
+}
+
+#[test_case(status!("409 Conflict"), LeaseOutcome::Held, RenewOutcome::Lost)]
+#[test_case(status!("503 Service Unavailable"), LeaseOutcome::Unavailable(UnavailableReason::Outage), RenewOutcome::Unavailable(UnavailableReason::Outage))]
+#[test_case(CLOSED, LeaseOutcome::Unavailable(UnavailableReason::Outage), RenewOutcome::Unavailable(UnavailableReason::Outage) ; "closed")]
+fn lease_result_maps_to(script: Script, acquired: LeaseOutcome, renewed: RenewOutcome) {
+    let outcome = run(script, async |store| {
+        store.acquire_lease(&StoreKey::from_text("duty"), "a", CALL_LIMIT).await
+    });
+    assert_eq!(outcome, acquired);
+    let lease = Lease { id: "l1".into(), fencing: FencingToken(1), deadline: Instant::now() };
+    let outcome = run(script, async |store| store.renew_lease(&lease, CALL_LIMIT).await);
+    assert_eq!(outcome, renewed);
+}
