--- a/crates/bramleywind_standins/src/http_server.rs
+++ b/crates/bramleywind_standins/src/http_server.rs
@@ -188,6 +188,8 @@
     let service = service_fn(move |request| handler.clone().handle(request));
     let connection = http1::Builder::new()
         .timer(CompioTimer)
+        // Closing idle connections would be a fault that nobody switched on.
+        .header_read_timeout(None)
         .serve_connection(HyperStream::new_plain(stream), service);
     // A broken connection is an ordinary end here: clients go away, and handlers drop connections.
     drop(connection.await);
