--- a/crates/bramleywind_standins/src/engine_standin/engine_handler.rs
+++ b/crates/bramleywind_standins/src/engine_standin/engine_handler.rs
@@ -83,6 +83,10 @@
                 Err(refusal) => refusal.into_answer(),
             },
             (&Method::POST, "/v1/orders") => match read_json::<EngineOrder>(request).await {
+                Ok(order) if !order.is_complete() => text_answer(
+                    StatusCode::BAD_REQUEST,
+                    "the order lacks a field that its kind needs; name the model, adapter, version or role",
+                ),
                 Ok(order) => {
                     let status =
                         if core.order(order) { StatusCode::OK } else { StatusCode::CONFLICT };
--- a/crates/bramleywind_standins/src/engine_standin/engine_reports.rs
+++ b/crates/bramleywind_standins/src/engine_standin/engine_reports.rs
@@ -69,6 +69,18 @@
     pub fencing: FencingToken,
 }
 
+impl EngineOrder {
+    /// Whether the order names all that its kind needs.
+    pub fn is_complete(&self) -> bool {
+        match self.order {
+            OrderKind::LoadModel => self.model.is_some(),
+            OrderKind::LoadAdapter => self.model.is_some() && self.adapter.is_some(),
+            OrderKind::LoadVersion => self.model.is_some() && self.version.is_some(),
+            OrderKind::ChangeRole => self.role.is_some(),
+        }
+    }
+}
+
 /// An order that an engine received, with what came of it.
 #[domain_type]
 pub struct OrderRecord {
