--- a/crates/bramleywind_standins/src/bin/standin_service/args.rs
+++ b/crates/bramleywind_standins/src/bin/standin_service/args.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use bramleywind_standins::{ListenArgs, ServiceOptions};
+use bramleywind_standins::{CRASH_HEADER, ListenArgs, ServiceOptions};
 use clap::Parser;
 
 /// Stand-in for a plain service; `POST /control` sets faults.
@@ -9,8 +9,8 @@
     #[command(flatten)]
     listen: ListenArgs,
     /// A call with this header crashes the service, after it was executed.
-    #[arg(long)]
-    crash_header: Option<Box<str>>,
+    #[arg(long, default_value = CRASH_HEADER)]
+    crash_header: Box<str>,
     /// How long the service refuses connections after a crash, in milliseconds.
     #[arg(long, default_value_t = 1000)]
     down_ms: u64,
--- a/crates/bramleywind_standins/src/lib.rs
+++ b/crates/bramleywind_standins/src/lib.rs
@@ -24,7 +24,7 @@
 pub use listen_args::ListenArgs;
 pub use program::run_program;
 pub use service_standin::{
-    ServiceAnswer, ServiceExecutions, ServiceFaults, ServiceOptions, ServiceStandin,
+    CRASH_HEADER, ServiceAnswer, ServiceExecutions, ServiceFaults, ServiceOptions, ServiceStandin,
 };
 pub use store_standin::StoreStandin;
 pub use weights_standin::{WeightCounters, WeightsOptions, WeightsStandin};
--- a/crates/bramleywind_standins/src/service_standin.rs
+++ b/crates/bramleywind_standins/src/service_standin.rs
@@ -24,13 +24,16 @@
 /// The header that carries a call's idempotency key.
 const KEY_HEADER: &str = "idempotency-key";
 
+/// The header that crashes a service, unless its options name another.
+pub const CRASH_HEADER: &str = "x-standin-crash";
+
 /// How a stand-in for a plain service is built.
 #[derive(Debug, Clone)]
 pub struct ServiceOptions {
     /// IP address and port to listen on; port 0 takes any free one.
     pub listen: SocketAddr,
     /// A call with this header crashes the service, after it was executed.
-    pub crash_header: Option<Box<str>>,
+    pub crash_header: Box<str>,
     /// How long the service refuses connections after a crash.
     pub down_time: Duration,
 }
@@ -38,7 +41,7 @@
 impl Default for ServiceOptions {
     fn default() -> Self {
         let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        Self { listen, crash_header: None, down_time: Duration::from_secs(1) }
+        Self { listen, crash_header: CRASH_HEADER.into(), down_time: Duration::from_secs(1) }
     }
 }
 
@@ -147,11 +150,7 @@
         &self,
         request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, ConnectionDropped> {
-        let crashes = self
-            .options
-            .crash_header
-            .as_deref()
-            .is_some_and(|name| request.headers().contains_key(name));
+        let crashes = request.headers().contains_key(&*self.options.crash_header);
         let key = request.headers().get(KEY_HEADER).and_then(|value| value.to_str().ok());
         let key: Option<Box<str>> = key.map(Into::into);
         let method = request.method().as_str().into();
