--- a/crates/bramleywind_standins/tests/engine_standin.rs
+++ b/crates/bramleywind_standins/tests/engine_standin.rs
@@ -130,7 +130,7 @@
 #[test]
 fn crashing_request_takes_the_engine_down_for_its_time() {
     block_on(async {
-        let down_time = Duration::from_millis(300);
+        let down_time = Duration::from_millis(800);
         let crash_marker = Some("poison".into());
         let options = EngineOptions { crash_marker, down_time, ..EngineOptions::default() };
         let engine = EngineStandin::start(options).await.unwrap();
@@ -202,7 +202,7 @@
 #[test]
 fn load_report_lags_behind() {
     block_on(async {
-        let load_lag = Duration::from_millis(400);
+        let load_lag = Duration::from_millis(800);
         let engine = EngineStandin::start(EngineOptions { load_lag, ..fast() }).await.unwrap();
         engine.set_faults(EngineFaults { leaving: true, ..EngineFaults::default() });
         let report: LoadReport = get(engine.address(), "/v1/load").await;
--- a/crates/bramleywind_standins/tests/platform_standins.rs
+++ b/crates/bramleywind_standins/tests/platform_standins.rs
@@ -8,12 +8,12 @@
 use std::time::Duration;
 
 use bramleywind_standins::{
-    InstanceFaults, InstancesStandin, ServiceExecutions, ServiceFaults, ServiceOptions,
-    ServiceStandin, WeightsOptions, WeightsStandin,
+    CRASH_HEADER, InstanceFaults, InstancesStandin, ServiceExecutions, ServiceFaults,
+    ServiceOptions, ServiceStandin, StoreStandin, WeightsOptions, WeightsStandin,
 };
 use bramleywind_store::{
-    DirectoryOutcome, InstanceDirectory, InstanceKind, InstanceList, InstanceRecord, InstanceState,
-    UnavailableReason,
+    CallCounters, DirectoryOutcome, InstanceDirectory, InstanceKind, InstanceList, InstanceRecord,
+    InstanceState, StoreFaults, UnavailableReason, wire::LeaseGrant,
 };
 use http::{Method, StatusCode};
 use support::{CASE_LIMIT, any_address, block_on, client, get, send};
@@ -41,7 +41,7 @@
         let live = InstanceList { instances: vec![record(InstanceState::Live)] };
         assert_eq!(directory.fetch().await, DirectoryOutcome::Found(live.clone()));
 
-        standin.set_faults(InstanceFaults { lag_ms: 300, outage: false });
+        standin.set_faults(InstanceFaults { lag_ms: 800, outage: false });
         standin.put(record(InstanceState::Leaving));
         assert_eq!(directory.fetch().await, DirectoryOutcome::Found(live.clone()));
         let leaving = InstanceList { instances: vec![record(InstanceState::Leaving)] };
@@ -82,18 +82,41 @@
 #[test]
 fn service_crashes_on_its_header() {
     block_on(async {
-        let crash_header = Some("x-crash".into());
-        let down_time = CASE_LIMIT;
-        let options = ServiceOptions { crash_header, down_time, ..ServiceOptions::default() };
+        let options = ServiceOptions { down_time: CASE_LIMIT, ..ServiceOptions::default() };
         let service = ServiceStandin::start(options).await.unwrap();
         let url = format!("http://{}/orders/7", service.address());
-        let builder = client().post(&*url).unwrap().header("x-crash", "1").unwrap();
+        let builder = client().post(&*url).unwrap().header(CRASH_HEADER, "1").unwrap();
         assert!(builder.send().await.is_err());
         assert!(client().post(&*url).unwrap().send().await.is_err());
         assert_eq!(service.executions().without_key, 1);
     });
 }
 
+/// Guards the protocol's control calls, and renewals that leave out the length.
+#[test]
+fn store_is_controlled_over_http() {
+    block_on(async {
+        let standin = StoreStandin::start(any_address()).await.unwrap();
+        let url = |path: &str| format!("http://{}{path}", standin.address());
+        let lease = "/v1/leases?key=duty&holder=a&ttl_ms=60000";
+        let granted = client().post(url(lease)).unwrap().send().await.unwrap();
+        let granted: LeaseGrant = granted.json().await.unwrap();
+        let renew = url(&format!("/v1/leases/{}/renew", granted.lease));
+        let renewed = client().post(renew).unwrap().send().await.unwrap();
+        assert_eq!(renewed.status(), StatusCode::OK);
+        let held = client().post(url(lease)).unwrap().send().await.unwrap();
+        assert_eq!(held.status(), StatusCode::CONFLICT);
+
+        let faults = StoreFaults { outage: true, ..StoreFaults::default() };
+        let set = send(Method::POST, standin.address(), "/control", &faults).await.unwrap();
+        assert_eq!(set.status(), StatusCode::OK);
+        let refused = client().get(url("/v1/kv/config")).unwrap().send().await.unwrap();
+        assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+        let counters: CallCounters = get(standin.address(), "/control").await;
+        assert_eq!(counters, CallCounters { reads: 1, lease_calls: 3, ..CallCounters::default() });
+    });
+}
+
 /// Guards against downloads over the rate, and against refusals that do not say how long to wait.
 #[test]
 fn weight_store_refuses_over_the_rate() {
