--- a/crates/bramleywind_config/src/signed_config.rs
+++ b/crates/bramleywind_config/src/signed_config.rs
@@ -67,6 +67,20 @@
         Self { revision, document: document.into(), signature }
     }
 
+    /// Reads the value of the store key `config`.
+    ///
+    /// # Errors
+    ///
+    /// If the value is not a signed configuration of this version. The signature is not verified here.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice(bytes)
+    }
+
+    /// The value of the store key `config`.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("three fields of text and number always serialize")
+    }
+
     /// Checks the signature alone.
     ///
     /// # Errors
