Add the operators' command-line tool

Commands return reports and take a store as an argument, so that tests can race them against a store in memory.

--- /dev/null
+++ b/crates/bramleywind_cli/src/commands/completions.rs
@@ -0,0 +1,30 @@
+//! `completions`: a script with the completions of a shell.
+
+use std::fmt;
+
+use clap_complete::Shell;
+use serde::Serialize;
+
+use crate::CommandReport;
+
+/// The script.
+#[derive(Debug, Serialize)]
+pub struct CompletionsReport {
+    /// The script's text.
+    pub script: Box<str>,
+}
+
+/// Makes the script of a shell.
+pub fn completions(shell: Shell, mut command: clap::Command) -> CompletionsReport {
+    let mut script = Vec::new();
+    clap_complete::generate(shell, &mut command, "bramleywind", &mut script);
+    CompletionsReport { script: String::from_utf8_lossy(&script).into() }
+}
+
+impl fmt::Display for CompletionsReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.script)
+    }
+}
+
+impl CommandReport for CompletionsReport {}
--- /dev/null
+++ b/crates/bramleywind_cli/src/commands/config_check.rs
@@ -0,0 +1,54 @@
+//! `config check`: needs no network.
+
+use std::{fmt, path::Path};
+
+use bramleywind_config::{DiagnosticList, check_document};
+use serde::Serialize;
+
+use crate::{CommandReport, ExitStatus, Style};
+
+/// What the check of a document found.
+#[derive(Debug, Serialize)]
+pub struct CheckReport {
+    /// The file.
+    pub file: Box<str>,
+    /// Whether the document is valid.
+    pub valid: bool,
+    /// Every error.
+    pub diagnostics: DiagnosticList,
+}
+
+/// Checks the text of a document.
+pub fn check(file: &Path, text: &str) -> CheckReport {
+    let diagnostics = check_document(text).err().unwrap_or_default();
+    CheckReport {
+        file: file.display().to_string().into(),
+        valid: diagnostics.0.is_empty(),
+        diagnostics,
+    }
+}
+
+impl fmt::Display for CheckReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (good, bad) = (Style::GOOD, Style::BAD);
+        if self.valid {
+            return write!(f, "{}: {}valid{}", self.file, good.render(), good.render_reset());
+        }
+        for diagnostic in &self.diagnostics.0 {
+            let (bad, reset) = (bad.render(), bad.render_reset());
+            writeln!(
+                f,
+                "{}:{bad}{}:{}{reset}: {} [{}]",
+                self.file, diagnostic.line, diagnostic.column, diagnostic.message, diagnostic.rule
+            )?;
+        }
+        let count = self.diagnostics.0.len();
+        write!(f, "{}: {count} error{}", self.file, if count == 1 { "" } else { "s" })
+    }
+}
+
+impl CommandReport for CheckReport {
+    fn status(&self) -> ExitStatus {
+        if self.valid { ExitStatus::Done } else { ExitStatus::Failed }
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_cli/src/commands/config_in_force.rs
@@ -0,0 +1,135 @@
+//! `config in-force`: the revision in the store and that of each instance.
+
+use std::fmt;
+
+use bramleywind_store::Store;
+use bramleywind_types::{ConfigRevision, DataCentreId, InstanceId};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    CommandError, CommandReport, ExitStatus, InstanceAddress, OperatorClient, Style,
+    config_store::read_config,
+};
+
+/// An instance's answer to `GET /v1/status`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct InstanceStatus {
+    /// The instance.
+    pub instance: InstanceId,
+    /// The incarnation that it spends as.
+    pub incarnation: Box<str>,
+    /// Where it runs.
+    pub data_centre: DataCentreId,
+    /// The revision that it has in force; absent or 0 before the first.
+    #[serde(default)]
+    pub revision: Option<ConfigRevision>,
+    /// Whether it accepts work or is leaving.
+    pub state: Box<str>,
+}
+
+/// What one instance has in force.
+#[derive(Debug, Serialize)]
+#[serde(tag = "answer", rename_all = "snake_case")]
+pub enum InstanceAnswer {
+    /// The instance answered.
+    Status(InstanceStatus),
+    /// The instance gave no usable answer.
+    None {
+        /// The instance.
+        instance: InstanceId,
+        /// Why.
+        reason: Box<str>,
+    },
+}
+
+/// The revision in the store and that of each instance.
+#[derive(Debug, Serialize)]
+pub struct InForceReport {
+    /// The revision in the store; absent if there is none or the store gave no answer.
+    pub store_revision: Option<ConfigRevision>,
+    /// Why the store gave no usable answer.
+    pub store_error: Option<Box<str>>,
+    /// The instances.
+    pub instances: Vec<InstanceAnswer>,
+}
+
+/// Asks the store and each instance.
+///
+/// # Errors
+///
+/// None at present: whoever does not answer is part of the report.
+pub async fn in_force(
+    store: &impl Store,
+    client: &OperatorClient,
+    instances: &[InstanceAddress],
+) -> Result<InForceReport, CommandError> {
+    let (store_revision, store_error) = match read_config(store).await {
+        Ok(applied) => (applied.map(|applied| applied.signed.revision), None),
+        Err(error) => (None, Some(error.to_string().into())),
+    };
+    let mut answers = Vec::new();
+    for InstanceAddress { instance, address } in instances {
+        answers.push(match client.get::<InstanceStatus>(*address, "/v1/status").await {
+            Ok(status) => InstanceAnswer::Status(status),
+            Err(error) => {
+                let (instance, reason) = (instance.clone(), error.to_string().into());
+                InstanceAnswer::None { instance, reason }
+            }
+        });
+    }
+    Ok(InForceReport { store_revision, store_error, instances: answers })
+}
+
+impl InForceReport {
+    fn is_behind(&self, status: &InstanceStatus) -> bool {
+        self.store_revision.is_some() && status.revision < self.store_revision
+    }
+}
+
+impl fmt::Display for InForceReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (&self.store_error, self.store_revision) {
+            (Some(error), _) => write!(f, "store: {error}")?,
+            (None, Some(revision)) => write!(f, "store: revision {revision}")?,
+            (None, None) => write!(f, "store: no configuration")?,
+        }
+        for answer in &self.instances {
+            match answer {
+                InstanceAnswer::None { instance, reason } => {
+                    let style = Style::BAD;
+                    let (bad, reset) = (style.render(), style.render_reset());
+                    write!(f, "\n{instance}: {bad}no answer{reset}: {reason}")?;
+                }
+                InstanceAnswer::Status(status) => {
+                    let style = if self.is_behind(status) { Style::NOTICE } else { Style::GOOD };
+                    let (start, reset) = (style.render(), style.render_reset());
+                    let InstanceStatus { instance, incarnation, data_centre, state, .. } = status;
+                    let revision = match status.revision {
+                        Some(revision) => format!("revision {revision}"),
+                        None => "no configuration".into(),
+                    };
+                    write!(
+                        f,
+                        "\n{instance} ({data_centre}): {start}{revision}{reset}, {state}, incarnation {incarnation}"
+                    )?;
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+impl CommandReport for InForceReport {
+    /// 4 if the store or an instance gave no answer, 1 if an instance is behind the store.
+    fn status(&self) -> ExitStatus {
+        let is_silent = |answer: &InstanceAnswer| matches!(answer, InstanceAnswer::None { .. });
+        if self.store_error.is_some() || self.instances.iter().any(is_silent) {
+            return ExitStatus::Unreachable;
+        }
+        let is_behind = |answer: &InstanceAnswer| match answer {
+            InstanceAnswer::Status(status) => self.is_behind(status),
+            InstanceAnswer::None { .. } => false,
+        };
+        if self.instances.iter().any(is_behind) { ExitStatus::Failed } else { ExitStatus::Done }
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_cli/src/config_store.rs
@@ -0,0 +1,51 @@
+use bramleywind_config::{ConfigDocument, SignedConfig, json::JsonSource};
+use bramleywind_store::{ReadOutcome, Store, StoreKey, StoreVersion, VersionedValue};
+use snafu::OptionExt;
+
+use crate::{CommandError, command_error::NoConfigSnafu};
+
+/// The configuration in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AppliedConfig {
+    /// The store's version of the value, for the next compare-and-swap.
+    pub version: StoreVersion,
+    /// The signed configuration. Its signature is not verified.
+    pub signed: SignedConfig,
+}
+
+impl AppliedConfig {
+    pub(crate) fn from_value(value: &VersionedValue) -> Result<Self, CommandError> {
+        let signed = SignedConfig::from_bytes(&value.value)
+            .map_err(|error| stored_value_error(&StoreKey::config(), &error))?;
+        Ok(Self { version: value.version, signed })
+    }
+
+    /// The document. It is not checked again, so that a document that an older version of the tool accepted
+    /// can still be compared and replaced.
+    pub(crate) fn document(&self) -> Result<ConfigDocument, CommandError> {
+        let source = JsonSource::new(&self.signed.document);
+        source.deserialize().map_err(|error| stored_value_error(&StoreKey::config(), &error))
+    }
+}
+
+/// Reads the configuration, if there is one.
+///
+/// # Errors
+///
+/// If the store gives no answer, or a value that is not a signed configuration.
+pub async fn read_config(store: &impl Store) -> Result<Option<AppliedConfig>, CommandError> {
+    match store.read(&StoreKey::config()).await {
+        ReadOutcome::Found(value) => AppliedConfig::from_value(&value).map(Some),
+        ReadOutcome::Missing => Ok(None),
+        ReadOutcome::Unavailable(reason) => Err(CommandError::StoreUnavailable { reason }),
+    }
+}
+
+/// The configuration in force.
+pub(crate) async fn require_config(store: &impl Store) -> Result<AppliedConfig, CommandError> {
+    read_config(store).await?.context(NoConfigSnafu)
+}
+
+pub(crate) fn stored_value_error(key: &StoreKey, error: &impl ToString) -> CommandError {
+    CommandError::StoredValue { key: key.as_str().into(), reason: error.to_string().into() }
+}
--- a/crates/bramleywind_cli/src/main.rs
+++ b/crates/bramleywind_cli/src/main.rs
@@ -1,3 +1,7 @@
-//! To be written.
+//! `bramleywind`, the command-line tool for operators.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bramleywind_cli::run_process()
+}
