--- a/crates/bramleywind_config/tests/difference.rs
+++ b/crates/bramleywind_config/tests/difference.rs
@@ -1,5 +1,7 @@
 //! An operator who loses a race must be told everything that changed, and nothing that did not.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 use std::{fs, path::Path};
 
 use bramleywind_config::{ConfigDifference, ConfigDocument, check_document};
--- a/crates/bramleywind_config/tests/document.rs
+++ b/crates/bramleywind_config/tests/document.rs
@@ -1,5 +1,7 @@
 //! The declared shape, the types, the schema and the documentation must describe the same document.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 use std::{fs, path::Path};
 
 use bramleywind_config::{ConfigDocument, check_document, config_schema};
--- a/crates/bramleywind_config/tests/rules.rs
+++ b/crates/bramleywind_config/tests/rules.rs
@@ -1,6 +1,8 @@
 //! Each rule must refuse its bad fixture with place, value and remedy, and accept its good fixture. A rule
 //! that is never reached, or that also strikes valid documents, fails here.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 use std::{fs, path::Path};
 
 use bramleywind_config::check_document;
--- a/crates/bramleywind_config/tests/signature.rs
+++ b/crates/bramleywind_config/tests/signature.rs
@@ -1,5 +1,7 @@
 //! A router must not accept a configuration that no operator signed, whichever part of it was changed.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 use bramleywind_config::{OperatorSigningKey, SignedConfig, SignedConfigError};
 use bramleywind_types::ConfigRevision;
 use proptest::prelude::*;
--- a/crates/bramleywind_settings/tests/settings.rs
+++ b/crates/bramleywind_settings/tests/settings.rs
@@ -1,6 +1,8 @@
 //! The daemon must refuse a bad settings file at the start, with everything that is wrong in it, and must
 //! never show a secret.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 use std::{fs, path::Path};
 
 use bramleywind_settings::{
