--- a/crates/bramleywind_operator/examples/umbrella_menders.rs
+++ b/crates/bramleywind_operator/examples/umbrella_menders.rs
@@ -60,9 +60,9 @@
     spec.placed_in(data_centre).at(&endpoint.address.to_string())
 }
 
-fn main() -> ExitCode {
-    let args = Args::parse();
-    let fleet = Fleet::new()
+/// The fleet with these endpoints.
+pub(crate) fn fleet(endpoints: &[EndpointAddress]) -> Fleet {
+    Fleet::new()
         .model(ModelSpec::new(MODEL, 4_096))
         .service(
             ServiceSpec::new(DESK, 25)
@@ -70,8 +70,11 @@
                 .idempotent_route("GET", "/orders"),
         )
         .workspaces(WORKSPACES.map(|(name, prepaid_tokens)| workspace_spec(name, prepaid_tokens)))
-        .endpoints(args.endpoints.iter().map(endpoint_spec));
-    exit_code(fleet.print())
+        .endpoints(endpoints.iter().map(endpoint_spec))
+}
+
+fn main() -> ExitCode {
+    exit_code(fleet(&Args::parse().endpoints).print())
 }
 
 #[allow(clippy::print_stderr, reason = "the standard output is for the document")]
--- a/crates/bramleywind_operator/src/endpoint_spec.rs
+++ b/crates/bramleywind_operator/src/endpoint_spec.rs
@@ -81,6 +81,7 @@
     }
 
     pub(crate) fn assemble(&self, names: &mut NameParser) -> Option<EndpointConfig> {
+        names.enter("endpoint", &self.id);
         let role = match &self.role {
             RoleSpec::Engine(models) => {
                 Some(EndpointRole::Engine { models: names.parse_all(models) })
@@ -93,13 +94,10 @@
         let data_centre = names.parse(&self.data_centre);
         let address = self.address.parse::<SocketAddr>();
         if address.is_err() {
-            names.errors.push(
-                format!(
-                    "`{}` of endpoint `{}` is not an IP address and port; give one with `at`, for example `192.0.2.7:8080`",
-                    self.address, self.id
-                )
-                .into(),
-            );
+            names.add(format!(
+                "`{}` is not an IP address and port; give one with `at`, for example `192.0.2.7:8080`",
+                self.address
+            ));
         }
         Some(EndpointConfig {
             id: names.parse(&self.id)?,
--- a/crates/bramleywind_operator/src/model_spec.rs
+++ b/crates/bramleywind_operator/src/model_spec.rs
@@ -24,6 +24,7 @@
     }
 
     pub(crate) fn assemble(&self, names: &mut NameParser) -> Option<ModelConfig> {
+        names.enter("model", &self.id);
         Some(ModelConfig {
             id: names.parse(&self.id)?,
             idempotent: self.idempotent,
--- a/crates/bramleywind_operator/src/service_spec.rs
+++ b/crates/bramleywind_operator/src/service_spec.rs
@@ -48,6 +48,7 @@
     }
 
     pub(crate) fn assemble(&self, names: &mut NameParser) -> Option<ServiceConfig> {
+        names.enter("service", &self.id);
         Some(ServiceConfig {
             id: names.parse(&self.id)?,
             tokens_per_call: TokenCount(self.tokens_per_call),
--- a/crates/bramleywind_operator/src/workspace_spec.rs
+++ b/crates/bramleywind_operator/src/workspace_spec.rs
@@ -1,5 +1,5 @@
 use bramleywind_config::{BudgetConfig, KeyConfig, KeyHash, WorkspaceConfig};
-use bramleywind_types::TokenCount;
+use bramleywind_types::{TokenCount, WorkspaceId};
 
 use crate::name_parser::NameParser;
 
@@ -67,6 +67,7 @@
     }
 
     pub(crate) fn assemble(&self, names: &mut NameParser) -> Option<WorkspaceConfig> {
+        names.enter("workspace", &self.id);
         let mut keys = Vec::new();
         for key in &self.keys {
             let (hash, budget): (Option<KeyHash>, _) =
@@ -79,14 +80,15 @@
     }
 
     pub(crate) fn assemble_budgets(&self, names: &mut NameParser) -> Vec<BudgetConfig> {
+        names.enter("workspace", &self.id);
         // The workspace's own name is reported once, with the workspace.
-        let Ok(workspace) = self.id.parse() else { return Vec::new() };
+        let workspace: Option<WorkspaceId> = self.id.parse().ok();
         let budgets = self.budgets.iter();
         budgets
             .filter_map(|(id, prepaid_tokens)| {
                 Some(BudgetConfig {
                     id: names.parse(id)?,
-                    workspace: bramleywind_types::WorkspaceId::clone(&workspace),
+                    workspace: workspace.clone()?,
                     prepaid_tokens: TokenCount(*prepaid_tokens),
                 })
             })
