--- a/crates/bramleywind_cli/src/commands/budget_show.rs
+++ b/crates/bramleywind_cli/src/commands/budget_show.rs
@@ -14,7 +14,7 @@
 use crate::{
     CommandError, CommandReport,
     budget_store::read_record,
-    config_store::{AppliedConfig, require_config, stored_value_error},
+    config_store::{AppliedConfig, find_budget, require_config, stored_value_error},
 };
 
 /// Reads the account of a budget.
@@ -25,10 +25,7 @@
 pub async fn show(store: &impl Store, budget: &BudgetId) -> Result<BudgetAccount, CommandError> {
     let applied = require_config(store).await?;
     let document = applied.document()?;
-    let config = document.budgets.iter().find(|known| known.id == *budget).ok_or_else(|| {
-        let remedy = "check the name with `bramleywind workspace balance`".into();
-        CommandError::UnknownBudget { budget: budget.clone(), remedy }
-    })?;
+    let config = find_budget(&document, budget)?;
     let active = active_incarnations(store).await?;
     account(store, &applied, config, &active).await
 }
--- a/crates/bramleywind_cli/src/commands/budget_top_up.rs
+++ b/crates/bramleywind_cli/src/commands/budget_top_up.rs
@@ -2,7 +2,6 @@
 
 use std::fmt;
 
-use bramleywind_config::json::suggestion;
 use bramleywind_ledger::BudgetPage;
 use bramleywind_store::{Store, StoreKey, UnavailableReason, WriteOutcome};
 use bramleywind_types::{BudgetId, IncarnationId, OperationId, TokenCount};
@@ -11,7 +10,7 @@
 use crate::{
     CommandError, CommandReport,
     budget_store::{StoredPage, read_page},
-    config_store::require_config,
+    config_store::{find_budget, require_config},
     retry::RetrySchedule,
 };
 
@@ -48,7 +47,10 @@
     tokens: TokenCount,
     operation: OperationId,
 ) -> Result<TopUpReport, CommandError> {
-    require_budget(store, budget).await?;
+    let applied = require_config(store).await?;
+    let document = applied.document()?;
+    // A mistyped budget would otherwise get a record of its own.
+    let config = find_budget(&document, budget)?;
     let key = StoreKey::budget_page(budget);
     let mut schedule = RetrySchedule::start();
     let mut has_lost_answer = false;
@@ -56,12 +58,15 @@
         let last_error = match read_page(store, &key).await {
             Ok(StoredPage { mut page, version }) => {
                 let is_new = add(&mut page, budget, tokens, &operation)?;
+                // The routers write the base with their first grant after a change, so the record's may be old.
+                let mut record = page.budgets.get(budget).cloned().unwrap_or_default();
+                record.set_base(applied.signed.revision, config.prepaid_tokens);
                 let report = TopUpReport {
                     budget: budget.clone(),
                     operation_id: operation.clone(),
                     tokens,
                     was_applied_before: !is_new && !has_lost_answer,
-                    available: page.budgets.get(budget).map(|r| r.pool()).unwrap_or_default(),
+                    available: record.pool(),
                 };
                 if !is_new {
                     return Ok(report);
@@ -98,24 +103,10 @@
     })
 }
 
-/// A mistyped budget would otherwise get a record of its own.
-async fn require_budget(store: &impl Store, budget: &BudgetId) -> Result<(), CommandError> {
-    let document = require_config(store).await?.document()?;
-    if document.budgets.iter().any(|known| known.id == *budget) {
-        return Ok(());
-    }
-    let known = document.budgets.iter().map(|known| known.id.as_str());
-    let remedy = match suggestion(budget.as_str(), known) {
-        Some(id) => format!("did you mean `{id}`?"),
-        None => "add it to the configuration first".into(),
-    };
-    Err(CommandError::UnknownBudget { budget: budget.clone(), remedy: remedy.into() })
-}
-
 impl fmt::Display for TopUpReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { budget, operation_id, tokens, available, .. } = self;
-        let fate = if self.was_applied_before { "had added already" } else { "added" };
+        let fate = if self.was_applied_before { "has already added" } else { "added" };
         write!(
             f,
             "operation `{operation_id}` {fate} {tokens} tokens to budget `{budget}`; {available} available"
--- a/crates/bramleywind_cli/src/commands/config_in_force.rs
+++ b/crates/bramleywind_cli/src/commands/config_in_force.rs
@@ -20,9 +20,8 @@
     pub incarnation: Box<str>,
     /// Where it runs.
     pub data_centre: DataCentreId,
-    /// The revision that it has in force; absent or 0 before the first.
-    #[serde(default)]
-    pub revision: Option<ConfigRevision>,
+    /// The revision that it has in force; 0 before the first.
+    pub revision: ConfigRevision,
     /// Whether it accepts work or is leaving.
     pub state: Box<str>,
 }
@@ -82,7 +81,7 @@
 
 impl InForceReport {
     fn is_behind(&self, status: &InstanceStatus) -> bool {
-        self.store_revision.is_some() && status.revision < self.store_revision
+        self.store_revision.is_some_and(|revision| status.revision < revision)
     }
 }
 
@@ -105,8 +104,8 @@
                     let (start, reset) = (style.render(), style.render_reset());
                     let InstanceStatus { instance, incarnation, data_centre, state, .. } = status;
                     let revision = match status.revision {
-                        Some(revision) => format!("revision {revision}"),
-                        None => "no configuration".into(),
+                        ConfigRevision(0) => "no configuration".into(),
+                        revision => format!("revision {revision}"),
                     };
                     write!(
                         f,
--- a/crates/bramleywind_cli/src/config_store.rs
+++ b/crates/bramleywind_cli/src/config_store.rs
@@ -1,5 +1,9 @@
-use bramleywind_config::{ConfigDocument, SignedConfig, json::JsonSource};
+use bramleywind_config::{
+    BudgetConfig, ConfigDocument, SignedConfig,
+    json::{JsonSource, suggestion},
+};
 use bramleywind_store::{ReadOutcome, Store, StoreKey, StoreVersion, VersionedValue};
+use bramleywind_types::BudgetId;
 use snafu::OptionExt;
 
 use crate::{CommandError, command_error::NoConfigSnafu};
@@ -46,6 +50,21 @@
     read_config(store).await?.context(NoConfigSnafu)
 }
 
+/// A budget of the configuration.
+pub(crate) fn find_budget<'d>(
+    document: &'d ConfigDocument,
+    budget: &BudgetId,
+) -> Result<&'d BudgetConfig, CommandError> {
+    document.budgets.iter().find(|known| known.id == *budget).ok_or_else(|| {
+        let known = document.budgets.iter().map(|known| known.id.as_str());
+        let remedy = match suggestion(budget.as_str(), known) {
+            Some(id) => format!("did you mean `{id}`?"),
+            None => "add it to the configuration first".into(),
+        };
+        CommandError::UnknownBudget { budget: budget.clone(), remedy: remedy.into() }
+    })
+}
+
 pub(crate) fn stored_value_error(key: &StoreKey, error: &impl ToString) -> CommandError {
     CommandError::StoredValue { key: key.as_str().into(), reason: error.to_string().into() }
 }
