Compare configurations by id in a map, and test lost answers in races

The comparison was quadratic in the number of budgets. A top-up of nothing is refused, since it is a mistake. New tests let another operator apply after a lost write and before a late one; neither may be reverted.

--- a/crates/bramleywind_cli/src/commands/budget_top_up.rs
+++ b/crates/bramleywind_cli/src/commands/budget_top_up.rs
@@ -47,6 +47,10 @@
     tokens: TokenCount,
     operation: OperationId,
 ) -> Result<TopUpReport, CommandError> {
+    if tokens == TokenCount(0) {
+        let reason = "a top-up of `0` tokens adds nothing; give at least 1".into();
+        return Err(CommandError::TopUpRefused { operation, reason });
+    }
     let applied = require_config(store).await?;
     let document = applied.document()?;
     // A mistyped budget would otherwise get a record of its own.
--- a/crates/bramleywind_cli/tests/cli/apply.rs
+++ b/crates/bramleywind_cli/tests/cli/apply.rs
@@ -104,6 +104,33 @@
     });
 }
 
+/// Another operator applies between the write whose answer is lost and its repetition.
+#[test_case(StoreFaults { lose_answers: 1, ..StoreFaults::default() }, "superseded" ; "after the lost write")]
+#[test_case(StoreFaults { apply_late_ms: 100, ..StoreFaults::default() }, "lost_race" ; "before the late write")]
+fn later_configuration_is_kept(faults: StoreFaults, result: &str) {
+    block_on(async {
+        let store = store_in_force().await;
+        let (own_plan, other_plan) =
+            (plan(&document_with_budget(300_000)), plan(&document_with_budget(400_000)));
+        store.set_faults(faults);
+        let other = async {
+            // The store in memory does not yield, so the first write has ended when this is first polled, and
+            // its repetition waits for a timer.
+            assert_eq!(store.counters().writes, 2);
+            store.set_faults(StoreFaults::default());
+            apply(&store, &other_plan).await.unwrap()
+        };
+        let (own, other) = futures_util::join!(apply(&store, &own_plan), other);
+        assert!(matches!(other, ApplyReport::Applied { .. }), "{other}");
+        let own = own.unwrap();
+        assert_eq!(own.status(), ExitStatus::LostRace);
+        assert_eq!(serde_json::to_value(&own).unwrap()["result"], result, "{own}");
+        compio::time::sleep(std::time::Duration::from_millis(150)).await;
+        let in_force = read_config(&store).await.unwrap().unwrap().signed;
+        assert_eq!(in_force.document, other_plan.text);
+    });
+}
+
 /// A stale read after a conflict shows the old configuration, which must not be taken for the winner's.
 #[test]
 fn stale_read_after_a_conflict_is_repeated() {
--- a/crates/bramleywind_cli/tests/cli/top_up.rs
+++ b/crates/bramleywind_cli/tests/cli/top_up.rs
@@ -49,6 +49,8 @@
         top_up(&store, &budget(), TokenCount(500), operation("invoice-7")).await.unwrap();
         let error = top_up(&store, &budget(), TokenCount(600), operation("invoice-7")).await;
         assert!(matches!(error.unwrap_err(), CommandError::TopUpRefused { .. }));
+        let error = top_up(&store, &budget(), TokenCount(0), random_operation()).await;
+        assert!(matches!(error.unwrap_err(), CommandError::TopUpRefused { .. }));
         assert_eq!(topped_up(&store), 500);
     });
 }
--- a/crates/bramleywind_config/src/config_difference.rs
+++ b/crates/bramleywind_config/src/config_difference.rs
@@ -1,4 +1,4 @@
-use std::fmt;
+use std::{collections::HashMap, fmt};
 
 use serde::Serialize;
 use serde_json::{Map, Value};
@@ -47,18 +47,15 @@
 
     fn compare<T: Serialize>(&mut self, kind: ObjectKind, before: &[T], after: &[T]) {
         let (before, after) = (fields(before), fields(after));
-        let find = |list: &[Map<String, Value>], id: Option<&Value>| {
-            list.iter().find(|object| object.get("id") == id).cloned()
-        };
-        for old in &before {
-            if find(&after, old.get("id")).is_none() {
-                self.changes.push(ConfigChange::Removed { object: name(kind, old) });
-            }
+        // Documents have many thousands of budgets, so the objects are looked up by id.
+        let (old_objects, new_objects) = (by_id(&before), by_id(&after));
+        for old in before.iter().filter(|old| !new_objects.contains_key(&id(old))) {
+            self.changes.push(ConfigChange::Removed { object: name(kind, old) });
         }
         for new in &after {
-            match find(&before, new.get("id")) {
+            match old_objects.get(&id(new)) {
                 None => self.changes.push(ConfigChange::Added { object: name(kind, new) }),
-                Some(old) => self.compare_fields(&name(kind, new), &old, new),
+                Some(old) => self.compare_fields(&name(kind, new), old, new),
             }
         }
     }
@@ -136,8 +133,16 @@
         .collect()
 }
 
+fn id(object: &Map<String, Value>) -> Box<str> {
+    object.get("id").map(text).unwrap_or_default()
+}
+
+fn by_id(objects: &[Map<String, Value>]) -> HashMap<Box<str>, &Map<String, Value>> {
+    objects.iter().map(|object| (id(object), object)).collect()
+}
+
 fn name(kind: ObjectKind, object: &Map<String, Value>) -> ConfigObject {
-    ConfigObject { kind, id: object.get("id").map(text).unwrap_or_default() }
+    ConfigObject { kind, id: id(object) }
 }
 
 /// Strings without quotes, everything else as compact JSON.
--- a/crates/bramleywind_settings/src/daemon_settings.rs
+++ b/crates/bramleywind_settings/src/daemon_settings.rs
@@ -72,6 +72,15 @@
     /// # Errors
     ///
     /// Everything that is wrong in the text, with lines and columns.
+    ///
+    /// ```
+    /// use bramleywind_settings::{DaemonSettings, ProcessSecrets};
+    ///
+    /// let errors = DaemonSettings::resolve(r#"{ "capcity": 5 }"#, &ProcessSecrets).unwrap_err();
+    /// let messages = errors.to_string();
+    /// assert!(messages.contains("did you mean `capacity`?"));
+    /// assert!(messages.contains("the settings file lacks the key `instance`"));
+    /// ```
     pub fn resolve(text: &str, secrets: &impl SecretSource) -> Result<Self, DiagnosticList> {
         let source = JsonSource::new(text);
         let value = source.parse()?;
