--- a/crates/bramleywind_claims/src/opening_outcome.rs
+++ b/crates/bramleywind_claims/src/opening_outcome.rs
@@ -26,8 +26,9 @@
     /// The store is out of service. No claim was written for this copy, and it will not be sent. Nothing is
     /// known of copies at other routers.
     Outage,
-    /// The store refused the calls for its rate limit up to the deadline; otherwise as for `Outage`.
-    RateLimited,
+    /// The store did not take the write before the deadline, because of its rate limit, stale reads or other
+    /// writers; otherwise as for `Outage`.
+    Timeout,
     /// The page has no room for another claim; otherwise as for `Outage`.
     PageFull,
     /// A claim may have been written, or may still be. This copy will not be sent, and the claim is closed as
--- a/crates/bramleywind_claims/src/page_worker.rs
+++ b/crates/bramleywind_claims/src/page_worker.rs
@@ -342,7 +342,7 @@
         let jobs = std::mem::take(&mut self.jobs.opens);
         for job in jobs {
             if is_expired(&job) {
-                self.give_up(job, UnavailableClaim::RateLimited);
+                self.give_up(job, UnavailableClaim::Timeout);
             } else {
                 self.jobs.opens.push(job);
             }
--- /dev/null
+++ b/crates/bramleywind_claims/tests/key_home.rs
@@ -0,0 +1,123 @@
+//! Key homes: what a repeat of an idempotent request is told, and the choice of homes.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+#[path = "support/lib.rs"]
+mod support;
+
+use std::{collections::BTreeMap, time::Instant};
+
+use bramleywind_claims::{
+    HomeCandidate, KEY_RETENTION, KeyClaimOutcome, KeyClaimRequest, KeyFinishOutcome,
+    KeyFinishRequest, KeyHome, MAX_HOME_BODY_BYTES, MAX_HOME_BYTES, choose_homes,
+};
+use bramleywind_types::{BodyHash, RequestId};
+use support::{body_hash, outcome, request_key};
+use test_case::test_case;
+
+fn claim(name: &str) -> KeyClaimRequest {
+    KeyClaimRequest {
+        key: request_key(name),
+        body_hash: body_hash(),
+        holder: "akl-1".parse().unwrap(),
+        attempt: RequestId::random(),
+    }
+}
+
+/// Guards against a repeat being run, or refused, against what the home knows.
+#[test_case(Some(8), KeyFinishOutcome::Recorded, "done" ; "small outcome")]
+#[test_case(Some(MAX_HOME_BODY_BYTES + 1), KeyFinishOutcome::Ignored, "started" ; "outcome over the limit")]
+#[test_case(None, KeyFinishOutcome::Recorded, "started" ; "no outcome")]
+fn repeat_after_finish(body_bytes: Option<usize>, finished: KeyFinishOutcome, repeat: &str) {
+    let now = Instant::now();
+    let mut home = KeyHome::default();
+    let first = claim("k");
+    assert_eq!(home.claim(&first, |_| true, now), KeyClaimOutcome::Started);
+    let second = claim("k");
+    let running = KeyClaimOutcome::Running { holder: first.holder.clone(), attempt: first.attempt };
+    assert_eq!(home.claim(&second, |_| true, now), running);
+    let different = KeyClaimRequest { body_hash: BodyHash::of(&[b"other"]), ..claim("k") };
+    assert_eq!(home.claim(&different, |_| true, now), KeyClaimOutcome::Mismatch);
+    let recorded = body_bytes.map(|bytes| outcome(&vec![0; bytes]));
+    let foreign = KeyFinishRequest {
+        key: first.key.clone(),
+        attempt: second.attempt,
+        outcome: recorded.clone(),
+    };
+    assert_eq!(home.finish(&foreign, now), KeyFinishOutcome::Ignored, "not the running attempt");
+    let finish = KeyFinishRequest { attempt: first.attempt, ..foreign };
+    assert_eq!(home.finish(&finish, now), finished);
+    let answer = match home.claim(&second, |_| true, now) {
+        KeyClaimOutcome::Done(found) if Some(&found) == recorded.as_ref() => "done",
+        KeyClaimOutcome::Started => "started",
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(answer, repeat);
+}
+
+/// Guards against a key that is blocked for ever by a dead router, or remembered for ever.
+#[test_case(false, 0, true ; "dead holder")]
+#[test_case(true, 0, false ; "live holder")]
+#[test_case(true, 1, true ; "expired")]
+fn running_entry_gives_way(is_live: bool, retentions: u32, gives_way: bool) {
+    let now = Instant::now();
+    let mut home = KeyHome::default();
+    home.claim(&claim("k"), |_| true, now);
+    let later = now + KEY_RETENTION * retentions;
+    let answer = home.claim(&claim("k"), |_| is_live, later);
+    assert_eq!(answer == KeyClaimOutcome::Started, gives_way);
+}
+
+/// Guards against the registry growing over its bound.
+#[test]
+fn memory_is_bounded() {
+    let now = Instant::now();
+    let mut home = KeyHome::default();
+    for number in 0..400 {
+        let request = claim(&format!("k{number}"));
+        home.claim(&request, |_| true, now);
+        let outcome = Some(outcome(&vec![0; MAX_HOME_BODY_BYTES]));
+        home.finish(&KeyFinishRequest { key: request.key, attempt: request.attempt, outcome }, now);
+        assert!(home.bytes() <= MAX_HOME_BYTES);
+    }
+    assert!(home.len() > 200);
+    assert_eq!(
+        home.claim(&claim("k0"), |_| true, now),
+        KeyClaimOutcome::Started,
+        "the oldest went"
+    );
+    assert!(matches!(home.claim(&claim("k399"), |_| true, now), KeyClaimOutcome::Done(_)));
+}
+
+/// Guards against both homes being lost with one data centre, and against needless moves of keys.
+#[test]
+fn homes_are_spread_and_stable() {
+    let candidate = |number: usize| HomeCandidate {
+        instance: format!("akl-{number}").parse().unwrap(),
+        data_centre: format!("dc-{}", number % 3).parse().unwrap(),
+    };
+    let candidates: Vec<_> = (0..6).map(candidate).collect();
+    let centre_of: BTreeMap<_, _> =
+        candidates.iter().map(|found| (&found.instance, &found.data_centre)).collect();
+    let mut firsts = BTreeMap::<_, usize>::new();
+    for number in 0..600 {
+        let key = request_key(&format!("k{number}"));
+        let homes = choose_homes(&key, &candidates);
+        let (first, second) = (homes.first.clone().unwrap(), homes.second.clone().unwrap());
+        assert_ne!(centre_of[&first], centre_of[&second]);
+        *firsts.entry(first.clone()).or_default() += 1;
+        let survivors = candidates.iter().filter(|found| found.instance != first).cloned();
+        let survivors: Vec<_> = survivors.collect();
+        let moved = choose_homes(&key, &survivors);
+        assert!(
+            moved.first == Some(second.clone())
+                || centre_of[&moved.first.unwrap()] == centre_of[&first]
+        );
+        let bystander =
+            candidates.iter().find(|found| found.instance != first && found.instance != second);
+        let others: Vec<_> =
+            candidates.iter().filter(|found| Some(*found) != bystander).cloned().collect();
+        assert_eq!(choose_homes(&key, &others), homes, "a bystander's loss moves nothing");
+    }
+    assert!(firsts.values().all(|count| (60..=140).contains(count)), "{firsts:?}");
+}
--- /dev/null
+++ b/crates/bramleywind_claims/tests/strike_book.rs
@@ -0,0 +1,66 @@
+//! Crash strikes: which requests are isolated or refused, and on which endpoints they are retried.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use std::time::Instant;
+
+use bramleywind_claims::{RequestFingerprint, STRIKE_RETENTION, StrikeBook, StrikeVerdict};
+use bramleywind_types::{BodyHash, EndpointId};
+use test_case::test_case;
+
+fn fingerprint(name: &str) -> RequestFingerprint {
+    RequestFingerprint {
+        workspace: "ferries".parse().unwrap(),
+        body_hash: BodyHash::of(&[name.as_bytes()]),
+    }
+}
+
+fn endpoint(number: u32) -> EndpointId {
+    format!("engine-{number}").parse().unwrap()
+}
+
+/// Guards against a crashing request taking down a third endpoint, and against strikes that never expire.
+#[test_case(0, 0, StrikeVerdict::Clear)]
+#[test_case(1, 0, StrikeVerdict::Isolated)]
+#[test_case(2, 0, StrikeVerdict::Refused)]
+#[test_case(3, 0, StrikeVerdict::Refused)]
+#[test_case(2, 1, StrikeVerdict::Clear ; "expired")]
+fn verdict_after_crashes(crashes: u32, retentions: u32, expected: StrikeVerdict) {
+    let now = Instant::now();
+    let (mut here, mut there) = (StrikeBook::default(), StrikeBook::default());
+    let request = fingerprint("poison");
+    for number in 0..crashes {
+        // The request is in flight twice at the same endpoint, and each report reaches the peer twice.
+        let in_flight = [request.clone(), request.clone()];
+        for report in here.record_crash(&endpoint(number), &in_flight, now) {
+            there.apply(&report, now);
+            there.apply(&report, now);
+        }
+    }
+    let later = now + STRIKE_RETENTION * retentions;
+    assert_eq!(here.verdict(&request, later), expected);
+    assert_eq!(there.verdict(&request, later), expected, "at the peer");
+    assert_eq!(here.verdict(&fingerprint("bystander"), later), StrikeVerdict::Clear);
+}
+
+/// Guards against a bystander being struck twice because it was retried beside the crashing request.
+#[test]
+fn requests_of_one_crash_are_kept_apart() {
+    let now = Instant::now();
+    let (mut here, mut there) = (StrikeBook::default(), StrikeBook::default());
+    let [poison, bystander, other] = ["poison", "bystander", "other"].map(fingerprint);
+    let mut reports = here.record_crash(&endpoint(1), &[poison.clone(), bystander.clone()], now);
+    reports.extend(here.record_crash(&endpoint(9), std::slice::from_ref(&other), now));
+    reports.extend(here.record_retry(&poison, &endpoint(2), now));
+    assert_eq!(here.record_retry(&fingerprint("clear"), &endpoint(2), now), None);
+    reports.iter().for_each(|report| there.apply(report, now));
+    for book in [&here, &there] {
+        let may_retry = |request, number| book.may_retry_on(request, &endpoint(number), now);
+        assert!(!may_retry(&bystander, 1), "it crashed under this request");
+        assert!(!may_retry(&bystander, 2), "another request of the crash runs there");
+        assert!(may_retry(&bystander, 3));
+        assert!(may_retry(&poison, 2), "its own retry");
+        assert!(may_retry(&other, 2), "from another crash");
+        assert!(may_retry(&fingerprint("clear"), 1));
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_claims/tests/support/lib.rs
@@ -0,0 +1,97 @@
+//! Fixtures that several tests of claims use.
+
+#![allow(dead_code, reason = "each test file uses a part of this")]
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bramleywind_claims::{
+    ClaimHolder, ClaimKeeper, ClaimLink, ClaimPage, ClaimQuery, ClaimRecord, ClaimStatus,
+    RecordedOutcome,
+};
+use bramleywind_store::{MemoryStore, Store, StoreKey};
+use bramleywind_types::{BodyHash, IncarnationId, RequestKey};
+
+/// The longest wait of a test for anything.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+pub fn request_key(name: &str) -> RequestKey {
+    RequestKey { workspace: "ferries".parse().unwrap(), key: name.parse().unwrap() }
+}
+
+pub fn body_hash() -> BodyHash {
+    BodyHash::of(&[b"POST /services/orders/new", b"{}"])
+}
+
+pub fn holder(number: u64) -> ClaimHolder {
+    ClaimHolder {
+        instance: format!("akl-{number}").parse().unwrap(),
+        run: IncarnationId::from_number(number),
+    }
+}
+
+pub fn outcome(body: &[u8]) -> RecordedOutcome {
+    RecordedOutcome { status: 201, content_type: None, body: body.to_vec() }
+}
+
+pub fn soon() -> Instant {
+    Instant::now() + Duration::from_millis(300)
+}
+
+pub fn stored_record(store: &MemoryStore, key: &RequestKey) -> Option<ClaimRecord> {
+    let found = store.peek(&StoreKey::claim_page(key))?;
+    ClaimPage::decode(&found.value).unwrap().get(key).cloned()
+}
+
+/// Waits for a condition.
+pub async fn until(what: &str, condition: impl Fn() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < deadline, "waited too long until {what}");
+        compio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Asks keepers of the same process directly; those that are not there give no answer.
+pub struct LocalLink<S> {
+    pub keepers: Rc<RefCell<Vec<(ClaimHolder, ClaimKeeper<S, LocalLink<S>>)>>>,
+}
+
+impl<S> Default for LocalLink<S> {
+    fn default() -> Self {
+        Self { keepers: Rc::default() }
+    }
+}
+
+impl<S> Clone for LocalLink<S> {
+    fn clone(&self) -> Self {
+        Self { keepers: Rc::clone(&self.keepers) }
+    }
+}
+
+impl<S: Store + 'static> LocalLink<S> {
+    /// A new keeper that others reach over this link.
+    pub fn keeper(&self, store: S, number: u64) -> ClaimKeeper<S, Self> {
+        let keeper = ClaimKeeper::new(store, self.clone(), holder(number));
+        self.keepers.borrow_mut().push((holder(number), keeper.clone()));
+        let maintained = keeper.clone();
+        compio::runtime::spawn(async move { maintained.maintain().await }).detach();
+        keeper
+    }
+
+    pub fn remove(&self, number: u64) {
+        self.keepers.borrow_mut().retain(|(known, _)| *known != holder(number));
+    }
+}
+
+impl<S: Store + 'static> ClaimLink for LocalLink<S> {
+    async fn query(&self, holder: &ClaimHolder, query: &ClaimQuery) -> ClaimStatus {
+        let keepers = self.keepers.borrow();
+        let keeper = keepers.iter().find(|(known, _)| known == holder);
+        keeper.map_or(ClaimStatus::Unknown, |(_, keeper)| keeper.answer_query(query))
+    }
+}
