Close unresolved claims without a long delay

The delay between tries grew while a caller waited, so that closing began late enough for the late write to be applied first.

--- a/crates/bramleywind_claims/src/page_worker.rs
+++ b/crates/bramleywind_claims/src/page_worker.rs
@@ -14,7 +14,7 @@
     claim_keeper::KeeperShared,
     keeper_state::LocalState,
     page_job::{ChangeJob, OpenJob, PageJobs, PageReply},
-    retry_delay::RetryDelay,
+    retry_delay::{LONGEST_DELAY, RetryDelay},
 };
 
 /// The longest delay between tries while a caller waits for a claim.
@@ -75,9 +75,8 @@
                 continue;
             }
             self.set_outage(is_outage);
-            let pause = delay.next();
             let is_awaited = !self.jobs.opens.is_empty();
-            let pause = if is_awaited { pause.min(CALLER_DELAY) } else { pause };
+            let pause = delay.next(if is_awaited { CALLER_DELAY } else { LONGEST_DELAY });
             compio::time::sleep(pause).await;
             self.set_outage(false);
         }
--- a/crates/bramleywind_claims/src/retry_delay.rs
+++ b/crates/bramleywind_claims/src/retry_delay.rs
@@ -5,7 +5,7 @@
 const FIRST_DELAY: Duration = Duration::from_millis(20);
 
 /// The longest delay. It also bounds how long after the end of an outage a page still refuses claims.
-const LONGEST_DELAY: Duration = Duration::from_secs(2);
+pub(crate) const LONGEST_DELAY: Duration = Duration::from_secs(2);
 
 /// A jittered exponential delay, so that routers do not call a recovering store in step.
 #[derive(Debug)]
@@ -20,9 +20,9 @@
 }
 
 impl RetryDelay {
-    /// The next delay, between a half and the whole of the nominal one.
-    pub(crate) fn next(&mut self) -> Duration {
-        let nominal = self.next;
+    /// The next delay, between a half and the whole of the nominal one, which is at most `longest`.
+    pub(crate) fn next(&mut self, longest: Duration) -> Duration {
+        let nominal = self.next.min(longest);
         self.next = (nominal * 2).min(LONGEST_DELAY);
         nominal.mul_f64(rand::rng().random_range(0.5..=1.0))
     }
--- a/crates/bramleywind_claims/tests/claim_keeper.rs
+++ b/crates/bramleywind_claims/tests/claim_keeper.rs
@@ -169,6 +169,28 @@
     assert_eq!(short_name(&waiting.await.unwrap()), "not run");
 }
 
+/// Guards against a stale read of a closed claim being told as `not_run` while a later copy runs.
+#[compio::test]
+async fn stale_read_is_not_told_as_not_run() {
+    let store = MemoryStore::new();
+    let link = LocalLink::default();
+    let keepers = [1, 2, 3].map(|number| link.keeper(store.clone(), number));
+    let key = request_key("k");
+    let deadline = Instant::now() + PATIENCE;
+    drop(keepers[0].open(&key, body_hash(), deadline).await);
+    assert_eq!(keepers[0].drain(deadline).await, CloseOutcome::Stored);
+    let closed = keepers[1].open(&key, body_hash(), deadline).await;
+    assert_eq!(short_name(&closed), "not run");
+    let running = keepers[1].open(&key, body_hash(), deadline).await;
+    assert_eq!(short_name(&running), "opened");
+    store.set_faults(StoreFaults { stale_reads: true, ..Default::default() });
+    let stale = keepers[2].open(&key, body_hash(), soon()).await;
+    assert_eq!(short_name(&stale), "timeout");
+    store.set_faults(StoreFaults::default());
+    let repeat = keepers[2].open(&key, body_hash(), soon()).await;
+    assert_eq!(short_name(&repeat), "running");
+}
+
 /// Guards against the outcome being lost to repeats while it cannot be stored.
 #[compio::test]
 async fn outcome_is_answered_from_memory_in_an_outage() {
