--- /dev/null
+++ b/crates/bramleywind_harness/src/program_path.rs
@@ -0,0 +1,25 @@
+use std::{env, path::PathBuf};
+
+use snafu::ResultExt;
+
+use crate::{FleetError, fleet_error::SystemSnafu};
+
+/// The path of a program of this workspace, built with the same profile as the running one.
+///
+/// # Errors
+///
+/// [`FleetError::MissingProgram`] if it was not built.
+pub fn program_path(name: &str) -> Result<PathBuf, FleetError> {
+    let action = "find the running program";
+    let mut folder = env::current_exe().context(SystemSnafu { action })?;
+    folder.pop();
+    // Tests run from `deps` and examples from `examples`, both below the folder of the programs.
+    if folder.ends_with("deps") || folder.ends_with("examples") {
+        folder.pop();
+    }
+    let path = folder.join(name);
+    if !path.exists() {
+        return Err(FleetError::MissingProgram { path });
+    }
+    Ok(path)
+}
--- /dev/null
+++ b/crates/bramleywind_harness/src/wait.rs
@@ -0,0 +1,28 @@
+use std::time::{Duration, Instant};
+
+use crate::FleetError;
+
+/// How often a condition is looked at.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Waits until `check` gives a value, at most for `limit`.
+///
+/// # Errors
+///
+/// [`FleetError::Timeout`] with the condition's description.
+pub async fn wait_until<T, F: Future<Output = Option<T>>>(
+    condition: &str,
+    limit: Duration,
+    mut check: impl FnMut() -> F,
+) -> Result<T, FleetError> {
+    let deadline = Instant::now() + limit;
+    loop {
+        if let Some(value) = check().await {
+            return Ok(value);
+        }
+        if Instant::now() >= deadline {
+            return Err(FleetError::Timeout { condition: condition.into() });
+        }
+        compio::time::sleep(POLL).await;
+    }
+}
