--- a/crates/bramleywind_harness/src/fleet_plan.rs
+++ b/crates/bramleywind_harness/src/fleet_plan.rs
@@ -1,5 +1,3 @@
-use std::net::SocketAddr;
-
 use bramleywind_types::{DataCentreId, EndpointId, InstanceId};
 
 /// Which processes a local fleet consists of.
@@ -50,15 +48,6 @@
     pub data_centre: DataCentreId,
 }
 
-/// Where an endpoint of a running fleet listens.
-#[derive(Debug, Clone)]
-pub struct EndpointAddress {
-    /// The endpoint's name.
-    pub endpoint: EndpointId,
-    /// Its address.
-    pub address: SocketAddr,
-}
-
 impl FleetPlan {
     /// Six routers of unlike size, two in each of the given data centres.
     ///
--- a/crates/bramleywind_harness/src/lib.rs
+++ b/crates/bramleywind_harness/src/lib.rs
@@ -17,7 +17,7 @@
 pub use fleet_error::FleetError;
 pub use fleet_plan::{EnginePlan, FleetPlan, RouterPlan, ServicePlan};
 pub use http_caller::{CallAnswer, HttpCaller};
-pub use local_fleet::{LocalFleet, RouterProcess};
+pub use local_fleet::{EndpointProcess, LocalFleet, RouterProcess};
 pub use port_reservation::PortReservation;
 pub use program_path::program_path;
 pub use sse_answer::{SseAnswer, SseEnd};
