--- a/crates/bramleywind_router/src/admission.rs
+++ b/crates/bramleywind_router/src/admission.rs
@@ -8,8 +8,8 @@
 };
 
 use bramleywind_routing::{
-    EndpointTable, EndpointTableDump, FairQueue, LoadReport, PolicyKind, QueuedRequest, ReturnDelay,
-    RouteRequest, SelectedPolicy,
+    EndpointTable, EndpointTableDump, FairQueue, LoadReport, PolicyKind, QueuedRequest,
+    ReturnDelay, RouteRequest, SelectedPolicy,
 };
 use bramleywind_types::{EndpointId, Refusal, RefusalCode, RepeatAdvice, WorkspaceId};
 use futures_channel::oneshot;
--- a/crates/bramleywind_router/src/answer_body.rs
+++ b/crates/bramleywind_router/src/answer_body.rs
@@ -40,9 +40,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedAnswer>>> {
         match self.get_mut() {
-            Self::Whole(body) => {
-                Pin::new(body).poll_frame(context).map_err(|never| match never {})
-            }
+            Self::Whole(body) => Pin::new(body).poll_frame(context).map_err(|never| match never {}),
             Self::Pieces(pieces) => pieces.as_mut().poll_next(context).map_ok(Frame::data),
         }
     }
--- a/crates/bramleywind_router/src/caller_link.rs
+++ b/crates/bramleywind_router/src/caller_link.rs
@@ -81,10 +81,7 @@
     }
 
     /// Runs `work` until it ends or the caller is gone.
-    pub async fn unless_gone<T>(
-        &mut self,
-        work: impl Future<Output = T>,
-    ) -> Result<T, CallerGone> {
+    pub async fn unless_gone<T>(&mut self, work: impl Future<Output = T>) -> Result<T, CallerGone> {
         let gone = std::pin::pin!(self.gone());
         let work = std::pin::pin!(work);
         match futures_util::future::select(work, gone).await {
--- a/crates/bramleywind_router/src/caller_port.rs
+++ b/crates/bramleywind_router/src/caller_port.rs
@@ -4,8 +4,8 @@
 
 use bramleywind_routing::{PrefixHash, RouteRequest};
 use bramleywind_types::{
-    BodyHash, IdempotencyKey, Refusal, RefusalCode, RepeatAdvice, RequestId, RequestKey,
-    RunState, ServiceId,
+    BodyHash, IdempotencyKey, Refusal, RefusalCode, RepeatAdvice, RequestId, RequestKey, RunState,
+    ServiceId,
 };
 use bytes::{Bytes, BytesMut};
 use compio::time::timeout;
@@ -210,9 +210,8 @@
     let below = path_and_query.strip_prefix(SERVICES_PREFIX).unwrap_or_default();
     let (name, rest) = below.split_once('/').unwrap_or((below, ""));
     let rest = format!("/{rest}");
-    let not_found = |message: String| {
-        Refusal::not_run(RefusalCode::NotFound, message, RepeatAdvice::Never)
-    };
+    let not_found =
+        |message: String| Refusal::not_run(RefusalCode::NotFound, message, RepeatAdvice::Never);
     let service: ServiceId =
         name.parse().map_err(|error| not_found(format!("the path names no service: {error}")))?;
     let uri: http::Uri =
--- a/crates/bramleywind_router/src/chat_attempts.rs
+++ b/crates/bramleywind_router/src/chat_attempts.rs
@@ -10,8 +10,7 @@
 use crate::{
     AnswerBody, AttemptEnd, AttemptFailure, AttemptRunner, AttemptTarget, BillDecision, CallTimes,
     CallerGone, CallerLink, ChatRequest, DeclineRule, EndpointAnswer, EngineEvent, EventScanner,
-    ReportedUsage, RequestContext, RouterState, call_endpoint,
-    insert_request_id, json_response,
+    ReportedUsage, RequestContext, RouterState, call_endpoint, insert_request_id, json_response,
 };
 
 /// How much of an engine's own error is passed on, in bytes.
@@ -59,7 +58,11 @@
         }
     }
 
-    fn engine_request(&self, context: &RequestContext, target: &AttemptTarget) -> Request<Full<Bytes>> {
+    fn engine_request(
+        &self,
+        context: &RequestContext,
+        target: &AttemptTarget,
+    ) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.request.engine_body(self.delivered)));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = http::Uri::from_static("/v1/chat/completions");
@@ -244,8 +247,10 @@
         if status != StatusCode::OK {
             let body = answer.collect(state.limits.idle_time, ERROR_EXCERPT_BYTES).await;
             let excerpt = body.map(|body| String::from_utf8_lossy(&body).into_owned());
-            let message =
-                format!("the engine refused the request as `{status}`: {}", excerpt.unwrap_or_default());
+            let message = format!(
+                "the engine refused the request as `{status}`: {}",
+                excerpt.unwrap_or_default()
+            );
             let code = RefusalCode::InvalidRequest;
             return AttemptEnd::Rejected(Refusal::not_run(code, message, RepeatAdvice::Never));
         }
@@ -301,7 +306,11 @@
             None => (EVENT_STREAM, self.events.clone()?),
         };
         let is_small = body.len() <= MAX_HOME_BODY_BYTES;
-        is_small.then(|| RecordedOutcome { status: 200, content_type: Some(content_type.into()), body })
+        is_small.then(|| RecordedOutcome {
+            status: 200,
+            content_type: Some(content_type.into()),
+            body,
+        })
     }
 }
 
--- a/crates/bramleywind_router/src/endpoint_call.rs
+++ b/crates/bramleywind_router/src/endpoint_call.rs
@@ -33,7 +33,10 @@
     /// The limits, shortened so that no step outlasts the request.
     pub fn until(limits: &RequestLimits, deadline: Instant) -> Self {
         let left = deadline.saturating_duration_since(Instant::now());
-        Self { connect: limits.connect_time.min(left), first_byte: limits.first_byte_time.min(left) }
+        Self {
+            connect: limits.connect_time.min(left),
+            first_byte: limits.first_byte_time.min(left),
+        }
     }
 }
 
--- a/crates/bramleywind_router/src/operator_port.rs
+++ b/crates/bramleywind_router/src/operator_port.rs
@@ -45,9 +45,7 @@
 ) -> Result<Response<AnswerBody>, Infallible> {
     let id = RequestId::random();
     let answer = match bearer_key(request.headers()) {
-        Some(given) if secrets_match(given, token.expose()) => {
-            route_operator(&state, id, &request)
-        }
+        Some(given) if secrets_match(given, token.expose()) => route_operator(&state, id, &request),
         _ => Err(Refusal::not_run(
             RefusalCode::Unauthorized,
             "the operators' token is missing or wrong; send `authorization: Bearer <token>`",
--- a/crates/bramleywind_router/src/request_task.rs
+++ b/crates/bramleywind_router/src/request_task.rs
@@ -12,9 +12,9 @@
 use crate::{
     AdmissionRequest, AnswerBody, AnswerEnding, AttemptEnd, AttemptRunner, AttemptTarget,
     BillDecision, BillInput, CallerGone, CallerLink, CodeLabel, EndpointSlot, FailedCall, KeyEnd,
-    KeyStart, KeyTicket, OutcomeLabel, RequestContext, RequestOutcome, RetryDecision, RetryInput,
-    Reservation, ReserveOutcome, RouteTarget, RouterState, RunningGuard, decide_bill, decide_retry, failure_refusal,
-    funds_refusal, insert_request_id, refusal_event, refusal_response,
+    KeyStart, KeyTicket, OutcomeLabel, RequestContext, RequestOutcome, Reservation, ReserveOutcome,
+    RetryDecision, RetryInput, RouteTarget, RouterState, RunningGuard, decide_bill, decide_retry,
+    failure_refusal, funds_refusal, insert_request_id, refusal_event, refusal_response,
 };
 
 /// The part of a request's time that it may spend in the queue: one half, so that the other is left to run.
@@ -220,8 +220,7 @@
             StrikeVerdict::Isolated => {
                 let routes = self.state.current_routes()?;
                 let strikes = self.state.strikes.borrow();
-                let is_barred =
-                    |id: &&EndpointId| !strikes.may_retry_on(&fingerprint, id, now);
+                let is_barred = |id: &&EndpointId| !strikes.may_retry_on(&fingerprint, id, now);
                 excluded.extend(routes.endpoints.keys().filter(is_barred).cloned());
             }
         }
--- a/crates/bramleywind_router/src/router.rs
+++ b/crates/bramleywind_router/src/router.rs
@@ -87,7 +87,8 @@
     pub async fn start(options: RouterOptions) -> Result<Self, StartError> {
         let RouterOptions { settings, limits, log } = options;
         let metrics = RouterMetrics::default();
-        let client = HttpStore::new(settings.store_address, STORE_CALL_TIME).context(ClientSnafu)?;
+        let client =
+            HttpStore::new(settings.store_address, STORE_CALL_TIME).context(ClientSnafu)?;
         let store = CountedStore::new(client, metrics.store_calls.clone());
         let directory = InstanceDirectory::new(settings.instance_list_address, DIRECTORY_CALL_TIME)
             .context(ClientSnafu)?;
@@ -109,18 +110,10 @@
         };
         let keys = KeyDesk { claims: claims.clone() };
         let read_time = limits.read_time;
-        let state = RouterState::new(
-            identity,
-            limits,
-            admission,
-            FundsGate::default(),
-            keys,
-            metrics,
-            log,
-        );
+        let state =
+            RouterState::new(identity, limits, admission, FundsGate::default(), keys, metrics, log);
         let answers = state.clone();
-        let caller =
-            bound.serve(read_time, move |request| answer_caller(answers.clone(), request));
+        let caller = bound.serve(read_time, move |request| answer_caller(answers.clone(), request));
         let listen = settings.operator_listen;
         let bound = HttpListener::bind(listen).await.context(ListenSnafu { address: listen })?;
         let (answers, token) = (state.clone(), settings.operator_token.clone());
--- a/crates/bramleywind_router/src/router_state.rs
+++ b/crates/bramleywind_router/src/router_state.rs
@@ -11,9 +11,7 @@
 };
 use bramleywind_config::SignedConfig;
 use bramleywind_routing::RetryBudget;
-use bramleywind_types::{
-    DataCentreId, InstanceId, Refusal, RefusalCode, RepeatAdvice, RequestKey,
-};
+use bramleywind_types::{DataCentreId, InstanceId, Refusal, RefusalCode, RepeatAdvice, RequestKey};
 use slog::{Logger, info};
 
 use crate::{
--- a/crates/bramleywind_router/src/service_attempts.rs
+++ b/crates/bramleywind_router/src/service_attempts.rs
@@ -3,7 +3,9 @@
 use bramleywind_claims::{MAX_HOME_BODY_BYTES, RecordedOutcome};
 use bramleywind_types::TokenCount;
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header,
+};
 use http_body_util::Full;
 
 use crate::{
@@ -210,7 +212,8 @@
     }
 
     fn recorded_outcome(&self) -> Option<RecordedOutcome> {
-        let answer = self.answer.as_ref().filter(|answer| answer.body.len() <= MAX_HOME_BODY_BYTES)?;
+        let answer =
+            self.answer.as_ref().filter(|answer| answer.body.len() <= MAX_HOME_BODY_BYTES)?;
         let content_type = answer.headers.get(header::CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok()).map(Into::into);
         let status = answer.status.as_u16();
