--- a/crates/bramleywind_harness/src/bin/bramleywind_demo/demo_steps.rs
+++ b/crates/bramleywind_harness/src/bin/bramleywind_demo/demo_steps.rs
@@ -261,7 +261,7 @@
     /// What the store knows to be spent of a workspace's budget.
     async fn spent(&self, workspace: &str) -> Result<u64, FleetError> {
         let account = self.account(workspace)?;
-        Ok(account["settled"].as_u64().unwrap_or(0))
+        Ok(account["spent"].as_u64().unwrap_or(0))
     }
 
     fn account(&self, workspace: &str) -> Result<Value, FleetError> {
@@ -287,7 +287,7 @@
         let found = self.fleet.endpoints.iter().find(|endpoint| endpoint.endpoint.as_str() == desk);
         let Some(endpoint) = found else { return Ok(0) };
         let url = format!("http://{}/control/executions", endpoint.address);
-        Ok(self.fleet.caller.get_json(&url, &[]).await?[key].as_u64().unwrap_or(0))
+        Ok(self.fleet.caller.get_json(&url, &[]).await?["executions"][key].as_u64().unwrap_or(0))
     }
 
     async fn engine_starts(&self) -> Result<u64, FleetError> {
@@ -319,7 +319,7 @@
     headers
 }
 
-fn as_refs(headers: &[(&'static str, String)]) -> Vec<(&str, &str)> {
+fn as_refs<'a>(headers: &'a [(&'static str, String)]) -> Vec<(&'a str, &'a str)> {
     headers.iter().map(|(name, value)| (*name, value.as_str())).collect()
 }
 
--- a/crates/bramleywind_operator/examples/umbrella_menders.rs
+++ b/crates/bramleywind_operator/examples/umbrella_menders.rs
@@ -26,7 +26,7 @@
     ("onehunga-handles", 150_000),
     ("remuera-rainwear", 100_000),
     ("newmarket-nylon", 100_000),
-    ("waiheke-windproof", 50_000),
+    ("waiheke-windproof", 2_000),
 ];
 
 /// Prints the configuration of the umbrella menders' fleet.
