--- a/crates/bramleywind_router/src/args.rs
+++ b/crates/bramleywind_router/src/args.rs
@@ -15,4 +15,8 @@
     /// Only check the settings and exit.
     #[arg(long)]
     pub check: bool,
+
+    /// Let the operator port cut links to peers with `POST /v1/faults`. For tests only.
+    #[arg(long, hide = true)]
+    pub allow_test_faults: bool,
 }
--- a/crates/bramleywind_router/src/background.rs
+++ b/crates/bramleywind_router/src/background.rs
@@ -4,10 +4,12 @@
 mod funds_upkeep;
 mod instance_poll;
 mod load_poll;
+mod member_scan;
 mod peer_watch;
 
 pub use config_watch::{accept_config, watch_config};
 pub use funds_upkeep::keep_funds;
 pub use instance_poll::poll_instances;
 pub use load_poll::poll_loads;
+pub use member_scan::scan_members;
 pub use peer_watch::watch_peers;
--- a/crates/bramleywind_router/src/background/peer_watch.rs
+++ b/crates/bramleywind_router/src/background/peer_watch.rs
@@ -100,7 +100,7 @@
 }
 
 /// How many live routers reclaim before this one: those with smaller names.
-fn reclaim_rank(state: &RouterState, view: &MembershipView) -> u32 {
+pub(super) fn reclaim_rank(state: &RouterState, view: &MembershipView) -> u32 {
     let own = &state.identity.instance;
     let before = view.live().filter(|record| record.heartbeat.instance < *own).count();
     u32::try_from(before).unwrap_or(u32::MAX)
--- a/crates/bramleywind_router/src/daemon.rs
+++ b/crates/bramleywind_router/src/daemon.rs
@@ -33,7 +33,9 @@
         }
     };
     runtime.block_on(async {
-        let router = match Router::start(RouterOptions::new(settings, log.clone())).await {
+        let options = RouterOptions::new(settings, log.clone());
+        let options = RouterOptions { allow_test_faults: args.allow_test_faults, ..options };
+        let router = match Router::start(options).await {
             Ok(router) => router,
             Err(error) => {
                 crit!(log, "the router could not be started"; "error" => %error);
--- a/crates/bramleywind_router/src/lib.rs
+++ b/crates/bramleywind_router/src/lib.rs
@@ -68,7 +68,7 @@
 pub use key_desk::KeyDesk;
 pub use key_start::{KeyEnd, KeyStart, KeyTicket};
 pub use logger::new_logger;
-pub use operator_port::{RouterStatusAnswer, answer_operator};
+pub use operator_port::{OperatorAccess, RouterStatusAnswer, answer_operator};
 pub use peer_answers::PeerAnswers;
 pub use refusal_answer::{
     LEAVING_HEADER, REQUEST_ID_HEADER, insert_request_id, json_response, refusal_event,
--- a/crates/bramleywind_router/src/operator_port.rs
+++ b/crates/bramleywind_router/src/operator_port.rs
@@ -2,6 +2,7 @@
 
 use std::{convert::Infallible, rc::Rc};
 
+use bramleywind_peer::LinkFault;
 use bramleywind_settings::Secret;
 use bramleywind_types::{
     BudgetId, ConfigRevision, DataCentreId, IncarnationId, InstanceId, Refusal, RefusalCode,
@@ -9,6 +10,7 @@
 };
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde::Serialize;
 
@@ -37,15 +39,29 @@
     pub state: &'static str,
 }
 
+/// What callers of the operator port may do.
+#[derive(Debug, Clone)]
+pub struct OperatorAccess {
+    /// The token that they must know.
+    pub token: Secret,
+    /// Whether they may cut links to peers.
+    pub allow_test_faults: bool,
+}
+
+/// The largest body of an order, in bytes.
+const MAX_ORDER_BYTES: usize = 64 * 1024;
+
 /// Answers one request of an operator.
 pub async fn answer_operator(
     state: Rc<RouterState>,
-    token: Secret,
+    access: OperatorAccess,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let id = RequestId::random();
     let answer = match bearer_key(request.headers()) {
-        Some(given) if secrets_match(given, token.expose()) => route_operator(&state, id, &request),
+        Some(given) if secrets_match(given, access.token.expose()) => {
+            route_operator(&state, &access, id, request).await
+        }
         _ => Err(Refusal::not_run(
             RefusalCode::Unauthorized,
             "the operators' token is missing or wrong; send `authorization: Bearer <token>`",
@@ -55,10 +71,11 @@
     Ok(answer.unwrap_or_else(|refusal| refusal_response(&refusal, id)))
 }
 
-fn route_operator(
+async fn route_operator(
     state: &Rc<RouterState>,
+    access: &OperatorAccess,
     id: RequestId,
-    request: &Request<Incoming>,
+    request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Refusal> {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/v1/status") => Ok(json(&router_status(state), id)),
@@ -68,6 +85,9 @@
             state.begin_drain("operator");
             Ok(json(&router_status(state), id))
         }
+        (&Method::POST, "/v1/faults") if access.allow_test_faults => {
+            set_link_fault(state, id, request).await
+        }
         (&Method::GET, path) if path.starts_with(BALANCE_PREFIX) => {
             let name = path.strip_prefix(BALANCE_PREFIX).unwrap_or_default();
             let not_found =
@@ -87,6 +107,24 @@
     }
 }
 
+async fn set_link_fault(
+    state: &RouterState,
+    id: RequestId,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let invalid = |message: String| {
+        Refusal::not_run(RefusalCode::InvalidRequest, message, RepeatAdvice::Never)
+    };
+    let body = Limited::new(request.into_body(), MAX_ORDER_BYTES).collect().await;
+    let body = body.map_err(|error| invalid(format!("the body could not be read: {error}")))?;
+    let fault: LinkFault = serde_json::from_slice(&body.to_bytes())
+        .map_err(|error| invalid(format!("the body is no link fault: {error}")))?;
+    if let Some(client) = state.link.client() {
+        client.set_fault(fault.clone());
+    }
+    Ok(json(&fault, id))
+}
+
 fn router_status(state: &RouterState) -> RouterStatusAnswer {
     let routes = state.routes.borrow();
     RouterStatusAnswer {
--- a/crates/bramleywind_router/src/router.rs
+++ b/crates/bramleywind_router/src/router.rs
@@ -16,9 +16,10 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::{
-    Admission, CountedStore, DrainPhase, HttpListener, KeyDesk, PeerAnswers, RequestLimits,
-    RouterIdentity, RouterLink, RouterMetrics, RouterState, answer_caller, answer_operator,
-    background::{keep_funds, poll_instances, poll_loads, watch_config, watch_peers},
+    Admission, CountedStore, DrainPhase, HttpListener, KeyDesk, OperatorAccess, PeerAnswers,
+    RequestLimits, RouterIdentity, RouterLink, RouterMetrics, RouterState, answer_caller,
+    answer_operator,
+    background::{keep_funds, poll_instances, poll_loads, scan_members, watch_config, watch_peers},
 };
 
 /// How long one call of the store may take. The store answers within milliseconds when it is well.
@@ -40,6 +41,8 @@
     pub settings: DaemonSettings,
     /// The limits, from the settings by default.
     pub limits: RequestLimits,
+    /// Whether the operator port takes orders to cut links to peers, for tests.
+    pub allow_test_faults: bool,
     /// The log.
     pub log: Logger,
 }
@@ -48,7 +51,7 @@
     /// The options that follow from the settings.
     pub fn new(settings: DaemonSettings, log: Logger) -> Self {
         let limits = RequestLimits::from_settings(&settings.limits);
-        Self { settings, limits, log }
+        Self { settings, limits, allow_test_faults: false, log }
     }
 }
 
@@ -118,7 +121,7 @@
     ///
     /// If a port cannot be opened.
     pub async fn start(options: RouterOptions) -> Result<Self, StartError> {
-        let RouterOptions { settings, limits, log } = options;
+        let RouterOptions { settings, limits, allow_test_faults, log } = options;
         let metrics = RouterMetrics::default();
         let client =
             HttpStore::new(settings.store_address, STORE_CALL_TIME).context(ClientSnafu)?;
@@ -159,9 +162,10 @@
         let caller = bound.serve(read_time, move |request| answer_caller(answers.clone(), request));
         let listen = settings.operator_listen;
         let bound = HttpListener::bind(listen).await.context(ListenSnafu { address: listen })?;
-        let (answers, token) = (state.clone(), settings.operator_token.clone());
+        let answers = state.clone();
+        let access = OperatorAccess { token: settings.operator_token.clone(), allow_test_faults };
         let operator = bound.serve(read_time, move |request| {
-            answer_operator(answers.clone(), token.clone(), request)
+            answer_operator(answers.clone(), access.clone(), request)
         });
         let key = settings.operator_public_key;
         let client = mesh.client();
@@ -171,6 +175,7 @@
             compio::runtime::spawn(mesh.run(answers, log)),
             compio::runtime::spawn(async move { funds.run().await }),
             compio::runtime::spawn(keep_funds(state.clone(), settings.peers.len())),
+            compio::runtime::spawn(scan_members(state.clone(), store.clone(), client.clone())),
             compio::runtime::spawn(watch_peers(state.clone(), client, key)),
             compio::runtime::spawn(watch_config(state.clone(), store, key)),
             compio::runtime::spawn(poll_instances(state.clone(), directory)),
--- /dev/null
+++ b/crates/bramleywind_router/tests/daemon.rs
@@ -0,0 +1,215 @@
+//! Tests of the built daemon: three processes, one of which is killed in mid-stream.
+
+use std::{
+    io::Write,
+    net::{SocketAddr, TcpListener},
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use bramleywind_config::{OperatorSigningKey, SignedConfig};
+use bramleywind_ledger::BudgetPage;
+use bramleywind_operator::{EndpointSpec, Fleet, ModelSpec, WorkspaceSpec};
+use bramleywind_router::{CallTimes, DeclineRule, EndpointAnswer, call_endpoint};
+use bramleywind_standins::{EngineOptions, EngineStandin, InstancesStandin, StoreStandin};
+use bramleywind_store::StoreKey;
+use bramleywind_types::{BudgetId, ConfigRevision, TokenCount};
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::Full;
+use serde_json::json;
+
+const PATIENCE: Duration = Duration::from_secs(40);
+const TOKEN: &str = "operators-token-of-the-test";
+const CREDIT: u64 = 10_000;
+
+/// A daemon that is killed, by its id, when dropped.
+struct Daemon {
+    child: Child,
+    caller: SocketAddr,
+    operator: SocketAddr,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Daemon {
+    async fn exit_status(&mut self) -> std::process::ExitStatus {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(Instant::now() < deadline, "the daemon did not stop");
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+/// A port that was free a moment ago. The settings name fixed ports, so that peers know them.
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn start_daemons(store: SocketAddr, instances: SocketAddr, public_key: &str) -> Vec<Daemon> {
+    let folder = std::env::temp_dir().join(format!("bramleywind-test-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    for (name, secret) in [("fleet", "0123456789abcdef0123456789abcdef"), ("token", TOKEN)] {
+        std::fs::File::create(folder.join(name)).unwrap().write_all(secret.as_bytes()).unwrap();
+    }
+    let addresses: Vec<[SocketAddr; 3]> =
+        (0..3).map(|_| [(); 3].map(|()| free_address())).collect();
+    let peers: Vec<_> = addresses
+        .iter()
+        .enumerate()
+        .map(|(index, [_, peer, _])| {
+            json!({ "instance": format!("entry-{index}"), "data_centre": format!("dc-{index}"),
+                "peer_address": peer })
+        })
+        .collect();
+    let daemons = addresses.into_iter().enumerate().map(|(index, [caller, peer, operator])| {
+        let settings = json!({
+            "instance": format!("entry-{index}"), "data_centre": format!("dc-{index}"),
+            "caller_listen": caller, "peer_listen": peer, "operator_listen": operator,
+            "store_address": store, "instance_list_address": instances, "peers": peers,
+            "fleet_secret": { "file": folder.join("fleet") },
+            "operator_token": { "file": folder.join("token") },
+            "operator_public_key": public_key, "endpoint_policy": "round_robin",
+            "limits": { "drain_grace_ms": 300 }, "log": { "level": "warning" },
+        });
+        let path = folder.join(format!("settings-{index}.json"));
+        std::fs::write(&path, settings.to_string()).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_bramleywindd"))
+            .arg("--settings")
+            .arg(path)
+            .stdin(Stdio::null())
+            .spawn()
+            .unwrap();
+        Daemon { child, caller, operator }
+    });
+    daemons.collect()
+}
+
+async fn call(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<EndpointAnswer> {
+    let times = CallTimes { connect: PATIENCE, first_byte: PATIENCE };
+    call_endpoint(address, request, times, DeclineRule::LeavingOnly).await.ok()
+}
+
+async fn text(answer: EndpointAnswer) -> String {
+    let body = answer.collect(PATIENCE, 1 << 20).await.unwrap();
+    String::from_utf8(body.to_vec()).unwrap()
+}
+
+fn operator_request(method: Method, path: &str) -> Request<Full<Bytes>> {
+    let request = Request::builder().method(method).uri(path).header("host", "router");
+    request.header("authorization", format!("Bearer {TOKEN}")).body(Full::default()).unwrap()
+}
+
+async fn dump(daemon: &Daemon) -> Option<serde_json::Value> {
+    let answer = call(daemon.operator, operator_request(Method::GET, "/v1/dump")).await?;
+    serde_json::from_str(&text(answer).await).ok()
+}
+
+/// Waits until a daemon's dump satisfies a condition.
+async fn until(daemon: &Daemon, what: &str, condition: impl Fn(&serde_json::Value) -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    let mut last = None;
+    while !last.as_ref().is_some_and(&condition) {
+        assert!(Instant::now() < deadline, "not so in time: {what}: {last:?}");
+        compio::time::sleep(Duration::from_millis(20)).await;
+        last = dump(daemon).await;
+    }
+}
+
+fn chat() -> Request<Full<Bytes>> {
+    let body = json!({ "model": "m", "max_tokens": 400, "stream": true,
+        "messages": [{ "role": "user", "content": "tell it to the end" }] });
+    Request::builder()
+        .method(Method::POST)
+        .uri("/v1/chat/completions")
+        .header("host", "router")
+        .header("authorization", "Bearer the-key")
+        .header("idempotency-key", "tale-1")
+        .body(Full::new(body.to_string().into()))
+        .unwrap()
+}
+
+/// Guards against a bill that is lost or doubled by the death of a router, against funds that stay with the
+/// dead, and against a stop that fails.
+#[test]
+fn a_killed_router_costs_nobody_anything() {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let any = "127.0.0.1:0".parse().unwrap();
+        let store = StoreStandin::start(any).await.unwrap();
+        let instances = InstancesStandin::start(any).await.unwrap();
+        let engine = EngineStandin::start(EngineOptions {
+            models: vec!["m".parse().unwrap()],
+            tokens_per_second: 400,
+            ..EngineOptions::default()
+        });
+        let engine = engine.await.unwrap();
+        let budget: BudgetId = "b".parse().unwrap();
+        let workspace = WorkspaceSpec::new("w").budget("b", CREDIT).key("the-key", "b");
+        let document = Fleet::new()
+            .model(ModelSpec::new("m", 4_096))
+            .workspace(workspace.may_use_model("m"))
+            .endpoint(
+                EndpointSpec::engine("engine-0", ["m"])
+                    .placed_in("dc-0")
+                    .at(&engine.address().to_string())
+                    .slots(4),
+            )
+            .to_json()
+            .unwrap();
+        let key = OperatorSigningKey::from_seed([7; 32]);
+        let signed = SignedConfig::sign(ConfigRevision(1), &document, &key);
+        store.store().put(&StoreKey::config(), serde_json::to_vec(&signed).unwrap());
+        let public_key = key.public_key().to_string();
+        let mut daemons = start_daemons(store.address(), instances.address(), &public_key);
+        for daemon in &daemons {
+            until(daemon, "the fleet is up", |dump| {
+                dump["funds"]["registered"] == true
+                    && dump["revision"] == 1
+                    && dump["funds"]["witnesses"].as_array().is_some_and(|found| found.len() == 2)
+            })
+            .await;
+        }
+
+        let mut cut = call(daemons[0].caller, chat()).await.unwrap();
+        cut.next_piece(PATIENCE).await.unwrap().unwrap();
+        let victim = dump(&daemons[0]).await.unwrap();
+        daemons[0].child.kill().unwrap();
+        daemons[0].child.wait().unwrap();
+        let repeat = text(call(daemons[1].caller, chat()).await.unwrap()).await;
+        assert!(repeat.ends_with("data: [DONE]\n\n"), "{repeat}");
+        assert_eq!(repeat.matches("\"content\":").count(), 400);
+        assert_eq!(engine.stats().requests_cancelled, 1);
+
+        let incarnation = victim["funds"]["incarnation"].as_str().unwrap().to_owned();
+        let page = || {
+            let value = store.store().peek(&StoreKey::budget_page(&budget)).unwrap().value;
+            BudgetPage::from_bytes(&value).unwrap().budgets[&budget].clone()
+        };
+        let deadline = Instant::now() + Duration::from_secs(30);
+        while page().slices.keys().any(|holder| holder.to_string() == incarnation) {
+            assert!(Instant::now() < deadline, "funds stay with the dead router: {:?}", page());
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+
+        let drained = call(daemons[1].operator, operator_request(Method::POST, "/v1/drain")).await;
+        assert!(text(drained.unwrap()).await.contains("leaving"));
+        let pid = daemons[2].child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        for daemon in &mut daemons[1..] {
+            assert!(daemon.exit_status().await.success());
+        }
+        let page = page();
+        assert!(page.slices.is_empty() && page.unresolved.is_empty(), "{page:?}");
+        // Five words of prompt and 400 tokens, once.
+        assert_eq!(page.settled, TokenCount(405));
+    });
+}
