--- a/crates/bramleywind_router/src/background/peer_watch.rs
+++ b/crates/bramleywind_router/src/background/peer_watch.rs
@@ -89,10 +89,10 @@
             ended.entry(earlier).or_insert_with(end);
         }
         if record.state == PeerState::Dead {
-            if !ended.contains_key(&incarnation) {
+            ended.entry(incarnation).or_insert_with(|| {
                 warn!(state.log, "peer is dead"; "peer" => %instance, "incarnation" => %incarnation);
-                ended.insert(incarnation, end());
-            }
+                end()
+            });
         } else {
             ended.remove(&incarnation);
         }
--- a/crates/bramleywind_router/src/lib.rs
+++ b/crates/bramleywind_router/src/lib.rs
@@ -86,7 +86,7 @@
 pub use router_metrics::{
     CodeLabel, OutcomeLabel, PeerLabel, RequestOutcome, RouterMetrics, StoreLabel,
 };
-pub use router_state::{RouterIdentity, RouterState, RunningGuard};
+pub use router_state::{RouterIdentity, RouterParts, RouterState, RunningGuard};
 pub use service_attempts::{ServiceAttempts, ServiceRequest, end_to_end_headers};
 pub use state_dump::StateDump;
 
--- a/crates/bramleywind_router/src/router.rs
+++ b/crates/bramleywind_router/src/router.rs
@@ -17,8 +17,8 @@
 
 use crate::{
     Admission, CountedStore, DrainPhase, HttpListener, KeyDesk, OperatorAccess, PeerAnswers,
-    RequestLimits, RouterIdentity, RouterLink, RouterMetrics, RouterState, answer_caller,
-    answer_operator,
+    RequestLimits, RouterIdentity, RouterLink, RouterMetrics, RouterParts, RouterState,
+    answer_caller, answer_operator,
     background::{keep_funds, poll_instances, poll_loads, scan_members, watch_config, watch_peers},
 };
 
@@ -156,8 +156,16 @@
         };
         let keys = KeyDesk { claims: claims.clone() };
         let read_time = limits.read_time;
-        let state =
-            RouterState::new(identity, limits, admission, funds.clone(), link, keys, metrics, log);
+        let state = RouterState::new(RouterParts {
+            identity,
+            limits,
+            admission,
+            funds: funds.clone(),
+            link,
+            keys,
+            metrics,
+            log,
+        });
         let answers = state.clone();
         let caller = bound.serve(read_time, move |request| answer_caller(answers.clone(), request));
         let listen = settings.operator_listen;
--- a/crates/bramleywind_router/src/router_state.rs
+++ b/crates/bramleywind_router/src/router_state.rs
@@ -68,6 +68,26 @@
     running: Cell<usize>,
 }
 
+/// What a router is assembled from.
+pub struct RouterParts {
+    /// Who this router is.
+    pub identity: RouterIdentity,
+    /// What callers may do.
+    pub limits: RequestLimits,
+    /// Queues and endpoints.
+    pub admission: Rc<Admission>,
+    /// The budgets.
+    pub funds: FundsKeeper<RouterStore, RouterLink>,
+    /// The link to the other routers.
+    pub link: RouterLink,
+    /// The keys of requests.
+    pub keys: KeyDesk,
+    /// Counters.
+    pub metrics: RouterMetrics,
+    /// The log.
+    pub log: Logger,
+}
+
 impl fmt::Debug for RouterState {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("RouterState").field("identity", &self.identity).finish_non_exhaustive()
@@ -87,16 +107,8 @@
 
 impl RouterState {
     /// A router without a configuration.
-    pub fn new(
-        identity: RouterIdentity,
-        limits: RequestLimits,
-        admission: Rc<Admission>,
-        funds: FundsKeeper<RouterStore, RouterLink>,
-        link: RouterLink,
-        keys: KeyDesk,
-        metrics: RouterMetrics,
-        log: Logger,
-    ) -> Rc<Self> {
+    pub fn new(parts: RouterParts) -> Rc<Self> {
+        let RouterParts { identity, limits, admission, funds, link, keys, metrics, log } = parts;
         Rc::new(Self {
             identity,
             limits,
--- a/crates/bramleywind_router/tests/admission.rs
+++ b/crates/bramleywind_router/tests/admission.rs
@@ -1,5 +1,7 @@
 //! Tests of the queue in front of the endpoints.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking, also in its helpers")]
+
 use std::{
     collections::BTreeSet,
     rc::Rc,
--- a/crates/bramleywind_router/tests/daemon.rs
+++ b/crates/bramleywind_router/tests/daemon.rs
@@ -1,5 +1,7 @@
 //! Tests of the built daemon: three processes, one of which is killed in mid-stream.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking, also in its helpers")]
+
 use std::{
     io::Write,
     net::{SocketAddr, TcpListener},
--- a/crates/bramleywind_router/tests/decisions.rs
+++ b/crates/bramleywind_router/tests/decisions.rs
@@ -1,5 +1,7 @@
 //! Tests of the decisions that need no socket.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking, also in its helpers")]
+
 use std::time::{Duration, Instant};
 
 use bramleywind_config::KeyHash;
