router: send answers to the last byte before a drained router stops

A request counted as ended when its answer was handed to the connection, so a caller that read slowly lost the rest when the process exited.

--- a/crates/bramleywind_router/src/drain_state.rs
+++ b/crates/bramleywind_router/src/drain_state.rs
@@ -69,11 +69,6 @@
         }
     }
 
-    /// When the grace ends.
-    pub fn grace_deadline(&self) -> Option<Instant> {
-        self.deadlines.as_ref().map(|deadlines| deadlines.grace)
-    }
-
     /// When the router exits in any case.
     pub fn finish_deadline(&self) -> Option<Instant> {
         self.deadlines.as_ref().map(|deadlines| deadlines.finish)
--- a/crates/bramleywind_router/src/http_listener.rs
+++ b/crates/bramleywind_router/src/http_listener.rs
@@ -1,7 +1,13 @@
 //! The connections of the caller and operator ports, one task each.
 
 use std::{
-    cell::RefCell, convert::Infallible, future::poll_fn, net::SocketAddr, rc::Rc, time::Duration,
+    cell::RefCell,
+    convert::Infallible,
+    future::poll_fn,
+    net::SocketAddr,
+    pin::{Pin, pin},
+    rc::Rc,
+    time::{Duration, Instant},
 };
 
 use bramleywind_types::{Refusal, RefusalCode, RepeatAdvice, RequestId};
@@ -11,7 +17,7 @@
     time::timeout,
 };
 use cyper_core::{CompioTimer, HyperStream};
-use futures_util::{AsyncReadExt, AsyncWriteExt};
+use futures_util::{AsyncReadExt, AsyncWriteExt, Stream};
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 
@@ -38,9 +44,12 @@
 /// How long to wait after a failed accept, so that a lack of descriptors does not spin the process.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
+/// How often a closing port looks whether its connections have ended.
+const CLOSE_POLL: Duration = Duration::from_millis(10);
+
 /// The connections of one port. They break when this is dropped.
 #[derive(Debug, Clone, Default)]
-pub struct PortConnections(Rc<RefCell<Vec<JoinHandle<()>>>>);
+struct PortConnections(Rc<RefCell<Vec<JoinHandle<()>>>>);
 
 impl PortConnections {
     fn add(&self, task: JoinHandle<()>) {
@@ -48,6 +57,10 @@
         tasks.retain(|task| !task.is_finished());
         tasks.push(task);
     }
+
+    fn are_ended(&self) -> bool {
+        self.0.borrow().iter().all(JoinHandle::is_finished)
+    }
 }
 
 /// A port that is open and does not answer yet.
@@ -63,8 +76,10 @@
 pub struct HttpListener {
     /// Where the port listens.
     pub address: SocketAddr,
-    _accepting: JoinHandle<()>,
-    _connections: PortConnections,
+    accepting: RefCell<Option<JoinHandle<()>>>,
+    connections: PortConnections,
+    /// Closed to tell the connections that they are to end.
+    closing: async_channel::Sender<Infallible>,
 }
 
 impl HttpListener {
@@ -78,6 +93,16 @@
         let address = listener.local_addr()?;
         Ok(BoundListener { address, listener })
     }
+
+    /// Accepts no more connections, and waits until those that are open have sent their answers to the last
+    /// byte, at most until `deadline`.
+    pub async fn close(&self, deadline: Instant) {
+        drop(self.accepting.take());
+        self.closing.close();
+        while !self.connections.are_ended() && Instant::now() < deadline {
+            compio::time::sleep(CLOSE_POLL).await;
+        }
+    }
 }
 
 impl BoundListener {
@@ -90,23 +115,30 @@
         let Self { address, listener } = self;
         let connections = PortConnections::default();
         let accepted = connections.clone();
+        let (closing, closed) = async_channel::bounded(1);
         let accepting = compio::runtime::spawn(async move {
             loop {
                 match listener.accept().await {
                     Ok((stream, _)) => {
-                        let connection = serve_connection(stream, read_time, answer.clone());
+                        let closed = closed.clone();
+                        let connection =
+                            serve_connection(stream, read_time, answer.clone(), closed);
                         accepted.add(compio::runtime::spawn(connection));
                     }
                     Err(_) => compio::time::sleep(ACCEPT_RETRY_DELAY).await,
                 }
             }
         });
-        HttpListener { address, _accepting: accepting, _connections: connections }
+        HttpListener { address, accepting: RefCell::new(Some(accepting)), connections, closing }
     }
 }
 
-async fn serve_connection<A, F>(stream: TcpStream, read_time: Duration, answer: A)
-where
+async fn serve_connection<A, F>(
+    stream: TcpStream,
+    read_time: Duration,
+    answer: A,
+    closed: async_channel::Receiver<Infallible>,
+) where
     A: Fn(Request<Incoming>) -> F + Unpin + 'static,
     F: Future<Output = Result<Response<AnswerBody>, Infallible>> + 'static,
 {
@@ -120,7 +152,16 @@
             HyperStream::new_plain(stream),
             service_fn(move |request| Box::pin(answer(request))),
         );
-    let end = poll_fn(|context| connection.poll_without_shutdown(context)).await;
+    let mut closed = pin!(closed);
+    let mut is_closing = false;
+    let end = poll_fn(|context| {
+        if !is_closing && closed.as_mut().poll_next(context).is_ready() {
+            is_closing = true;
+            Pin::new(&mut connection).graceful_shutdown();
+        }
+        connection.poll_without_shutdown(context)
+    })
+    .await;
     let parts = connection.into_parts();
     let mut stream = parts.io;
     match end {
--- a/crates/bramleywind_router/src/router.rs
+++ b/crates/bramleywind_router/src/router.rs
@@ -31,6 +31,9 @@
 /// How often a drain looks whether it is over.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
+/// How long connections may take at least to send the ends of their answers when the time for requests is over.
+const FLUSH_TIME: Duration = Duration::from_secs(2);
+
 /// How long a stopping router waits for the store to take its slices back and to close its claims.
 const HAND_BACK_TIME: Duration = Duration::from_secs(10);
 
@@ -218,6 +221,10 @@
         while self.state.phase() != DrainPhase::Finished {
             compio::time::sleep(DRAIN_POLL).await;
         }
+        // A request has ended once its answer is handed to the connection, which may still be sending it.
+        let finish = self.state.drain.borrow().finish_deadline();
+        let flush = (Instant::now() + FLUSH_TIME).max(finish.unwrap_or_else(Instant::now));
+        self.caller.close(flush).await;
         let deadline = Instant::now() + HAND_BACK_TIME;
         let outcome = self.state.funds.hand_back_all(deadline).await;
         info!(self.state.log, "slices handed back"; "outcome" => ?outcome);
--- a/crates/bramleywind_router/tests/router/drains.rs
+++ b/crates/bramleywind_router/tests/router/drains.rs
@@ -10,7 +10,7 @@
 
 use crate::harness::{
     FleetPlan, KEY, PATIENCE, TOKEN, TestFleet, chat, eventually, fast_engine, get, keyed, open,
-    post, run,
+    open_slowly, post, run,
 };
 
 async fn entries(address: SocketAddr) -> Vec<String> {
@@ -103,3 +103,27 @@
         assert_eq!(models.head.status, StatusCode::OK);
     });
 }
+
+/// Guards against a stop that cuts off the end of an answer that its caller has not read yet.
+#[test]
+fn a_drain_waits_for_the_last_bytes() {
+    run(async {
+        // About 100 KB: more than the kernel's buffers hold, and less than those together with the router's.
+        let limits = |limits: &mut RequestLimits| limits.drain_grace = Duration::from_millis(100);
+        let engine = EngineOptions { tokens_per_second: 20_000, ..fast_engine() };
+        let plan = FleetPlan { engines: vec![engine], limits, ..FleetPlan::default() };
+        let mut fleet = TestFleet::start(plan).await;
+        let answer = open_slowly(fleet.caller(), chat("read me slowly", 650, true)).await;
+        let router = fleet.routers.pop().unwrap();
+        eventually("the engine is done", || fleet.engines[0].stats().requests_finished == 1).await;
+        let reader = compio::runtime::spawn(async move {
+            // Until now the caller has read nothing, and the rest is on its way.
+            compio::time::sleep(Duration::from_millis(500)).await;
+            answer.whole().await
+        });
+        router.state().begin_drain("test");
+        timeout(PATIENCE, router.drained()).await.expect("the drain ends");
+        drop(router);
+        assert_eq!(reader.await.unwrap().tokens().len(), 650);
+    });
+}
