--- a/crates/bramleywind_router/src/caller_port.rs
+++ b/crates/bramleywind_router/src/caller_port.rs
@@ -19,7 +19,7 @@
     AnswerBody, AttemptRunner, CallerLink, ChatAttempts, ChatRequest, CodeLabel, DrainPhase,
     KeyOwner, LEAVING_HEADER, OutcomeLabel, RequestContext, RequestOutcome, RequestTask,
     RouteTarget, RouterState, ServiceAttempts, ServiceRequest, bearer_key, entry_list,
-    json_response, refusal_response,
+    has_one_reading, json_response, refusal_response,
 };
 
 /// Carries the key under which a request may be repeated.
@@ -216,6 +216,14 @@
         name.parse().map_err(|error| not_found(format!("the path names no service: {error}")))?;
     let uri: http::Uri =
         rest.parse().map_err(|_| not_found(format!("`{rest}` is no path of a service")))?;
+    if !has_one_reading(uri.path()) {
+        let message = format!(
+            "`{}` can be read in more than one way; send it without dot segments, empty segments \
+             and needless escapes",
+            uri.path()
+        );
+        return Err(not_found(message));
+    }
     let (config, route) = routes.service(&owner.workspace, &service, &head.method, uri.path())?;
     if !route.idempotent && key.is_none() {
         let message = "this call may not run twice; send an `Idempotency-Key` header";
--- a/crates/bramleywind_router/src/lib.rs
+++ b/crates/bramleywind_router/src/lib.rs
@@ -42,6 +42,7 @@
 mod router_metrics;
 mod router_state;
 mod service_attempts;
+mod service_path;
 mod state_dump;
 
 pub use admission::{Admission, AdmissionRequest, EndpointSlot};
@@ -88,6 +89,7 @@
 };
 pub use router_state::{RouterIdentity, RouterParts, RouterState, RunningGuard};
 pub use service_attempts::{ServiceAttempts, ServiceRequest, end_to_end_headers};
+pub use service_path::has_one_reading;
 pub use state_dump::StateDump;
 
 /// The store as the router uses it.
--- /dev/null
+++ b/crates/bramleywind_router/src/service_path.rs
@@ -0,0 +1,48 @@
+//! Which paths may be matched against routes as they are written.
+
+/// Whether a path has only one reading.
+///
+/// Routes say which calls must not run twice, and are matched against the path as it was sent. A service may
+/// decode or resolve the path, so one that could also be read as another must not be forwarded: with dot
+/// segments, empty segments, backslashes, or escapes of characters that need none.
+///
+/// ```
+/// use bramleywind_router::has_one_reading;
+///
+/// assert!(has_one_reading("/orders/a%20b"));
+/// assert!(!has_one_reading("/any/../orders"));
+/// assert!(!has_one_reading("/%6frders"));
+/// ```
+pub fn has_one_reading(path: &str) -> bool {
+    let Some(below) = path.strip_prefix('/') else { return false };
+    let mut segments = below.split('/').peekable();
+    while let Some(segment) = segments.next() {
+        let is_last = segments.peek().is_none();
+        let is_plain = !matches!(segment, "." | "..") && (!segment.is_empty() || is_last);
+        if !is_plain || !has_needed_escapes_only(segment) {
+            return false;
+        }
+    }
+    true
+}
+
+fn has_needed_escapes_only(segment: &str) -> bool {
+    let mut bytes = segment.bytes();
+    while let Some(byte) = bytes.next() {
+        match byte {
+            b'\\' => return false,
+            b'%' => {
+                let digit = |byte: Option<u8>| char::from(byte?).to_digit(16);
+                let (Some(high), Some(low)) = (digit(bytes.next()), digit(bytes.next())) else {
+                    return false;
+                };
+                let escaped = char::from_u32(16 * high + low).unwrap_or_default();
+                if escaped.is_ascii_alphanumeric() || "-._~/\\\0".contains(escaped) {
+                    return false;
+                }
+            }
+            _ => {}
+        }
+    }
+    true
+}
--- a/crates/bramleywind_router/tests/router/bad_input.rs
+++ b/crates/bramleywind_router/tests/router/bad_input.rs
@@ -90,6 +90,40 @@
     });
 }
 
+/// Guards against a call that evades the rules of its route by another spelling of its path: the service may
+/// read it as `/orders`, which must not run without a key.
+#[test_case("/services/desk/any/../orders"; "dot segments")]
+#[test_case("/services/desk/any/%2e%2E/orders"; "encoded dot segments")]
+#[test_case("/services/desk/any/..%2forders"; "encoded slash")]
+#[test_case("/services/desk//orders"; "empty segment")]
+#[test_case("/services/desk/%6frders"; "encoded letter")]
+#[test_case("/services/desk/./orders"; "dot segment")]
+#[test_case("/services/desk/any/.."; "dot segment at the end")]
+#[test_case("/services/desk/any\\..\\orders"; "backslashes")]
+fn a_path_with_another_spelling_is_refused(path: &'static str) {
+    run(async move {
+        let fleet = TestFleet::start(FleetPlan::default()).await;
+        let mut request = post("/", "{}");
+        *request.method_mut() = http::Method::PUT;
+        *request.uri_mut() = path.parse().unwrap();
+        assert_refused(&fleet, request, RefusalCode::NotFound).await;
+        let executions = fleet.service.executions();
+        assert_eq!((executions.without_key, executions.executions.len()), (0, 0));
+    });
+}
+
+/// Guards against refusing paths that have only one reading.
+#[test]
+fn a_path_with_encoded_characters_is_forwarded() {
+    run(async {
+        let fleet = TestFleet::start(FleetPlan::default()).await;
+        for path in ["/services/desk/a%20b", "/services/desk/...", "/services/desk/a.b/?x=../y"] {
+            let answer = open(fleet.caller(), get(path, KEY)).await.whole().await;
+            assert_eq!(answer.head.status, http::StatusCode::OK, "{path}: {}", answer.text());
+        }
+    });
+}
+
 /// Sends bytes, and returns all that comes back until the router closes.
 async fn send_raw(fleet: &TestFleet, bytes: Vec<u8>, ends: bool) -> String {
     let mut stream = TcpStream::connect(fleet.caller()).await.unwrap();
--- a/crates/bramleywind_router/tests/router/harness.rs
+++ b/crates/bramleywind_router/tests/router/harness.rs
@@ -203,7 +203,9 @@
         .service(
             ServiceSpec::new("desk", 10)
                 .non_idempotent_route("POST", "/orders")
-                .idempotent_route("GET", "/"),
+                .idempotent_route("GET", "/")
+                .non_idempotent_route("PUT", "/orders")
+                .idempotent_route("PUT", "/"),
         )
         .workspace(
             WorkspaceSpec::new("umbrella-menders")
