--- a/crates/bramleywind_router/src/background/config_watch.rs
+++ b/crates/bramleywind_router/src/background/config_watch.rs
@@ -4,7 +4,7 @@
 };
 
 use bramleywind_config::{OperatorPublicKey, SignedConfig};
-use bramleywind_store::{Store, StoreKey, StoreVersion, UnavailableReason, WatchOutcome};
+use bramleywind_store::{Store, StoreKey, StoreVersion, WatchOutcome};
 use rand::Rng;
 use slog::{info, warn};
 
@@ -24,8 +24,14 @@
 pub async fn watch_config(state: Rc<RouterState>, store: RouterStore, key: OperatorPublicKey) {
     let mut version = StoreVersion::MISSING;
     let mut delay = SHORTEST_DELAY;
+    let mut is_answering = true;
     loop {
-        match store.watch(&StoreKey::config(), version, Instant::now() + WATCH_TIME).await {
+        let outcome = store.watch(&StoreKey::config(), version, Instant::now() + WATCH_TIME).await;
+        let is_answer = !matches!(outcome, WatchOutcome::Unavailable(_));
+        if is_answer && !std::mem::replace(&mut is_answering, true) {
+            info!(state.log, "the store answers again");
+        }
+        match outcome {
             WatchOutcome::Changed(found) => {
                 version = found.version;
                 delay = SHORTEST_DELAY;
@@ -39,7 +45,8 @@
             }
             WatchOutcome::Unchanged => delay = SHORTEST_DELAY,
             WatchOutcome::Unavailable(reason) => {
-                if reason != UnavailableReason::Timeout {
+                // One line for an outage, which may last for hours.
+                if std::mem::replace(&mut is_answering, false) {
                     warn!(state.log, "the store does not answer"; "reason" => ?reason);
                 }
                 let jitter = rand::rng().random_range(0.5..1.5);
--- a/crates/bramleywind_router/src/background/instance_poll.rs
+++ b/crates/bramleywind_router/src/background/instance_poll.rs
@@ -1,7 +1,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bramleywind_store::{DirectoryOutcome, InstanceDirectory, InstanceKind, InstanceState};
-use slog::warn;
+use slog::{info, warn};
 
 use crate::RouterState;
 
@@ -11,9 +11,13 @@
 /// Follows the instance list: endpoints that leave get no new work, and this router drains on its own mark.
 /// While the list does not answer, the last known one counts.
 pub async fn poll_instances(state: Rc<RouterState>, directory: InstanceDirectory) {
+    let mut is_answering = true;
     loop {
         match directory.fetch().await {
             DirectoryOutcome::Found(list) => {
+                if !std::mem::replace(&mut is_answering, true) {
+                    info!(state.log, "the instance list answers again");
+                }
                 let leaving = || {
                     let instances = list.instances.iter();
                     instances.filter(|record| record.state == InstanceState::Leaving)
@@ -26,7 +30,10 @@
                 }
             }
             DirectoryOutcome::Unavailable(reason) => {
-                warn!(state.log, "the instance list does not answer"; "reason" => ?reason);
+                // One line for an outage, which may last for hours.
+                if std::mem::replace(&mut is_answering, false) {
+                    warn!(state.log, "the instance list does not answer"; "reason" => ?reason);
+                }
             }
         }
         compio::time::sleep(POLL_INTERVAL).await;
--- a/crates/bramleywind_router/src/caller_port.rs
+++ b/crates/bramleywind_router/src/caller_port.rs
@@ -16,10 +16,10 @@
 use slog::info;
 
 use crate::{
-    AnswerBody, AttemptRunner, CallerLink, ChatAttempts, ChatRequest, CodeLabel, DrainPhase,
-    KeyOwner, LEAVING_HEADER, OutcomeLabel, RequestContext, RequestOutcome, RequestTask,
-    RouteTarget, RouterState, ServiceAttempts, ServiceRequest, bearer_key, entry_list,
-    has_one_reading, json_response, refusal_response,
+    AnswerBody, AttemptRunner, CallerLink, ChatAttempts, ChatRequest, DrainPhase, KeyOwner,
+    LEAVING_HEADER, RequestContext, RequestOutcome, RequestTask, RouteTarget, RouterState,
+    ServiceAttempts, ServiceRequest, bearer_key, entry_list, has_one_reading, json_response,
+    refusal_response,
 };
 
 /// Carries the key under which a request may be repeated.
@@ -59,12 +59,9 @@
 }
 
 fn refuse(state: &RouterState, id: RequestId, refusal: Refusal) -> Response<AnswerBody> {
-    let code = serde_json::to_value(refusal.code).unwrap_or_default();
-    let label = CodeLabel { code: code.as_str().unwrap_or_default().to_owned() };
-    let outcome = RequestOutcome::Refused;
-    state.metrics.requests.get_or_create(&OutcomeLabel { outcome }).inc();
-    state.metrics.refusals.get_or_create(&label).inc();
-    info!(state.log, "request refused"; "request" => %id, "code" => label.code,
+    state.metrics.record_request(RequestOutcome::Refused);
+    let code = state.metrics.record_refusal(&refusal);
+    info!(state.log, "request refused"; "request" => %id, "code" => code,
         "message" => &*refusal.message);
     let mut response = refusal_response(&refusal, id);
     let is_unread = matches!(
--- a/crates/bramleywind_router/src/http_listener.rs
+++ b/crates/bramleywind_router/src/http_listener.rs
@@ -23,9 +23,21 @@
 
 use crate::{AnswerBody, refusal_answer::refusal_json};
 
-/// The largest request head that hyper reads before it answers 431 itself, in bytes. Larger than the
-/// router's own limit, so that all but absurd heads get the router's typed refusal.
-const HEAD_BUFFER_BYTES: usize = 64 * 1024;
+/// The largest request head that hyper reads before it answers 431 itself, in multiples of the router's own
+/// limit, so that all but absurd heads get the router's typed refusal.
+const HEAD_BUFFER_FACTOR: usize = 4;
+
+/// The smallest buffer that hyper accepts, in bytes.
+const MIN_HEAD_BUFFER_BYTES: usize = 8_192;
+
+/// What the callers of a port may send.
+#[derive(Debug, Clone, Copy)]
+pub struct HeadLimits {
+    /// How long the head of a request may take.
+    pub read_time: Duration,
+    /// The largest headers, in bytes.
+    pub header_bytes: usize,
+}
 
 /// The kernel's buffer for each connection's answers, in bytes (the kernel doubles it). A few hundred tokens,
 /// so that a caller that stops reading is noticed and holds little memory; the default on a fast link is
@@ -106,8 +118,8 @@
 }
 
 impl BoundListener {
-    /// Answers each request with `answer`. A caller may take `read_time` for the head of a request.
-    pub fn serve<A, F>(self, read_time: Duration, answer: A) -> HttpListener
+    /// Answers each request with `answer`.
+    pub fn serve<A, F>(self, limits: HeadLimits, answer: A) -> HttpListener
     where
         A: Fn(Request<Incoming>) -> F + Clone + Unpin + 'static,
         F: Future<Output = Result<Response<AnswerBody>, Infallible>> + 'static,
@@ -121,8 +133,7 @@
                 match listener.accept().await {
                     Ok((stream, _)) => {
                         let closed = closed.clone();
-                        let connection =
-                            serve_connection(stream, read_time, answer.clone(), closed);
+                        let connection = serve_connection(stream, limits, answer.clone(), closed);
                         accepted.add(compio::runtime::spawn(connection));
                     }
                     Err(_) => compio::time::sleep(ACCEPT_RETRY_DELAY).await,
@@ -135,7 +146,7 @@
 
 async fn serve_connection<A, F>(
     stream: TcpStream,
-    read_time: Duration,
+    limits: HeadLimits,
     answer: A,
     closed: async_channel::Receiver<Infallible>,
 ) where
@@ -146,8 +157,8 @@
     let _ = stream.set_nodelay(true);
     let mut connection = http1::Builder::new()
         .timer(CompioTimer)
-        .header_read_timeout(read_time)
-        .max_buf_size(HEAD_BUFFER_BYTES)
+        .header_read_timeout(limits.read_time)
+        .max_buf_size((HEAD_BUFFER_FACTOR * limits.header_bytes).max(MIN_HEAD_BUFFER_BYTES))
         .serve_connection(
             HyperStream::new_plain(stream),
             service_fn(move |request| Box::pin(answer(request))),
--- a/crates/bramleywind_router/src/lib.rs
+++ b/crates/bramleywind_router/src/lib.rs
@@ -64,7 +64,7 @@
 pub use entry_weights::entry_weight;
 pub use event_scan::{EventFields, EventScanner, MAX_EVENT_BYTES};
 pub use funds_refusal::funds_refusal;
-pub use http_listener::{BoundListener, HttpListener};
+pub use http_listener::{BoundListener, HeadLimits, HttpListener};
 pub use key_check::{bearer_key, find_key, secrets_match};
 pub use key_desk::KeyDesk;
 pub use key_start::{KeyEnd, KeyStart, KeyTicket};
--- a/crates/bramleywind_router/src/request_task.rs
+++ b/crates/bramleywind_router/src/request_task.rs
@@ -16,10 +16,10 @@
 
 use crate::{
     AdmissionRequest, AnswerBody, AnswerEnding, AttemptEnd, AttemptFailure, AttemptRunner,
-    AttemptTarget, BillDecision, BillInput, CallerGone, CallerLink, CodeLabel, EndpointSlot,
-    FailedCall, KeyEnd, KeyStart, KeyTicket, OutcomeLabel, RequestContext, RequestOutcome,
-    RetryDecision, RetryInput, RouteTarget, RouterState, RunningGuard, decide_bill, decide_retry,
-    failure_refusal, funds_refusal, insert_request_id, refusal_event, refusal_response,
+    AttemptTarget, BillDecision, BillInput, CallerGone, CallerLink, EndpointSlot, FailedCall,
+    KeyEnd, KeyStart, KeyTicket, RequestContext, RequestOutcome, RetryDecision, RetryInput,
+    RouteTarget, RouterState, RunningGuard, decide_bill, decide_retry, failure_refusal,
+    funds_refusal, insert_request_id, refusal_event, refusal_response,
 };
 
 /// The part of a request's time that it may spend in the queue: one half, so that the other is left to run.
@@ -368,10 +368,8 @@
     }
 
     async fn refuse(&mut self, refusal: &Refusal) {
-        let code = serde_json::to_value(refusal.code).unwrap_or_default();
-        let label = CodeLabel { code: code.as_str().unwrap_or_default().to_owned() };
-        self.state.metrics.refusals.get_or_create(&label).inc();
-        info!(self.log(), "request refused"; "code" => label.code, "ran" => ?refusal.ran,
+        let code = self.state.metrics.record_refusal(refusal);
+        info!(self.log(), "request refused"; "code" => code, "ran" => ?refusal.ran,
             "message" => &*refusal.message);
         if self.caller.is_waiting() {
             // A caller that is gone needs no refusal.
@@ -391,11 +389,11 @@
 
     fn record_end(&self, outcome: RequestOutcome, bill: Option<&BillDecision>) {
         let elapsed = self.context.arrived.elapsed();
-        self.state.metrics.requests.get_or_create(&OutcomeLabel { outcome }).inc();
+        self.state.metrics.record_request(outcome);
         if outcome == RequestOutcome::Complete {
             self.state.metrics.whole_answer.observe(elapsed.as_secs_f64());
         }
-        info!(self.log(), "request ended"; "outcome" => ?outcome,
+        info!(self.log(), "request ended"; "outcome" => outcome.name(),
             "billed" => bill.map_or(0, |bill| bill.billed.0),
             "delivered" => self.runner.delivered().0,
             "elapsed_ms" => elapsed.as_millis() as u64);
--- a/crates/bramleywind_router/src/router.rs
+++ b/crates/bramleywind_router/src/router.rs
@@ -16,9 +16,9 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::{
-    Admission, CountedStore, DrainPhase, HttpListener, KeyDesk, OperatorAccess, PeerAnswers,
-    RequestLimits, RouterIdentity, RouterLink, RouterMetrics, RouterParts, RouterState,
-    answer_caller, answer_operator,
+    Admission, CountedStore, DrainPhase, HeadLimits, HttpListener, KeyDesk, OperatorAccess,
+    PeerAnswers, RequestLimits, RouterIdentity, RouterLink, RouterMetrics, RouterParts,
+    RouterState, answer_caller, answer_operator,
     background::{keep_funds, poll_instances, poll_loads, scan_members, watch_config, watch_peers},
 };
 
@@ -158,7 +158,7 @@
             capacity: settings.capacity,
         };
         let keys = KeyDesk { claims: claims.clone() };
-        let read_time = limits.read_time;
+        let head = HeadLimits { read_time: limits.read_time, header_bytes: limits.header_bytes };
         let state = RouterState::new(RouterParts {
             identity,
             limits,
@@ -170,14 +170,13 @@
             log,
         });
         let answers = state.clone();
-        let caller = bound.serve(read_time, move |request| answer_caller(answers.clone(), request));
+        let caller = bound.serve(head, move |request| answer_caller(answers.clone(), request));
         let listen = settings.operator_listen;
         let bound = HttpListener::bind(listen).await.context(ListenSnafu { address: listen })?;
         let answers = state.clone();
         let access = OperatorAccess { token: settings.operator_token.clone(), allow_test_faults };
-        let operator = bound.serve(read_time, move |request| {
-            answer_operator(answers.clone(), access.clone(), request)
-        });
+        let operator = bound
+            .serve(head, move |request| answer_operator(answers.clone(), access.clone(), request));
         let key = settings.operator_public_key;
         let client = mesh.client();
         let answers = Rc::new(PeerAnswers::new(state.clone()));
--- a/crates/bramleywind_router/src/router_metrics.rs
+++ b/crates/bramleywind_router/src/router_metrics.rs
@@ -1,5 +1,6 @@
+use bramleywind_types::Refusal;
 use prometheus_client::{
-    encoding::{EncodeLabelSet, EncodeLabelValue, text},
+    encoding::{EncodeLabelSet, text},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
@@ -11,7 +12,7 @@
 const ANSWER_BUCKETS: [f64; 10] = [0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 120.0];
 
 /// How a request ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RequestOutcome {
     /// The caller was sent the whole answer.
     Complete,
@@ -23,11 +24,23 @@
     CallerGone,
 }
 
+impl RequestOutcome {
+    /// The outcome's name in metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Replayed => "replayed",
+            Self::Refused => "refused",
+            Self::CallerGone => "caller_gone",
+        }
+    }
+}
+
 /// The label of request counts.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct OutcomeLabel {
     /// How the request ended.
-    pub outcome: RequestOutcome,
+    pub outcome: &'static str,
 }
 
 /// The label of refusal counts.
@@ -130,6 +143,20 @@
 }
 
 impl RouterMetrics {
+    /// Counts a request that has ended.
+    pub fn record_request(&self, outcome: RequestOutcome) {
+        self.requests.get_or_create(&OutcomeLabel { outcome: outcome.name() }).inc();
+    }
+
+    /// Counts a refusal, and returns its code's name.
+    pub fn record_refusal(&self, refusal: &Refusal) -> String {
+        // The code is a unit variant, whose JSON is its name.
+        let json = serde_json::to_value(refusal.code).unwrap_or_default();
+        let label = CodeLabel { code: json.as_str().unwrap_or_default().to_owned() };
+        self.refusals.get_or_create(&label).inc();
+        label.code
+    }
+
     /// All metrics in the text format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
