router: count a request that an engine may have as run

When the caller of a non-idempotent request left before the engine had answered, the claim was closed as not run, and a repeat with the same key ran a second time.

--- a/crates/bramleywind_router/src/attempt_runner.rs
+++ b/crates/bramleywind_router/src/attempt_runner.rs
@@ -55,7 +55,7 @@
     /// What the engine reported.
     fn reported(&self) -> Option<ReportedUsage>;
 
-    /// Whether an endpoint accepted the request.
+    /// Whether an endpoint accepted the request, or may have when its caller left.
     fn accepted(&self) -> bool;
 
     /// The answer of a complete request that is sent as a whole; nothing if it was streamed.
--- a/crates/bramleywind_router/src/bill_rule.rs
+++ b/crates/bramleywind_router/src/bill_rule.rs
@@ -40,7 +40,7 @@
     pub reported: Option<ReportedUsage>,
     /// How the answer ended.
     pub ending: AnswerEnding,
-    /// Whether an endpoint accepted the request at any attempt.
+    /// Whether an endpoint accepted the request at any attempt, or may have when its caller left.
     pub accepted: bool,
 }
 
--- a/crates/bramleywind_router/src/chat_attempts.rs
+++ b/crates/bramleywind_router/src/chat_attempts.rs
@@ -22,6 +22,7 @@
     request: ChatRequest,
     delivered: TokenCount,
     reported: Option<ReportedUsage>,
+    /// Whether an engine took the request, or may have.
     accepted: bool,
     text: String,
     finish_reason: Option<Box<str>>,
@@ -241,7 +242,11 @@
         let times = CallTimes::until(&state.limits, context.deadline);
         let call = call_endpoint(target.address, request, times, DeclineRule::BusyOrLeaving);
         let mut answer = match caller.unless_gone(call).await {
-            Err(CallerGone) => return AttemptEnd::CallerGone,
+            Err(CallerGone) => {
+                // The engine may have the request, although it has not answered.
+                self.accepted = true;
+                return AttemptEnd::CallerGone;
+            }
             Ok(Err(failed)) => return AttemptEnd::Failed(failed),
             Ok(Ok(answer)) => answer,
         };
--- a/crates/bramleywind_router/tests/router/harness.rs
+++ b/crates/bramleywind_router/tests/router/harness.rs
@@ -43,6 +43,8 @@
     pub limits: fn(&mut RequestLimits),
     pub policy: EndpointPolicy,
     pub routers: usize,
+    /// Further engines that the test runs itself.
+    pub own_engines: Vec<SocketAddr>,
 }
 
 impl Default for FleetPlan {
@@ -53,6 +55,7 @@
             limits: |_| {},
             policy: EndpointPolicy::RoundRobin,
             routers: 1,
+            own_engines: Vec::new(),
         }
     }
 }
@@ -237,6 +240,14 @@
                 .slots(options.slots),
         );
     }
+    for (index, address) in plan.own_engines.iter().enumerate() {
+        fleet = fleet.endpoint(
+            EndpointSpec::engine(&format!("own-engine-{index}"), [MODEL, "weave-once"])
+                .placed_in("dc-0")
+                .at(&address.to_string())
+                .slots(8),
+        );
+    }
     fleet.to_json().unwrap().into()
 }
 
--- a/crates/bramleywind_router/tests/router/repeats.rs
+++ b/crates/bramleywind_router/tests/router/repeats.rs
@@ -1,11 +1,13 @@
 use bramleywind_standins::{EngineOptions, ServiceFaults};
 use bramleywind_store::StoreFaults;
 use bramleywind_types::{RefusalCode, RepeatAdvice, RunState};
+use compio::{buf::BufResult, io::AsyncRead, net::TcpListener, time::timeout};
 use http::StatusCode;
 use test_case::test_case;
 
 use crate::harness::{
-    FleetPlan, KEY, TestFleet, chat, eventually, fast_engine, get, keyed, open, post, run,
+    ANY, FleetPlan, KEY, PATIENCE, TestFleet, chat, chat_with, eventually, fast_engine, get, keyed,
+    open, post, run,
 };
 
 /// Guards against a second run, or a second bill, of a request that is repeated while it runs or afterwards.
@@ -235,3 +237,38 @@
         assert_eq!((fleet.spent(), fleet.reserved()), (20, 0));
     });
 }
+
+/// Guards against a second run of a request whose caller left while an engine had it and had not answered.
+#[test]
+fn a_request_that_an_engine_has_counts_as_run() {
+    run(async {
+        let listener = TcpListener::bind(ANY).await.unwrap();
+        let plan = FleetPlan {
+            engines: Vec::new(),
+            own_engines: vec![listener.local_addr().unwrap()],
+            ..FleetPlan::default()
+        };
+        let fleet = TestFleet::start(plan).await;
+        let address = fleet.caller();
+        let request = || keyed(chat_with("weave-once", "order a part", 50, true), "order-13");
+        let caller = compio::runtime::spawn(async move {
+            open(address, request()).await;
+        });
+        let mut received = Vec::new();
+        let mut connections = Vec::new();
+        while !received.ends_with(b"}") {
+            // Load polls use connections of their own.
+            let (mut stream, _) = timeout(PATIENCE, listener.accept()).await.unwrap().unwrap();
+            let BufResult(read, bytes) = stream.read(Vec::with_capacity(8_192)).await;
+            read.unwrap();
+            received = bytes;
+            connections.push(stream);
+        }
+        drop(caller);
+        fleet.settled().await;
+        let repeat = open(fleet.caller(), request()).await.whole().await.refusal();
+        assert_eq!((repeat.code, repeat.ran), (RefusalCode::OutcomeUnknown, RunState::MayHaveRun));
+        // The engine may have read the prompt: 14 bytes of JSON at 3 a token, and 4 for the message.
+        assert_eq!((fleet.spent(), fleet.reserved()), (5 + 4, 0));
+    });
+}
