--- a/crates/bramleywind_router/src/service_attempts.rs
+++ b/crates/bramleywind_router/src/service_attempts.rs
@@ -214,6 +214,10 @@
     fn recorded_outcome(&self) -> Option<RecordedOutcome> {
         let answer =
             self.answer.as_ref().filter(|answer| answer.body.len() <= MAX_HOME_BODY_BYTES)?;
+        // A repeat of an idempotent call is better served by another run than by an old error.
+        if self.request.idempotent && answer.status.is_server_error() {
+            return None;
+        }
         let content_type = answer.headers.get(header::CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok()).map(Into::into);
         let status = answer.status.as_u16();
--- a/crates/bramleywind_router/tests/router/repeats.rs
+++ b/crates/bramleywind_router/tests/router/repeats.rs
@@ -272,3 +272,45 @@
         assert_eq!((fleet.spent(), fleet.reserved()), (5 + 4, 0));
     });
 }
+
+/// Guards against an old error that is replayed although the call could now succeed.
+#[test]
+fn an_error_of_an_idempotent_call_is_not_replayed() {
+    run(async {
+        let fleet = TestFleet::start(FleetPlan::default()).await;
+        fleet.service.set_faults(ServiceFaults { fail_next: 1, ..ServiceFaults::default() });
+        let call = || keyed(get("/services/desk/stock", KEY), "stock-1");
+        let failed = open(fleet.caller(), call()).await.whole().await;
+        assert_eq!(failed.head.status, StatusCode::INTERNAL_SERVER_ERROR);
+        let repeat = open(fleet.caller(), call()).await.whole().await;
+        assert_eq!(repeat.head.status, StatusCode::OK);
+        let replayed = open(fleet.caller(), call()).await.whole().await;
+        assert_eq!(replayed.body, repeat.body);
+        assert_eq!(executions(&fleet, "stock-1"), 2);
+    });
+}
+
+/// Guards against spending beyond the credit, and against refusals before its end, when callers use all
+/// routers in turn.
+#[test]
+fn a_budget_is_used_to_its_end_over_all_routers() {
+    run(async {
+        let plan = FleetPlan { credit: 1_000, routers: 3, ..FleetPlan::default() };
+        let fleet = TestFleet::start(plan).await;
+        let mut served = 0;
+        for router in fleet.routers.iter().cycle() {
+            // Reserves 8 + 30 and is billed 3 + 30.
+            let answer = open(router.caller_address(), chat("abc defg h", 30, true)).await;
+            let answer = answer.whole().await;
+            if answer.head.status != StatusCode::OK {
+                assert_eq!(answer.refusal().code, RefusalCode::BudgetExhausted);
+                break;
+            }
+            assert_eq!(answer.tokens().len(), 30);
+            served += 1;
+            fleet.settled().await;
+        }
+        // A single exact ledger serves 30: it has 43 tokens left before the last, and 10 after it.
+        assert_eq!(served, 30);
+    });
+}
