--- a/crates/bramleywind_router/src/request_task.rs
+++ b/crates/bramleywind_router/src/request_task.rs
@@ -1,8 +1,13 @@
 //! The path of one request from its key to its bill, in the order of section 9 of the design.
 
-use std::{collections::BTreeSet, rc::Rc, time::Instant};
+use std::{
+    collections::BTreeSet,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bramleywind_claims::{RecordedOutcome, RequestFingerprint, StrikeVerdict};
+use bramleywind_ledger::{Reservation, ReserveOutcome};
 use bramleywind_routing::RouteRequest;
 use bramleywind_types::{EndpointId, Refusal, RefusalCode, RepeatAdvice, RunState, TokenCount};
 use compio::time::timeout;
@@ -10,9 +15,9 @@
 use slog::{info, warn};
 
 use crate::{
-    AdmissionRequest, AnswerBody, AnswerEnding, AttemptEnd, AttemptRunner, AttemptTarget,
-    BillDecision, BillInput, CallerGone, CallerLink, CodeLabel, EndpointSlot, FailedCall, KeyEnd,
-    KeyStart, KeyTicket, OutcomeLabel, RequestContext, RequestOutcome, Reservation, ReserveOutcome,
+    AdmissionRequest, AnswerBody, AnswerEnding, AttemptEnd, AttemptFailure, AttemptRunner,
+    AttemptTarget, BillDecision, BillInput, CallerGone, CallerLink, CodeLabel, EndpointSlot,
+    FailedCall, KeyEnd, KeyStart, KeyTicket, OutcomeLabel, RequestContext, RequestOutcome,
     RetryDecision, RetryInput, RouteTarget, RouterState, RunningGuard, decide_bill, decide_retry,
     failure_refusal, funds_refusal, insert_request_id, refusal_event, refusal_response,
 };
@@ -20,6 +25,10 @@
 /// The part of a request's time that it may spend in the queue: one half, so that the other is left to run.
 const QUEUE_SHARE: u32 = 2;
 
+/// How long a request waits for its tokens. Long enough for a slow store to answer a few calls; a refusal
+/// after it says that nothing ran.
+const RESERVE_TIME: Duration = Duration::from_secs(10);
+
 /// A request with all that its path needs.
 #[derive(Debug)]
 pub struct RequestTask<R> {
@@ -70,6 +79,22 @@
     attempts: u32,
     /// Whether every failed attempt certainly did not run.
     never_ran: bool,
+    last_failure: Option<AttemptFailure>,
+}
+
+impl AttemptHistory {
+    /// What a refusal to queue the next attempt means for the whole request.
+    fn refusal(&self, refusal: Refusal, idempotent: bool) -> Refusal {
+        match self.last_failure {
+            None => refusal,
+            // All endpoints were tried: the reason is how they failed.
+            Some(failure) if refusal.code == RefusalCode::NoEndpoint => {
+                failure_refusal(failure, self.never_ran, idempotent)
+            }
+            Some(_) if self.never_ran => refusal,
+            Some(_) => Refusal { ran: RunState::MayHaveRun, ..refusal },
+        }
+    }
 }
 
 impl<R: AttemptRunner> RequestTask<R> {
@@ -102,8 +127,12 @@
 
     async fn run_reserved(mut self, mut ticket: KeyTicket, reservation: Reservation) {
         let state = self.state.clone();
-        let mut history =
-            AttemptHistory { excluded: BTreeSet::new(), attempts: 0, never_ran: true };
+        let mut history = AttemptHistory {
+            excluded: BTreeSet::new(),
+            attempts: 0,
+            never_ran: true,
+            last_failure: None,
+        };
         let mut end = self.run_attempts(&mut ticket, &mut history).await;
         let ending = match &end {
             TaskEnd::Complete => AnswerEnding::Complete,
@@ -153,12 +182,13 @@
             &context.budget,
             self.reserved,
             context.key.as_ref(),
-            context.deadline,
+            context.deadline.min(Instant::now() + RESERVE_TIME),
         );
         // Not dropped when the caller goes away: a reservation that nobody settles stays counted as spent.
         match reserve.await {
             ReserveOutcome::Reserved(reservation) => Ok(reservation),
             ReserveOutcome::Exhausted => Err(funds_refusal(None, context).into()),
+            ReserveOutcome::Unavailable(cause) => Err(funds_refusal(Some(cause), context).into()),
         }
     }
 
@@ -200,6 +230,7 @@
                 AttemptEnd::Failed(failed) => {
                     self.record_failure(&target, &failed);
                     history.never_ran &= failed.failure.is_certainly_not_run();
+                    history.last_failure = Some(failed.failure);
                     history.excluded.insert(target.endpoint);
                     if let Some(refusal) = self.give_up(&failed, history) {
                         return refusal.into();
@@ -235,21 +266,22 @@
             deadline,
         };
         let admission = self.state.admission.clone();
-        let with_history = |refusal: Refusal| match history.never_ran {
-            true => refusal,
-            false => Refusal { ran: RunState::MayHaveRun, ..refusal },
-        };
-        let receiver = admission.request(request).map_err(with_history)?;
+        let receiver = admission
+            .request(request)
+            .map_err(|refusal| history.refusal(refusal, self.idempotent))?;
         // A resumed request has waited before; it gets at least a moment.
         let wait = deadline.saturating_duration_since(now).max(self.state.limits.connect_time);
         match self.caller.unless_gone(timeout(wait, receiver)).await? {
-            Ok(Ok(slot)) => {
+            Ok(Ok(Ok(slot))) => {
                 let report =
                     self.state.strikes.borrow_mut().record_retry(&fingerprint, &slot.endpoint, now);
                 self.state.share_strikes(report.into_iter().collect());
                 Ok(slot)
             }
-            Ok(Err(_)) | Err(_) => Err(with_history(admission.overloaded()).into()),
+            Ok(Ok(Err(refusal))) => Err(history.refusal(refusal, self.idempotent).into()),
+            Ok(Err(_)) | Err(_) => {
+                Err(history.refusal(admission.overloaded(), self.idempotent).into())
+            }
         }
     }
 
@@ -268,8 +300,12 @@
             if failed.is_leaving {
                 health.record_announcement(&target.endpoint, now);
             }
-            if failed.failure.is_certainly_not_run() || failed.failure.is_crash() {
-                health.record_failure(&target.endpoint, now);
+            match failed.failure {
+                AttemptFailure::Declined => health.record_declined(&target.endpoint, now),
+                AttemptFailure::NotConnected | AttemptFailure::Broken => {
+                    health.record_down(&target.endpoint, now);
+                }
+                AttemptFailure::ServerError | AttemptFailure::TimedOut => {}
             }
         });
         if failed.failure.is_crash() {
