--- /dev/null
+++ b/crates/bramleywind_harness/tests/failures/budget_failures.rs
@@ -0,0 +1,190 @@
+//! Guards G1 and G2: no overspend and one bill, when routers are killed or paused.
+
+use std::{
+    cell::{Cell, RefCell},
+    time::Duration,
+};
+
+use bramleywind_harness::{ProcessSignal, SseEnd, wait_until};
+use futures_util::future::join_all;
+
+use crate::{
+    account::{account, wait_for_spent},
+    test_fleet::{
+        BUDGET, PREPAID, RECLAIM_LIMIT, SHORT, SMALL_BUDGET, SMALL_PREPAID, TestFleet, chat_body,
+        headers, run, usage,
+    },
+};
+
+/// The longest that a caller of the tests waits for something that needs no reclaim.
+const SOON: Duration = Duration::from_secs(20);
+
+#[test]
+fn killed_router_strands_nothing_and_its_request_is_billed_once() {
+    run(async {
+        let mut test = TestFleet::start().await;
+        let url = test.chat_url(1);
+        let headers = headers("guides-key", Some("tour-script"));
+        let refs: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (*n, v.as_str())).collect();
+        let body = chat_body("write the tour of the ferry", 300, true);
+        let is_killed = Cell::new(false);
+        let caller = test.fleet.caller.clone();
+        let process = RefCell::new(&mut test.fleet.routers[1].process);
+        let kill = |chunks: usize| {
+            if chunks >= 10 && !is_killed.replace(true) {
+                process.borrow_mut().signal(ProcessSignal::Kill);
+            }
+        };
+        let (_, cut) = caller.stream(&url, &refs, &body, kill).await.unwrap();
+        assert_eq!(cut.end, SseEnd::Cut);
+
+        let (_, whole) =
+            test.stream(3, Some("tour-script"), "write the tour of the ferry", 300, |_| ()).await;
+        assert_eq!(whole.end, SseEnd::Done);
+        assert_eq!(whole.chunks, 300);
+        let billed = usage(&whole.usage.unwrap());
+        wait_for_spent(&test.fleet, BUDGET, billed, RECLAIM_LIMIT).await;
+    });
+}
+
+/// An unkeyed request of a killed router may have run: its reservation stays spent, the rest comes back.
+#[test]
+fn killed_router_without_repeat_is_billed_its_reservation_only() {
+    run(async {
+        let mut test = TestFleet::start().await;
+        let url = test.chat_url(0);
+        let headers = headers("guides-key", None);
+        let refs: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (*n, v.as_str())).collect();
+        let body = chat_body("write it", 200, true);
+        let is_killed = Cell::new(false);
+        let caller = test.fleet.caller.clone();
+        let process = RefCell::new(&mut test.fleet.routers[0].process);
+        let kill = |chunks: usize| {
+            if chunks >= 10 && !is_killed.replace(true) {
+                process.borrow_mut().signal(ProcessSignal::Kill);
+            }
+        };
+        let (_, cut) = caller.stream(&url, &refs, &body, kill).await.unwrap();
+        assert_eq!(cut.end, SseEnd::Cut);
+        let settled = wait_until("the slice is reclaimed", RECLAIM_LIMIT, || async {
+            let found = account(&test.fleet, BUDGET);
+            let is_back =
+                found["stranded"].as_u64() == Some(0) && found["in_slices"].as_u64() == Some(0);
+            (is_back && found["spent"].as_u64()? > 0).then_some(found)
+        });
+        let found = settled.await.unwrap();
+        let spent = found["spent"].as_u64().unwrap();
+        // The reservation: 200 answer tokens and the estimate of a short prompt.
+        assert!((200..=240).contains(&spent), "{found:#}");
+    });
+}
+
+#[test]
+fn paused_router_that_wakes_after_its_reclaim_overspends_nothing() {
+    run(async {
+        let mut test = TestFleet::start().await;
+        let mut billed = 0;
+        for index in 0..6 {
+            billed += usage(&test.chat(index, None, "before", SHORT).await.json()["usage"]);
+        }
+        test.fleet.routers[2].process.signal(ProcessSignal::Pause);
+        wait_for_spent(&test.fleet, BUDGET, billed, RECLAIM_LIMIT).await;
+        test.fleet.routers[2].process.signal(ProcessSignal::Continue);
+        let mut answered = 0;
+        let recovered = wait_until("the woken router serves again", SOON, || async {
+            let answer = test.chat(2, None, "after", SHORT).await;
+            (answer.status == 200).then(|| usage(&answer.json()["usage"]))
+        });
+        answered += recovered.await.unwrap();
+        wait_for_spent(&test.fleet, BUDGET, billed + answered, RECLAIM_LIMIT).await;
+    });
+}
+
+/// The tail of a budget lies scattered over six routers. Together they must pay for as many requests as one
+/// ledger would, and for no token more.
+#[test]
+fn small_budget_is_spent_to_its_end_through_six_routers_and_no_further() {
+    run(async {
+        let test = TestFleet::start().await;
+        let headers = headers("guides-trial-key", None);
+        let refs: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (*n, v.as_str())).collect();
+        let body = chat_body("read it", 80, false);
+        let mut billed = 0;
+        let mut refused_at = Vec::new();
+        for round in 0..12 {
+            let urls: Vec<String> = (0..6).map(|index| test.chat_url(index)).collect();
+            let calls = urls.iter().map(|url| test.fleet.caller.post_json(url, &refs, &body));
+            for answer in join_all(calls).await {
+                let answer = answer.unwrap();
+                if answer.status == 200 {
+                    billed += usage(&answer.json()["usage"]);
+                } else {
+                    assert_eq!(
+                        answer.json()["error"]["code"],
+                        "budget_exhausted",
+                        "{:#}",
+                        answer.json()
+                    );
+                    assert_eq!(answer.json()["error"]["ran"], "not_run");
+                    refused_at.push((round, billed));
+                }
+            }
+        }
+        assert!(billed <= SMALL_PREPAID, "{billed}");
+        // A request reserves 80 answer tokens and a few for its prompt, and six run at once.
+        let one_request = 100;
+        let (_, billed_at_first_refusal) = refused_at[0];
+        assert!(billed_at_first_refusal + 6 * one_request >= SMALL_PREPAID, "{refused_at:?}");
+        assert!(billed + one_request >= SMALL_PREPAID, "{billed}");
+        wait_for_spent(&test.fleet, SMALL_BUDGET, billed, RECLAIM_LIMIT).await;
+    });
+}
+
+/// A data centre that is cut off goes on spending its slices; the others take nothing of them back meanwhile.
+#[test]
+fn partition_causes_no_overspend_and_heals() {
+    run(async {
+        let test = TestFleet::start().await;
+        let mut billed = 0;
+        for index in 0..6 {
+            billed += usage(&test.chat(index, None, "before", SHORT).await.json()["usage"]);
+        }
+        let name = |index: usize| test.fleet.routers[index].plan.instance.to_string();
+        let inside: Vec<String> = (0..2).map(name).collect();
+        let outside: Vec<String> = (2..6).map(name).collect();
+        for index in 0..6 {
+            let others = if index < 2 { &outside } else { &inside };
+            let faults = serde_json::json!({ "cut_peers": others });
+            test.fleet.operator_post(index, "/v1/faults", &faults).await.unwrap();
+        }
+        test.fleet
+            .tool(&["budget", "top-up", BUDGET, "5000", "--operation-id", "during-partition"])
+            .unwrap();
+        for index in 0..6 {
+            let answer = test.chat(index, None, "during", SHORT).await;
+            assert_eq!(answer.status, 200, "router {index}: {:#}", answer.json());
+            billed += usage(&answer.json()["usage"]);
+        }
+        for index in 0..6 {
+            let faults = serde_json::json!({ "cut_peers": [] });
+            test.fleet.operator_post(index, "/v1/faults", &faults).await.unwrap();
+        }
+        wait_for_spent(&test.fleet, BUDGET, billed, RECLAIM_LIMIT).await;
+        let found = account(&test.fleet, BUDGET);
+        assert_eq!(found["topped_up"], 5_000);
+        assert!(found["available"].as_u64().unwrap() <= PREPAID + 5_000 - billed);
+    });
+}
+
+#[test]
+fn repeated_top_up_adds_once() {
+    run(async {
+        let test = TestFleet::start().await;
+        for _ in 0..3 {
+            test.fleet
+                .tool(&["budget", "top-up", BUDGET, "700", "--operation-id", "invoice-9"])
+                .unwrap();
+        }
+        assert_eq!(account(&test.fleet, BUDGET)["topped_up"], 700);
+    });
+}
--- /dev/null
+++ b/crates/bramleywind_harness/tests/failures/leaving.rs
@@ -0,0 +1,194 @@
+//! Guards G6 and G7: no new work for an endpoint that is leaving, and planned stops that cut nothing.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bramleywind_harness::{ProcessSignal, SseEnd, wait_until};
+use serde_json::json;
+
+use crate::{
+    account::wait_for_spent,
+    test_fleet::{BUDGET, RECLAIM_LIMIT, SHORT, TestFleet, chat_body, headers, run, usage},
+};
+
+/// From the mark in the instance list to the last new work.
+const LEAVING_LIMIT: Duration = Duration::from_secs(3);
+
+/// How long a drained router may take, which has no long streams: 5 s grace and its hand-back.
+const DRAIN_LIMIT: Duration = Duration::from_secs(30);
+
+#[test]
+fn leaving_endpoint_gets_no_new_work_also_with_the_store_down() {
+    run(async {
+        let test = TestFleet::start().await;
+        let engine = &test.fleet.endpoints[0];
+        test.set_store_faults(json!({ "outage": true })).await;
+        let (name, data_centre, address) =
+            (engine.endpoint.as_str(), engine.data_centre.clone(), engine.address);
+        test.fleet.set_instance(name, &data_centre, address, "endpoint", "leaving").await.unwrap();
+        compio::time::sleep(LEAVING_LIMIT).await;
+        let before = test.engine_stats(name).await["requests_started"].clone();
+        for round in 0..10 {
+            for index in 0..6 {
+                test.chat(index, None, &format!("round {round}"), 2).await;
+            }
+        }
+        assert_eq!(test.engine_stats(name).await["requests_started"], before);
+    });
+}
+
+/// An endpoint that announces that it leaves is believed before the lagging list says so.
+#[test]
+fn endpoint_that_announces_its_leaving_is_believed() {
+    run(async {
+        let test = TestFleet::start().await;
+        let engine = &test.fleet.endpoints[1];
+        test.fleet.set_faults(engine.address, &json!({ "leaving": true })).await.unwrap();
+        for index in 0..6 {
+            for round in 0..4 {
+                let answer = test.chat(index, None, &format!("round {round}"), 2).await;
+                assert_eq!(answer.status, 200, "{:#}", answer.json());
+            }
+        }
+    });
+}
+
+/// All six routers are drained and started again, one at a time, under a steady load whose callers ask for the
+/// entries as they are told to.
+#[test]
+fn rolling_restart_cuts_nothing_and_refuses_nothing() {
+    run(async {
+        let mut test = TestFleet::start().await;
+        let outcome = Rc::new(LoadOutcome::default());
+        let clients: Vec<_> = (0..8)
+            .map(|client| {
+                let entries =
+                    test.fleet.routers.iter().map(|router| router.caller_address).collect();
+                let load = SteadyClient { client, entries, outcome: outcome.clone() };
+                compio::runtime::spawn(load.run())
+            })
+            .collect();
+        for index in 0..6 {
+            test.fleet.routers[index].process.signal(ProcessSignal::Terminate);
+            let status = test.fleet.routers[index].process.wait_for_end(DRAIN_LIMIT).await.unwrap();
+            assert!(status.success(), "router {index} ended with {status}");
+            test.fleet.restart_router(index).unwrap();
+            test.fleet.wait_until_up(index).await.unwrap();
+            test.fleet.wait_for_revision(index, 1).await.unwrap();
+        }
+        outcome.is_over.set(true);
+        for client in clients {
+            client.await.unwrap();
+        }
+        assert_eq!(*outcome.faults.borrow(), Vec::<String>::new());
+        assert!(outcome.answered.get() > 100, "{}", outcome.answered.get());
+        wait_for_spent(&test.fleet, BUDGET, outcome.billed.get(), RECLAIM_LIMIT).await;
+    });
+}
+
+#[derive(Default)]
+struct LoadOutcome {
+    is_over: Cell<bool>,
+    answered: Cell<u64>,
+    billed: Cell<u64>,
+    faults: RefCell<Vec<String>>,
+}
+
+/// A caller that does what the page for callers says.
+struct SteadyClient {
+    client: usize,
+    entries: Vec<std::net::SocketAddr>,
+    outcome: Rc<LoadOutcome>,
+}
+
+impl SteadyClient {
+    async fn run(mut self) {
+        let caller = bramleywind_harness::HttpCaller::new().unwrap();
+        let mut valid_until = Instant::now();
+        let mut turn = self.client;
+        while !self.outcome.is_over.get() {
+            if Instant::now() >= valid_until {
+                self.refresh_entries(&caller).await;
+                // Half of the time for which an answer may be kept.
+                valid_until = Instant::now() + Duration::from_millis(2_500);
+            }
+            turn += 1;
+            let entry = self.entries[turn % self.entries.len()];
+            self.call(&caller, entry, turn).await;
+        }
+    }
+
+    async fn refresh_entries(&mut self, caller: &bramleywind_harness::HttpCaller) {
+        for entry in self.entries.clone() {
+            let url = format!("http://{entry}/v1/entries");
+            let Ok(answer) = caller.get_json(&url, &[]).await else { continue };
+            let listed = answer["entries"].as_array().cloned().unwrap_or_default();
+            let addresses: Vec<std::net::SocketAddr> =
+                listed.iter().filter_map(|found| found["address"].as_str()?.parse().ok()).collect();
+            if !addresses.is_empty() {
+                self.entries = addresses;
+                return;
+            }
+        }
+    }
+
+    async fn call(
+        &self,
+        caller: &bramleywind_harness::HttpCaller,
+        entry: std::net::SocketAddr,
+        turn: usize,
+    ) {
+        let url = format!("http://{entry}/v1/chat/completions");
+        let headers = headers("guides-key", None);
+        let refs: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (*n, v.as_str())).collect();
+        let body = chat_body(&format!("client {} turn {turn}", self.client), SHORT, true);
+        match caller.stream(&url, &refs, &body, |_| ()).await {
+            Ok((status, answer)) if answer.end == SseEnd::Done => {
+                assert_eq!(status, 200);
+                self.outcome.answered.set(self.outcome.answered.get() + 1);
+                let billed = usage(&answer.usage.unwrap_or_default());
+                self.outcome.billed.set(self.outcome.billed.get() + billed);
+            }
+            Ok((status, answer)) => {
+                self.outcome
+                    .faults
+                    .borrow_mut()
+                    .push(format!("{entry}: {status} {:?}", answer.end));
+            }
+            Err(error) => self.outcome.faults.borrow_mut().push(format!("{entry}: {error}")),
+        }
+    }
+}
+
+#[test]
+fn drained_router_leaves_the_entries_at_once_and_hands_back() {
+    run(async {
+        let mut test = TestFleet::start().await;
+        let billed = usage(&test.chat(0, None, "before", SHORT).await.json()["usage"]);
+        let leaving = test.fleet.routers[0].plan.instance.to_string();
+        test.fleet.tool(&["drain", &leaving]).unwrap();
+        let is_gone =
+            wait_until("no router lists the leaving one", Duration::from_secs(3), || async {
+                for index in 0..6 {
+                    let url =
+                        format!("http://{}/v1/entries", test.fleet.routers[index].caller_address);
+                    let Ok(answer) = test.fleet.caller.get_json(&url, &[]).await else { continue };
+                    let listed = answer["entries"]
+                        .as_array()?
+                        .iter()
+                        .any(|found| found["instance"] == json!(leaving));
+                    if listed {
+                        return None;
+                    }
+                }
+                Some(())
+            });
+        is_gone.await.unwrap();
+        let status = test.fleet.routers[0].process.wait_for_end(DRAIN_LIMIT).await.unwrap();
+        assert!(status.success(), "{status}");
+        wait_for_spent(&test.fleet, BUDGET, billed, Duration::from_secs(2)).await;
+    });
+}
--- /dev/null
+++ b/crates/bramleywind_harness/tests/failures/main.rs
@@ -0,0 +1,14 @@
+//! Real processes under the failures that users have named: kills, pauses, cuts, store outages and lost answers.
+//!
+//! Each test starts six routers in three data centres with the stand-ins, on ports that the system picks.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod account;
+mod at_most_once;
+mod budget_failures;
+mod configuration;
+mod crashing_request;
+mod leaving;
+mod store_outage;
+mod test_fleet;
