--- a/crates/bramleywind_harness/src/bin/bramleywind_demo/demo_steps.rs
+++ b/crates/bramleywind_harness/src/bin/bramleywind_demo/demo_steps.rs
@@ -16,6 +16,9 @@
 const LARGE: &str = "queen-street-umbrellas";
 const SMALL: &str = "waiheke-windproof";
 
+/// What an order costs, by the operators' program.
+const ORDER_TOKENS: u64 = 25;
+
 /// How long the account of a budget may take to show every bill: unused slices are handed back after 10 s,
 /// and a dead router's slices come back within 30 s.
 const SETTLE_LIMIT: Duration = Duration::from_secs(45);
@@ -26,6 +29,8 @@
 /// A fleet of six routers with three engines and two ordering desks.
 pub(crate) struct DemoSteps {
     fleet: LocalFleet,
+    /// What the large workspace was billed so far.
+    billed: u64,
 }
 
 #[allow(clippy::print_stdout, reason = "the demo talks to a person at a terminal")]
@@ -52,7 +57,7 @@
                 router.plan.instance
             ));
         }
-        Ok(Self { fleet })
+        Ok(Self { fleet, billed: 0 })
     }
 
     pub(crate) async fn configure(&mut self) -> Result<(), FleetError> {
@@ -88,7 +93,8 @@
         let billed = total_tokens(answer.usage.as_ref());
         let is_whole = answer.end == SseEnd::Done && answer.chunks == 40;
         promises.add(is_whole, "a caller got its whole streamed answer, ending with [DONE]");
-        let spent = self.wait_for_spent(LARGE, billed).await?;
+        self.billed += billed;
+        let spent = self.wait_for_spent(LARGE, self.billed).await?;
         say(&format!("usage {billed} tokens, budget drawn down by {spent}"));
         promises.add(
             spent == billed,
@@ -103,6 +109,7 @@
     ) -> Result<(), FleetError> {
         say("\n== An order, which must not run twice, sent twice with one key through two routers");
         let headers = headers(LARGE, Some("order-ferrules-17"));
+        self.billed += ORDER_TOKENS;
         let mut answers = Vec::new();
         for index in [0, 3] {
             let url =
@@ -157,7 +164,6 @@
         say(
             "\n== A router is killed with a stream open; its caller repeats the request at another",
         );
-        let spent_before = self.spent(LARGE).await?;
         let headers = headers(LARGE, Some("quote-42"));
         let body = chat("Talk me through re-tensioning a rib.", 400);
         let url = self.chat_url(2);
@@ -188,7 +194,7 @@
         let is_whole = whole.end == SseEnd::Done && whole.chunks == 400;
         let same_beginning = whole.text.starts_with(&cut.text);
         promises.add(is_whole && same_beginning, "the repeated request got the whole answer");
-        let spent = self.wait_for_spent(LARGE, spent_before + billed).await? - spent_before;
+        let spent = self.wait_for_spent(LARGE, self.billed + billed).await? - self.billed;
         say(&format!("usage {billed} tokens, budget drawn down by {spent} after the reclaim"));
         promises.add(
             spent == billed,
--- a/crates/bramleywind_harness/src/fleet_plan.rs
+++ b/crates/bramleywind_harness/src/fleet_plan.rs
@@ -13,6 +13,8 @@
     pub endpoint_policy: Box<str>,
     /// Further settings of every router, merged over the usual ones.
     pub router_settings: serde_json::Value,
+    /// Further arguments of every router.
+    pub router_arguments: Vec<String>,
     /// Further arguments of the key-value stand-in.
     pub store_arguments: Vec<String>,
 }
@@ -71,6 +73,7 @@
             services: Vec::new(),
             endpoint_policy: "prefix_affinity".into(),
             router_settings: serde_json::json!({}),
+            router_arguments: Vec::new(),
             store_arguments: Vec::new(),
         }
     }
--- a/crates/bramleywind_harness/src/local_fleet.rs
+++ b/crates/bramleywind_harness/src/local_fleet.rs
@@ -279,7 +279,8 @@
     /// [`FleetError`] if it does not start.
     pub fn restart_router(&mut self, index: usize) -> Result<(), FleetError> {
         let instance = self.routers[index].plan.instance.clone();
-        let process = start_router_process(&instance, self.folder.path())?;
+        let process =
+            start_router_process(&instance, &self.plan.router_arguments, self.folder.path())?;
         self.routers[index].process = process;
         Ok(())
     }
@@ -342,7 +343,11 @@
             self.set_instance(instance, &plan.data_centre, caller_address, "entry", "live").await?;
             let (peer_address, operator_address) = (ports.peer.address(), ports.operator.address());
             ports.release();
-            let process = start_router_process(&plan.instance, self.folder.path())?;
+            let process = start_router_process(
+                &plan.instance,
+                &self.plan.router_arguments,
+                self.folder.path(),
+            )?;
             let router =
                 RouterProcess { plan, caller_address, peer_address, operator_address, process };
             self.routers.push(router);
@@ -438,9 +443,14 @@
     Ok((process, address))
 }
 
-fn start_router_process(instance: &InstanceId, folder: &Path) -> Result<ChildProcess, FleetError> {
+fn start_router_process(
+    instance: &InstanceId,
+    further: &[String],
+    folder: &Path,
+) -> Result<ChildProcess, FleetError> {
     let settings = folder.join(format!("{instance}.jsonc")).display().to_string();
-    let arguments = ["--settings".to_owned(), settings];
+    let mut arguments = vec!["--settings".to_owned(), settings];
+    arguments.extend_from_slice(further);
     ChildProcess::start(instance.as_str(), &program_path("bramleywindd")?, &arguments, folder)
 }
 
--- a/crates/bramleywind_harness/tests/failures/budget_failures.rs
+++ b/crates/bramleywind_harness/tests/failures/budget_failures.rs
@@ -154,7 +154,7 @@
         let outside: Vec<String> = (2..6).map(name).collect();
         for index in 0..6 {
             let others = if index < 2 { &outside } else { &inside };
-            let faults = serde_json::json!({ "cut_peers": others });
+            let faults = serde_json::json!({ "cut_to": others, "cut_from": others });
             test.fleet.operator_post(index, "/v1/faults", &faults).await.unwrap();
         }
         test.fleet
@@ -166,7 +166,7 @@
             billed += usage(&answer.json()["usage"]);
         }
         for index in 0..6 {
-            let faults = serde_json::json!({ "cut_peers": [] });
+            let faults = serde_json::json!({ "cut_to": [], "cut_from": [] });
             test.fleet.operator_post(index, "/v1/faults", &faults).await.unwrap();
         }
         wait_for_spent(&test.fleet, BUDGET, billed, RECLAIM_LIMIT).await;
--- a/crates/bramleywind_harness/tests/failures/test_fleet.rs
+++ b/crates/bramleywind_harness/tests/failures/test_fleet.rs
@@ -38,7 +38,7 @@
         .engine("engine-4", "plateau", &engine)
         .service("locker-1", "plateau")
         .service("locker-2", "almadies");
-    plan.router_settings = json!({ "test_faults": true });
+    plan.router_arguments = vec!["--allow-test-faults".to_owned()];
     plan
 }
 
