Make the race of appliers independent of the machine's speed

The test relied on a delay of the store to let every applier read before the first write. Writes are now held back until all have read; what is asserted is unchanged.

--- a/crates/bramleywind_cli/tests/cli/apply.rs
+++ b/crates/bramleywind_cli/tests/cli/apply.rs
@@ -12,6 +12,7 @@
 use futures_util::future::join_all;
 use test_case::test_case;
 
+use crate::gated_store::GatedStore;
 use crate::support::{block_on, document, document_with_budget, grant, plan, store_in_force};
 
 async fn revision_in_force(store: &MemoryStore) -> u64 {
@@ -62,11 +63,11 @@
 fn one_of_racing_appliers_wins(appliers: u64) {
     block_on(async {
         let store = store_in_force().await;
-        // All have read before the first writes.
-        store.set_faults(StoreFaults { delay_ms: 20, ..StoreFaults::default() });
+        let reads = store.counters().reads + appliers;
+        let gated = GatedStore { store: store.clone(), reads };
         let plans: Vec<_> =
             (1..=appliers).map(|n| plan(&document_with_budget(300_000 + n))).collect();
-        let reports = join_all(plans.iter().map(|plan| apply(&store, plan))).await;
+        let reports = join_all(plans.iter().map(|plan| apply(&gated, plan))).await;
         let mut winners = 0;
         for report in reports.into_iter().map(Result::unwrap) {
             match &report {
--- a/crates/bramleywind_cli/tests/cli/main.rs
+++ b/crates/bramleywind_cli/tests/cli/main.rs
@@ -4,5 +4,6 @@
 
 mod apply;
 mod command_line;
+mod gated_store;
 mod support;
 mod top_up;
