Say precisely what exit code 3 means

An applier whose answer was lost may have been in force before a later configuration replaced it, so that "nothing was changed" was too much. A document larger than a store value is refused in a test of its own.

--- a/crates/bramleywind_cli/src/args.rs
+++ b/crates/bramleywind_cli/src/args.rs
@@ -15,7 +15,7 @@
   0  done, or done before
   1  the check or the request failed
   2  the command line or the client settings are wrong
-  3  another operator's change came first; nothing was changed
+  3  another operator's configuration is in force; it was not changed
   4  the store or an instance was not reachable; the command is safe to repeat";
 
 /// Checks, signs and applies configurations, tops up budgets and asks routers for their state.
--- a/crates/bramleywind_cli/src/exit_status.rs
+++ b/crates/bramleywind_cli/src/exit_status.rs
@@ -10,7 +10,7 @@
     Failed = 1,
     /// 2: the command line or the client settings are wrong.
     Usage = 2,
-    /// 3: another operator's change came first; nothing was changed.
+    /// 3: another operator's configuration is in force; it was not changed.
     LostRace = 3,
     /// 4: the store or an instance gave no answer, and the command is safe to repeat.
     Unreachable = 4,
--- a/crates/bramleywind_cli/tests/cli/apply.rs
+++ b/crates/bramleywind_cli/tests/cli/apply.rs
@@ -24,6 +24,7 @@
 #[test_case(plan(&document_with_budget(100_000)), ExitStatus::Done, 2 ; "lowered to what is granted")]
 #[test_case(plan(&document_with_budget(99_999)), ExitStatus::Failed, 1 ; "lowered below what is granted")]
 #[test_case(plan("{}"), ExitStatus::Failed, 1 ; "invalid document")]
+#[test_case(plan(&format!("// {}\n{}", "x".repeat(1 << 20), document())), ExitStatus::Failed, 1 ; "larger than a store value")]
 #[test_case(ApplyPlan { key: OperatorSigningKey::from_seed([8; 32]), ..plan(&document()) }, ExitStatus::Failed, 1 ; "other key")]
 #[test_case(ApplyPlan { key: OperatorSigningKey::from_seed([8; 32]), replace_other_key: true, ..plan(&document()) }, ExitStatus::Done, 2 ; "replaced key")]
 #[test_case(ApplyPlan { expect_revision: Some(ConfigRevision(1)), ..plan(&document_with_budget(300_000)) }, ExitStatus::Done, 2 ; "expected revision")]
