Ask all instances for their revision at once

Asked one after the other, silent instances add up their timeouts: at the target size of 380 nodes, a failed data centre would take minutes.

--- a/crates/bramleywind_cli/src/commands/config_in_force.rs
+++ b/crates/bramleywind_cli/src/commands/config_in_force.rs
@@ -4,6 +4,7 @@
 
 use bramleywind_store::Store;
 use bramleywind_types::{ConfigRevision, DataCentreId, InstanceId};
+use futures_util::future::join_all;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -66,17 +67,20 @@
         Ok(applied) => (applied.map(|applied| applied.signed.revision), None),
         Err(error) => (None, Some(error.to_string().into())),
     };
-    let mut answers = Vec::new();
-    for InstanceAddress { instance, address } in instances {
-        answers.push(match client.get::<InstanceStatus>(*address, "/v1/status").await {
-            Ok(status) => InstanceAnswer::Status(status),
-            Err(error) => {
-                let (instance, reason) = (instance.clone(), error.to_string().into());
-                InstanceAnswer::None { instance, reason }
-            }
-        });
+    // Asked together: one after the other, the silent ones would add up their timeouts.
+    let answers = instances.iter().map(|listed| ask(client, listed));
+    let instances = join_all(answers).await;
+    Ok(InForceReport { store_revision, store_error, instances })
+}
+
+async fn ask(client: &OperatorClient, listed: &InstanceAddress) -> InstanceAnswer {
+    match client.get::<InstanceStatus>(listed.address, "/v1/status").await {
+        Ok(status) => InstanceAnswer::Status(status),
+        Err(error) => {
+            let (instance, reason) = (listed.instance.clone(), error.to_string().into());
+            InstanceAnswer::None { instance, reason }
+        }
     }
-    Ok(InForceReport { store_revision, store_error, instances: answers })
 }
 
 impl InForceReport {
