--- a/crates/bramleywind_cli/tests/cli/apply.rs
+++ b/crates/bramleywind_cli/tests/cli/apply.rs
@@ -12,6 +12,7 @@
 use futures_util::future::join_all;
 use test_case::test_case;
 
+use crate::gated_store::GatedStore;
 use crate::support::{block_on, document, document_with_budget, grant, plan, store_in_force};
 
 async fn revision_in_force(store: &MemoryStore) -> u64 {
@@ -23,6 +24,7 @@
 #[test_case(plan(&document_with_budget(100_000)), ExitStatus::Done, 2 ; "lowered to what is granted")]
 #[test_case(plan(&document_with_budget(99_999)), ExitStatus::Failed, 1 ; "lowered below what is granted")]
 #[test_case(plan("{}"), ExitStatus::Failed, 1 ; "invalid document")]
+#[test_case(plan(&format!("// {}\n{}", "x".repeat(1 << 20), document())), ExitStatus::Failed, 1 ; "larger than a store value")]
 #[test_case(ApplyPlan { key: OperatorSigningKey::from_seed([8; 32]), ..plan(&document()) }, ExitStatus::Failed, 1 ; "other key")]
 #[test_case(ApplyPlan { key: OperatorSigningKey::from_seed([8; 32]), replace_other_key: true, ..plan(&document()) }, ExitStatus::Done, 2 ; "replaced key")]
 #[test_case(ApplyPlan { expect_revision: Some(ConfigRevision(1)), ..plan(&document_with_budget(300_000)) }, ExitStatus::Done, 2 ; "expected revision")]
@@ -62,11 +64,11 @@
 fn one_of_racing_appliers_wins(appliers: u64) {
     block_on(async {
         let store = store_in_force().await;
-        // All have read before the first writes.
-        store.set_faults(StoreFaults { delay_ms: 20, ..StoreFaults::default() });
+        let reads = store.counters().reads + appliers;
+        let gated = GatedStore { store: store.clone(), reads };
         let plans: Vec<_> =
             (1..=appliers).map(|n| plan(&document_with_budget(300_000 + n))).collect();
-        let reports = join_all(plans.iter().map(|plan| apply(&store, plan))).await;
+        let reports = join_all(plans.iter().map(|plan| apply(&gated, plan))).await;
         let mut winners = 0;
         for report in reports.into_iter().map(Result::unwrap) {
             match &report {
