Settle late what no witness had acknowledged at a seal

A holder that is sealed without knowing it goes on settling. Those entries never reach a witness, so the reclaimer counts the whole reservations. The holder now keeps its settlements until a witness has them, and repeats them in the store when it learns of the seal.

--- a/crates/bramleywind_ledger/src/funds_keeper/journal_work.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper/journal_work.rs
@@ -77,6 +77,7 @@
             AppendOutcome::Accepted => {
                 copy.acked = copy.acked.max(end);
                 copy.answered();
+                self.forget_covered_settlements();
             }
             AppendOutcome::Sealed => self.become_sealed(),
             AppendOutcome::Gap { expected } => {
--- a/crates/bramleywind_ledger/src/funds_keeper/keeper_state.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper/keeper_state.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -33,6 +33,9 @@
     pub(crate) incarnation: IncarnationId,
     pub(crate) journal: HolderJournal,
     pub(crate) slices: BTreeMap<BudgetId, HolderSlice>,
+    /// Settlements whose entries no witness has acknowledged yet, so that a reclaim may count the whole
+    /// reservations.
+    uncovered_settlements: VecDeque<(JournalSequence, LateSettlement)>,
     pub(crate) witnesses: WitnessCopies,
     pub(crate) membership: MembershipState,
     pub(crate) peers: Vec<PeerRecord>,
@@ -62,6 +65,7 @@
             incarnation: run,
             journal: HolderJournal::new(run),
             slices: BTreeMap::new(),
+            uncovered_settlements: VecDeque::new(),
             witnesses: WitnessCopies::default(),
             membership: MembershipState::default(),
             peers: Vec::new(),
@@ -127,14 +131,15 @@
         reservation: JournalSequence,
         billed: TokenCount,
     ) {
+        let late = LateSettlement { budget: budget.clone(), incarnation, reservation, billed };
         if incarnation != self.incarnation {
-            let late = LateSettlement { budget: budget.clone(), incarnation, reservation, billed };
             self.settle_late(late);
             return;
         }
         let Some(tokens) = self.journal.open_tokens(budget, reservation) else { return };
         let billed = billed.min(tokens);
-        self.journal.push(JournalEntry::Settle { reservation, billed });
+        let sequence = self.journal.push(JournalEntry::Settle { reservation, billed });
+        self.uncovered_settlements.push_back((sequence, late));
         if let Some(slice) = self.slices.get_mut(budget) {
             slice.open = slice.open.saturating_sub(tokens);
             slice.settled = slice.settled.saturating_add(billed);
@@ -152,6 +157,14 @@
         self.incarnation == incarnation && self.witnesses.cover(entry.next())
     }
 
+    /// Forgets settlements that a reclaim will know of.
+    pub(crate) fn forget_covered_settlements(&mut self) {
+        let settlements = &mut self.uncovered_settlements;
+        while settlements.front().is_some_and(|(entry, _)| self.witnesses.cover(entry.next())) {
+            settlements.pop_front();
+        }
+    }
+
     pub(crate) fn journal_is_covered(&self) -> bool {
         self.witnesses.cover(self.journal.next())
     }
@@ -166,6 +179,10 @@
         let instance = self.settings.instance.clone();
         let task = ReclaimTask { report, ..ReclaimTask::new(instance) };
         self.reclaims.insert(self.incarnation, task);
+        // The slices may have been closed already by witnesses that never got these entries.
+        for (_, late) in std::mem::take(&mut self.uncovered_settlements) {
+            self.settle_late(late);
+        }
         self.incarnation = IncarnationId::from_number(self.random.random());
         self.journal = HolderJournal::new(self.incarnation);
         self.slices.clear();
