Keep the names of loans over a seal

A borrower whose loan request got no answer repeats it to learn the loan's name and cancel it. A lender that was sealed in between had forgotten the loan, so it stayed counted as spent.

--- a/crates/bramleywind_ledger/src/funds_keeper/keeper_state.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper/keeper_state.rs
@@ -188,7 +188,6 @@
         self.slices.clear();
         self.witnesses = WitnessCopies::default();
         self.membership.begin_again();
-        self.loans.forget_lent();
     }
 
     pub(crate) fn add_demand(&mut self, budget: &BudgetId, tokens: TokenCount) -> u64 {
@@ -280,7 +279,9 @@
     }
 
     pub(crate) fn bill_in_full(&mut self, budget: &BudgetId, loan: LoanId) {
-        if let Some(tokens) = self.journal.open_tokens(budget, loan.reservation) {
+        if loan.incarnation == self.incarnation
+            && let Some(tokens) = self.journal.open_tokens(budget, loan.reservation)
+        {
             self.settle_share(budget, loan.incarnation, loan.reservation, tokens);
         }
     }
--- a/crates/bramleywind_ledger/src/funds_keeper/loan_work.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper/loan_work.rs
@@ -29,7 +29,10 @@
                 Some(GivenLoan::Pending) => return LoanOutcome::Unreachable,
                 Some(GivenLoan::Nothing) => return LoanOutcome::Nothing,
                 Some(GivenLoan::Lent { loan, budget, tokens, .. }) => {
-                    let is_open = state.journal.open_tokens(budget, loan.reservation).is_some();
+                    // A loan of an incarnation that was sealed meanwhile is counted by its reclaim. Its
+                    // borrower must learn its name, to settle it in the store.
+                    let is_open = loan.incarnation != state.incarnation
+                        || state.journal.open_tokens(budget, loan.reservation).is_some();
                     let lent = LoanOutcome::Lent { loan: *loan, tokens: *tokens };
                     return if is_open { lent } else { LoanOutcome::Nothing };
                 }
--- a/crates/bramleywind_ledger/src/loan_desk.rs
+++ b/crates/bramleywind_ledger/src/loan_desk.rs
@@ -96,12 +96,6 @@
         }
     }
 
-    /// Forgets the loans of a sealed incarnation, which are now settled in the store.
-    pub(crate) fn forget_lent(&mut self) {
-        self.given.clear();
-        self.order.clear();
-    }
-
     pub(crate) fn take_expired(&mut self, now: Instant) -> Vec<(LoanId, BudgetId)> {
         let mut expired = Vec::new();
         for given in self.given.values_mut() {
