--- a/crates/bramleywind_peer/src/accepted_connection.rs
+++ b/crates/bramleywind_peer/src/accepted_connection.rs
@@ -196,7 +196,8 @@
         writer: &mut FrameWriter,
         reason: RefusalReason,
     ) -> Result<(), ConnectionError> {
-        writer.send(encode_frame(&AcceptorMessage::Refused(reason))?).await
+        writer.send(encode_frame(&AcceptorMessage::Refused(reason))?).await?;
+        writer.finish()
     }
 
     async fn answer_requests(
--- a/crates/bramleywind_peer/src/mesh_shared.rs
+++ b/crates/bramleywind_peer/src/mesh_shared.rs
@@ -170,6 +170,10 @@
         }
     }
 
+    pub(crate) fn traffic(&self, instance: &InstanceId) -> PeerTraffic {
+        self.state.borrow().traffic.get(instance).copied().unwrap_or_default()
+    }
+
     pub(crate) fn view(&self) -> MembershipView {
         let now = Instant::now();
         let state = self.state.borrow();
--- a/crates/bramleywind_peer/src/peer_client.rs
+++ b/crates/bramleywind_peer/src/peer_client.rs
@@ -13,7 +13,7 @@
 use snafu::Snafu;
 
 use crate::{
-    ChangeListener, LinkFault, MembershipView,
+    ChangeListener, LinkFault, MembershipView, PeerTraffic,
     mesh_shared::MeshShared,
     wire::{ConfigCopy, PeerReply, PeerRequest},
 };
@@ -80,6 +80,11 @@
         ChangeListener::new(Rc::clone(&self.shared))
     }
 
+    /// Messages and bytes to and from a peer.
+    pub fn traffic(&self, peer: &InstanceId) -> PeerTraffic {
+        self.shared.traffic(peer)
+    }
+
     /// Sets or removes a fault of the network, for tests.
     pub fn set_fault(&self, fault: LinkFault) {
         self.shared.set_fault(fault);
--- a/crates/bramleywind_peer/src/wire/frame_stream.rs
+++ b/crates/bramleywind_peer/src/wire/frame_stream.rs
@@ -69,6 +69,16 @@
         Self { stream }
     }
 
+    /// Ends the stream after what was sent. A stream that is only dropped is reset, and the peer may then not
+    /// see the last frames.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stream is closed.
+    pub fn finish(&mut self) -> Result<(), ConnectionError> {
+        self.stream.send_data(Bytes::new(), true).context(TransportSnafu)
+    }
+
     /// Sends bytes as the peer's window allows. To be polled to its end: a dropped future leaves half a frame.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/bramleywind_peer/tests/mesh.rs
@@ -0,0 +1,235 @@
+//! Routers that find each other, talk, vanish and come back.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+#[path = "support/lib.rs"]
+mod support;
+
+use std::time::Duration;
+
+use bramleywind_claims::{
+    ClaimHolder, ClaimId, ClaimLink as _, ClaimQuery, ClaimSequence, ClaimStatus, KeyClaimOutcome,
+    KeyClaimRequest, KeyFinishOutcome, KeyFinishRequest, RequestFingerprint, StrikeId,
+    StrikeReport,
+};
+use bramleywind_ledger::{
+    AppendOutcome, JournalLink as _, JournalSnapshot, LoanId, LoanOutcome, LoanRequest,
+    LoanSettlement, SealOutcome, SettlementOutcome, WitnessId,
+};
+use bramleywind_peer::{ConfigFetchOutcome, LinkFault, PeerState};
+use bramleywind_types::{
+    BodyHash, ConfigRevision, IncarnationId, JournalSequence, RequestId, RequestKey, TokenCount,
+};
+use support::{TestRouter, batch, in_time, instance, until, until_joined};
+use test_case::test_case;
+
+/// Guards against a router that is named in nobody's settings staying unknown, and against it dialing itself.
+#[compio::test]
+async fn routers_learn_of_each_other() {
+    let first = TestRouter::start(1, &[]).await;
+    let second = TestRouter::start(2, &[first.address]).await;
+    let third = TestRouter::start(3, &[first.address, "127.0.0.1:9".parse().unwrap()]).await;
+    until_joined((&first, 1), (&second, 2)).await;
+    until_joined((&first, 1), (&third, 3)).await;
+    until_joined((&second, 2), (&third, 3)).await;
+    for router in [&first, &second, &third] {
+        assert_eq!(router.view().peers.len(), 2);
+    }
+    let mut changes = first.client.changes();
+    let generation = in_time("the first look", changes.changed()).await;
+    second.handler.leaving.set(true);
+    let leaving = || first.view().peers[&instance(2)].heartbeat.status.leaving;
+    until("the peer is seen as leaving", leaving).await;
+    assert!(in_time("the change", changes.changed()).await > generation);
+    let json = serde_json::to_value(first.view()).unwrap();
+    assert_eq!(json["peers"]["akl-2"]["state"], "live");
+}
+
+/// Guards against a request reaching the wrong method, or a reply the wrong request.
+#[compio::test]
+async fn each_request_gets_its_own_reply() {
+    let here = TestRouter::start(1, &[]).await;
+    let there = TestRouter::start(2, &[here.address]).await;
+    until_joined((&here, 1), (&there, 2)).await;
+    let (client, peer, witness) = (&here.client, instance(2), &there.witness);
+    let other_run = WitnessId { run: IncarnationId::from_number(99), ..witness.clone() };
+    let incarnation = IncarnationId::from_number(1);
+    let snapshot =
+        JournalSnapshot { incarnation, next: JournalSequence(4), budgets: Default::default() };
+    let key = RequestKey { workspace: "ferries".parse().unwrap(), key: "k".parse().unwrap() };
+
+    assert_eq!(client.append(witness, &batch(1, 1)).await, AppendOutcome::Accepted);
+    assert_eq!(*there.handler.appended.borrow(), [(instance(1), JournalSequence(1))]);
+    assert_eq!(client.append(&other_run, &batch(1, 2)).await, AppendOutcome::WrongRun);
+    let gap = AppendOutcome::Gap { expected: JournalSequence(4) };
+    assert_eq!(client.snapshot(witness, &snapshot).await, gap);
+    assert_eq!(client.snapshot(&other_run, &snapshot).await, AppendOutcome::WrongRun);
+    let sealed = SealOutcome::Sealed(JournalSnapshot { next: JournalSequence(9), ..snapshot });
+    assert_eq!(client.seal(witness, incarnation).await, sealed);
+    assert_eq!(client.seal(&other_run, incarnation).await, SealOutcome::WrongRun);
+    let loan = LoanRequest {
+        budget: "spring".parse().unwrap(),
+        tokens: TokenCount(5),
+        borrower: incarnation,
+        number: 1,
+        key: Some(key.clone()),
+    };
+    assert_eq!(client.borrow(&peer, &loan).await, LoanOutcome::Nothing);
+    let settlement = LoanSettlement {
+        loan: LoanId { incarnation, reservation: JournalSequence(1) },
+        billed: TokenCount(3),
+    };
+    assert_eq!(client.settle_loan(&peer, &settlement).await, SettlementOutcome::Settled);
+    let ConfigFetchOutcome::Found(copy) = client.fetch_config(&peer).await else {
+        panic!("no configuration");
+    };
+    assert_eq!((copy.revision, copy.document.len()), (ConfigRevision(3), 900_000));
+    let attempt = RequestId::random();
+    let claim = KeyClaimRequest {
+        key: key.clone(),
+        body_hash: BodyHash::of(&[b"{}"]),
+        holder: instance(1),
+        attempt,
+    };
+    let running = KeyClaimOutcome::Running { holder: instance(1), attempt };
+    assert_eq!(client.claim_key(&peer, claim).await, running);
+    let finish = KeyFinishRequest { key: key.clone(), attempt, outcome: None };
+    assert_eq!(client.finish_key(&peer, finish).await, KeyFinishOutcome::Recorded);
+    let query = ClaimQuery { key, claim: ClaimId { run: witness.run, sequence: ClaimSequence(1) } };
+    let holder = ClaimHolder { instance: peer.clone(), run: witness.run };
+    assert_eq!(client.query(&holder, &query).await, ClaimStatus::NeverSent);
+    let gone = ClaimHolder { instance: instance(7), run: witness.run };
+    assert_eq!(client.query(&gone, &query).await, ClaimStatus::Unknown);
+    let report = StrikeReport::Strike {
+        id: StrikeId(1),
+        fingerprint: RequestFingerprint {
+            workspace: "ferries".parse().unwrap(),
+            body_hash: BodyHash::of(&[b"{}"]),
+        },
+        endpoint: "engine-1".parse().unwrap(),
+    };
+    assert_eq!(client.share_strike(&report), 1);
+    until("the strike arrives", || *there.handler.strikes.borrow() == [report.clone()]).await;
+}
+
+/// Guards against a burst of this router's own requests being taken for a flood, and against replies that are
+/// mixed up.
+#[compio::test]
+async fn burst_is_paced_and_kept_in_order() {
+    let here = TestRouter::start(1, &[]).await;
+    let there = TestRouter::start(2, &[here.address]).await;
+    until_joined((&here, 1), (&there, 2)).await;
+    let batches: Vec<_> = (1..=400).map(|first| batch(1, first)).collect();
+    let appends = batches.iter().map(|batch| here.client.append(&there.witness, batch));
+    let outcomes = in_time("the appends", futures_util::future::join_all(appends)).await;
+    assert!(outcomes.iter().all(|outcome| *outcome == AppendOutcome::Accepted));
+    let order: Vec<_> = there.handler.appended.borrow().iter().map(|entry| entry.1.0).collect();
+    assert_eq!(order, (1..=400).collect::<Vec<_>>());
+    assert_eq!(there.violations_of(1), 0);
+    let (sent, received) = (here.client.traffic(&instance(2)), there.client.traffic(&instance(1)));
+    assert!(sent.messages_out >= 400 && received.messages_in >= 400);
+    assert!(received.bytes_in >= 400 * 8 && sent.bytes_in > 0);
+}
+
+/// Guards against a handler that never ends holding up other requests, or its requester for ever.
+#[compio::test]
+async fn stuck_handler_holds_up_nothing() {
+    let here = TestRouter::start(1, &[]).await;
+    let there = TestRouter::start(2, &[here.address]).await;
+    until_joined((&here, 1), (&there, 2)).await;
+    there.handler.is_stuck.set(true);
+    let (append_batch, sealed) = (batch(1, 1), IncarnationId::from_number(1));
+    let append = here.client.append(&there.witness, &append_batch);
+    let seal = here.client.seal(&there.witness, sealed);
+    let (append, seal) = in_time("both", futures_util::future::join(append, seal)).await;
+    assert_eq!(append, AppendOutcome::Unreachable);
+    assert!(matches!(seal, SealOutcome::Sealed(_)));
+    assert!(here.is_joined(2), "the connection is sound");
+}
+
+/// Guards against a restarted process being taken for the old one, and against an old process that wakes up
+/// taking the place of the new one.
+#[compio::test]
+async fn peer_that_dies_comes_back_as_another_run() {
+    let here = TestRouter::start(1, &[]).await;
+    let there = TestRouter::start(2, &[here.address]).await;
+    until_joined((&here, 1), (&there, 2)).await;
+    let (address, old_witness) = (there.address, there.witness.clone());
+    drop(there);
+    until("the peer is suspect", || here.state_of(2) == Some(PeerState::Suspect)).await;
+    until("the peer is dead", || here.state_of(2) == Some(PeerState::Dead)).await;
+    assert_eq!(here.client.append(&old_witness, &batch(1, 1)).await, AppendOutcome::Unreachable);
+
+    let back = TestRouter::start_run(2, 22, address, &[here.address]).await;
+    until_joined((&here, 1), (&back, 2)).await;
+    assert_eq!(here.view().peers[&instance(2)].heartbeat.run, IncarnationId::from_number(22));
+    assert_eq!(here.client.append(&old_witness, &batch(1, 1)).await, AppendOutcome::WrongRun);
+    assert_eq!(here.client.append(&back.witness, &batch(1, 1)).await, AppendOutcome::Accepted);
+
+    let refused = here.view().refused_connections;
+    let any_port = "127.0.0.1:0".parse().unwrap();
+    let _old = TestRouter::start_run(2, 2, any_port, &[here.address]).await;
+    until("the old run is refused", || here.view().refused_connections > refused).await;
+    assert_eq!(here.view().peers[&instance(2)].heartbeat.run, IncarnationId::from_number(22));
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Cut {
+    Outgoing,
+    Incoming,
+    Both,
+}
+
+/// Guards against a cut in one direction leaving requests without an end, and against links that do not heal.
+#[test_case(Cut::Outgoing)]
+#[test_case(Cut::Incoming)]
+#[test_case(Cut::Both)]
+#[compio::test]
+async fn cut_ends_and_heals(cut: Cut) {
+    let here = TestRouter::start(1, &[]).await;
+    let there = TestRouter::start(2, &[here.address]).await;
+    let bystander = TestRouter::start(3, &[here.address]).await;
+    until_joined((&here, 1), (&there, 2)).await;
+    until_joined((&here, 1), (&bystander, 3)).await;
+    let isolated = LinkFault::isolate([instance(2)]);
+    here.client.set_fault(match cut {
+        Cut::Outgoing => LinkFault { cut_to: isolated.cut_to, ..Default::default() },
+        Cut::Incoming => LinkFault { cut_from: isolated.cut_from, ..Default::default() },
+        Cut::Both => isolated,
+    });
+    let entries = batch(1, 1);
+    let append = here.client.append(&there.witness, &entries);
+    assert_eq!(in_time("the append", append).await, AppendOutcome::Unreachable);
+    let has_arrived = !there.handler.appended.borrow().is_empty();
+    assert_eq!(has_arrived, matches!(cut, Cut::Incoming));
+    until("the peer is dead", || here.state_of(2) == Some(PeerState::Dead)).await;
+    until("this router is dead to it", || there.state_of(1) == Some(PeerState::Dead)).await;
+    assert!(here.is_joined(3) && there.is_joined(3), "the rest of the mesh is whole");
+    here.client.set_fault(LinkFault::default());
+    until_joined((&here, 1), (&there, 2)).await;
+    let append = here.client.append(&there.witness, &entries);
+    assert_eq!(in_time("the append", append).await, AppendOutcome::Accepted);
+}
+
+/// Guards against the silence of a paused process being blamed on its peers.
+#[compio::test]
+async fn own_pause_is_no_silence_of_peers() {
+    let here = TestRouter::start(1, &[]).await;
+    let there = TestRouter::start(2, &[here.address]).await;
+    until_joined((&here, 1), (&there, 2)).await;
+    let client = here.client.clone();
+    let watcher = compio::runtime::spawn(async move {
+        let mut changes = client.changes();
+        loop {
+            changes.changed().await;
+            let view = client.view();
+            if view.peers.values().any(|record| record.state == PeerState::Dead) {
+                return;
+            }
+        }
+    });
+    // Both routers run on this thread, so neither hears nor sends anything meanwhile.
+    std::thread::sleep(Duration::from_millis(1_500));
+    until_joined((&here, 1), (&there, 2)).await;
+    assert!(!watcher.is_finished(), "a peer was taken for dead");
+}
