harness: reconnect after the pause, as callers do

Cause: the woken router had closed the test's idle connection, and the reset was taken for a failed request. Only the test's connection changed.

--- a/crates/bramleywind_harness/tests/failures/budget_failures.rs
+++ b/crates/bramleywind_harness/tests/failures/budget_failures.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use bramleywind_harness::{ProcessSignal, SseEnd, wait_until};
+use bramleywind_harness::{HttpCaller, ProcessSignal, SseEnd, wait_until};
 use futures_util::future::join_all;
 
 use crate::{
@@ -90,6 +90,8 @@
         test.fleet.routers[2].process.signal(ProcessSignal::Pause);
         wait_for_spent(&test.fleet, BUDGET, billed, RECLAIM_LIMIT).await;
         test.fleet.routers[2].process.signal(ProcessSignal::Continue);
+        // The woken router closes connections that were idle for too long, as any server does.
+        test.fleet.caller = HttpCaller::new().unwrap();
         let mut answered = 0;
         let recovered = wait_until("the woken router serves again", SOON, || async {
             let answer = test.chat(2, None, "after", SHORT).await;
