Keep one connection to a peer that has two addresses, and cover it by a test

An advertised port of 0 now stands for the port that is listened on. A connection whose requests had to wait unread no longer counts as silent.

--- a/crates/bramleywind_peer/src/accepted_connection.rs
+++ b/crates/bramleywind_peer/src/accepted_connection.rs
@@ -220,6 +220,10 @@
                     if !push_reply(&outbound, reply) {
                         return ConnectionError::Stalled;
                     }
+                    if !has_room {
+                        // The peer was not silent: it was not read.
+                        deadline = Instant::now() + dead_after;
+                    }
                     continue;
                 }
                 message = if has_room { read.as_mut().left_future() } else {
--- a/crates/bramleywind_peer/src/mesh_settings.rs
+++ b/crates/bramleywind_peer/src/mesh_settings.rs
@@ -17,7 +17,8 @@
     pub data_centre: DataCentreId,
     /// The address to listen on; port 0 takes a free one.
     pub listen: SocketAddr,
-    /// The address that peers should dial, if it is not the one that is listened on.
+    /// The address that peers should dial, if it is not the one that is listened on; port 0 stands for the port
+    /// that is listened on.
     pub advertise: Option<SocketAddr>,
     /// Peers to dial from the start. One that is this process itself is ignored.
     pub seeds: Vec<SocketAddr>,
--- a/crates/bramleywind_peer/src/peer_mesh.rs
+++ b/crates/bramleywind_peer/src/peer_mesh.rs
@@ -73,7 +73,10 @@
         let address = settings.listen;
         let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
         let listened = listener.local_addr().context(ListenSnafu { address })?;
-        let peer_address = settings.advertise.unwrap_or(listened);
+        let mut peer_address = settings.advertise.unwrap_or(listened);
+        if peer_address.port() == 0 {
+            peer_address.set_port(listened.port());
+        }
         let (sender, dial_requests) = async_channel::unbounded();
         let shared = Rc::new(MeshShared::new(settings, peer_address, sender));
         Ok(Self { shared, listener, dial_requests })
--- a/crates/bramleywind_peer/tests/mesh.rs
+++ b/crates/bramleywind_peer/tests/mesh.rs
@@ -5,7 +5,7 @@
 #[path = "support/lib.rs"]
 mod support;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use bramleywind_claims::{
     ClaimHolder, ClaimId, ClaimLink as _, ClaimQuery, ClaimSequence, ClaimStatus, KeyClaimOutcome,
@@ -45,6 +45,29 @@
     assert_eq!(json["peers"]["akl-2"]["state"], "live");
 }
 
+/// Guards against two addresses of one peer making connections take each other's place again and again.
+#[compio::test]
+async fn peer_with_two_addresses_has_one_connection() {
+    let everywhere = "0.0.0.0:0".parse().unwrap();
+    let first = TestRouter::start_at(1, 1, everywhere, Some("127.0.0.1:0"), &[]).await;
+    let alias = |address: SocketAddr| SocketAddr::from(([127, 0, 0, 2], address.port()));
+    let seeds = [alias(first.address), first.address];
+    let second = TestRouter::start_at(2, 2, everywhere, Some("127.0.0.1:0"), &seeds).await;
+    let third = TestRouter::start(3, &[alias(second.address), second.address]).await;
+    until_joined((&first, 1), (&second, 2)).await;
+    until_joined((&second, 2), (&third, 3)).await;
+    let appended = || first.handler.appended.borrow().len();
+    until("requests go through for a while", || {
+        let (client, witness) = (second.client.clone(), first.witness.clone());
+        let append = async move { client.append(&witness, &batch(1, 1)).await };
+        compio::runtime::spawn(append).detach();
+        appended() >= 100
+    })
+    .await;
+    assert!(second.is_joined(1) && first.is_joined(2));
+    assert_eq!(first.violations_of(2), 0);
+}
+
 /// Guards against a request reaching the wrong method, or a reply the wrong request.
 #[compio::test]
 async fn each_request_gets_its_own_reply() {
--- a/crates/bramleywind_peer/tests/support/lib.rs
+++ b/crates/bramleywind_peer/tests/support/lib.rs
@@ -166,13 +166,24 @@
         run: u64,
         listen: SocketAddr,
         seeds: &[SocketAddr],
+    ) -> Self {
+        Self::start_at(number, run, listen, None, seeds).await
+    }
+
+    /// Starts a router that tells its peers to dial another address than the one that it listens on.
+    pub async fn start_at(
+        number: u64,
+        run: u64,
+        listen: SocketAddr,
+        advertise: Option<&str>,
+        seeds: &[SocketAddr],
     ) -> Self {
         let settings = MeshSettings {
             instance: instance(number),
             run: IncarnationId::from_number(run),
             data_centre: "nz-north".parse().unwrap(),
             listen,
-            advertise: None,
+            advertise: advertise.map(|address| address.parse().unwrap()),
             seeds: seeds.into(),
             secret: secret(),
             timing: TIMING,
