Keep requests from one crash on endpoints of their own, across routers

Cause: in the test of a crashing request, bystanders were refused as crash suspects: two routers retried requests from one crash at the same moment, before each other's reports had arrived, and chose the same engine, which then crashed under both. An endpoint also stayed reserved after a retry ended, so that more requests than endpoints could never be retried.

Ruled out: a random choice, which only makes the collision less likely.

Change: struck requests wait 150 ms for the other routers' strikes, and all routers rank them and the free endpoints alike. The end of a retry is reported and frees the endpoint.

--- a/crates/bramleywind_claims/src/strike_book.rs
+++ b/crates/bramleywind_claims/src/strike_book.rs
@@ -48,7 +48,10 @@
 #[derive(Debug, Default)]
 struct StruckRequest {
     strikes: BTreeMap<StrikeId, Strike>,
+    /// Where it runs again.
     retries: BTreeSet<EndpointId>,
+    /// Whether it has run again since its last strike, so that it no longer waits for a turn.
+    was_retried: bool,
 }
 
 #[derive(Debug)]
@@ -88,11 +91,20 @@
                 let strike =
                     Strike { endpoint: endpoint.clone(), deadline: now + STRIKE_RETENTION };
                 let request = self.struck.entry(fingerprint.clone()).or_default();
-                request.strikes.entry(*id).or_insert(strike);
+                if request.strikes.insert(*id, strike).is_none() {
+                    request.was_retried = false;
+                }
             }
             StrikeReport::Retry { fingerprint, endpoint } => {
                 if let Some(request) = self.struck.get_mut(fingerprint) {
                     request.retries.insert(endpoint.clone());
+                    request.was_retried = true;
+                }
+            }
+            StrikeReport::RetryEnded { fingerprint, endpoint } => {
+                if let Some(request) = self.struck.get_mut(fingerprint) {
+                    request.retries.remove(endpoint);
+                    request.was_retried = true;
                 }
             }
         }
@@ -107,8 +119,8 @@
         }
     }
 
-    /// Whether a request may be retried on an endpoint: not on one that crashed under it, nor on one that
-    /// another request from the same crash is or was retried on.
+    /// Whether a request may be retried on an endpoint: not on one that crashed under it, nor on one where
+    /// another request from the same crash runs again.
     pub fn may_retry_on(
         &self,
         fingerprint: &RequestFingerprint,
@@ -130,6 +142,48 @@
         !crashed.contains(endpoint) && !self.struck.iter().any(is_taken)
     }
 
+    /// The endpoint on which a struck request has its turn; nothing while it must wait for one.
+    ///
+    /// Routers notice a crash at the same moment and must not send two requests from it to one endpoint. All of
+    /// them rank the waiting requests and the free endpoints alike, so that they agree without a further message
+    /// once they have each other's strikes. Requests without an endpoint of their own wait for an end of a retry.
+    pub fn next_turn(
+        &self,
+        fingerprint: &RequestFingerprint,
+        endpoints: &BTreeSet<EndpointId>,
+        now: Instant,
+    ) -> Option<EndpointId> {
+        let request = self.struck.get(fingerprint)?;
+        let crashed: BTreeSet<_> =
+            request.live_strikes(now).map(|strike| &strike.endpoint).collect();
+        let is_waiting = |other: &StruckRequest| {
+            !other.was_retried
+                && other.live_strikes(now).any(|strike| crashed.contains(&strike.endpoint))
+        };
+        let waiting = self.struck.iter().filter(|(_, other)| is_waiting(other));
+        let rank = waiting.take_while(|(other, _)| *other < fingerprint).count();
+        let is_free = |endpoint: &&EndpointId| self.may_retry_on(fingerprint, endpoint, now);
+        endpoints.iter().filter(is_free).nth(rank).cloned()
+    }
+
+    /// Frees the endpoint of a retry that ended, or the turn of a request that was given up. Returns the report
+    /// to send to the peers at once, or nothing if the request holds neither.
+    pub fn record_retry_end(
+        &mut self,
+        fingerprint: &RequestFingerprint,
+        endpoint: &EndpointId,
+        now: Instant,
+    ) -> Option<StrikeReport> {
+        let request = self.struck.get(fingerprint)?;
+        if request.was_retried && !request.retries.contains(endpoint) {
+            return None;
+        }
+        let (fingerprint, endpoint) = (fingerprint.clone(), endpoint.clone());
+        let report = StrikeReport::RetryEnded { fingerprint, endpoint };
+        self.apply(&report, now);
+        Some(report)
+    }
+
     /// Reserves an endpoint for the retry of a struck request. Returns the report to send to the peers at
     /// once, or nothing if the request has no strike.
     pub fn record_retry(
--- a/crates/bramleywind_claims/src/strike_report.rs
+++ b/crates/bramleywind_claims/src/strike_report.rs
@@ -46,4 +46,11 @@
         /// The endpoint that now runs it.
         endpoint: EndpointId,
     },
+    /// The retry on this endpoint has ended, so that the next request from the same crash may use it.
+    RetryEnded {
+        /// The request.
+        fingerprint: RequestFingerprint,
+        /// The endpoint that ran it.
+        endpoint: EndpointId,
+    },
 }
--- a/crates/bramleywind_router/src/admission.rs
+++ b/crates/bramleywind_router/src/admission.rs
@@ -118,6 +118,12 @@
         })
     }
 
+    /// Whether an endpoint gets new work now.
+    pub fn is_available(&self, endpoint: &EndpointId) -> bool {
+        let is_down = self.inner.borrow().health.is_down(endpoint, Instant::now());
+        !is_down && !self.is_leaving(endpoint)
+    }
+
     /// Takes in an endpoint's load report.
     pub fn record_report(&self, endpoint: &EndpointId, report: LoadReport) {
         self.inner.borrow_mut().table.record_report(endpoint, report);
--- a/crates/bramleywind_router/src/key_desk.rs
+++ b/crates/bramleywind_router/src/key_desk.rs
@@ -208,9 +208,13 @@
             RepeatAdvice::SameKey,
         )
         .after_ms(CLAIM_RETRY_AFTER_MS),
-        OpeningOutcome::Unavailable(reason) => Refusal::not_run(
+        // This copy is never sent, but an earlier one may have run through a router that this one cannot ask.
+        OpeningOutcome::Unavailable(reason) => Refusal::may_have_run(
             RefusalCode::ClaimUnavailable,
-            format!("the claim of this call could not be written: {reason:?}"),
+            format!(
+                "the store could not be asked whether an earlier copy ran ({reason:?}); this copy did not \
+                 run and will not"
+            ),
             RepeatAdvice::SameKey,
         )
         .after_ms(CLAIM_RETRY_AFTER_MS),
--- a/crates/bramleywind_router/src/request_task.rs
+++ b/crates/bramleywind_router/src/request_task.rs
@@ -29,6 +29,10 @@
 /// after it says that nothing ran.
 const RESERVE_TIME: Duration = Duration::from_secs(10);
 
+/// How long the strikes of one crash take to reach all routers: they are sent at once, and regions are at
+/// most 100 ms apart.
+const STRIKE_SETTLE_TIME: Duration = Duration::from_millis(150);
+
 /// A request with all that its path needs.
 #[derive(Debug)]
 pub struct RequestTask<R> {
@@ -223,6 +227,7 @@
             let state = self.state.clone();
             let end = self.runner.attempt(&state, &self.context, &target, &mut self.caller).await;
             drop(slot);
+            self.free_isolated_endpoint(&target.endpoint);
             match end {
                 AttemptEnd::Complete => return TaskEnd::Complete,
                 AttemptEnd::CallerGone => return TaskEnd::CallerGone,
@@ -231,8 +236,9 @@
                     self.record_failure(&target, &failed);
                     history.never_ran &= failed.failure.is_certainly_not_run();
                     history.last_failure = Some(failed.failure);
-                    history.excluded.insert(target.endpoint);
+                    history.excluded.insert(target.endpoint.clone());
                     if let Some(refusal) = self.give_up(&failed, history) {
+                        self.free_isolated_endpoint(&target.endpoint);
                         return refusal.into();
                     }
                 }
@@ -245,14 +251,14 @@
         let now = Instant::now();
         let fingerprint = self.fingerprint();
         let mut excluded = history.excluded.clone();
-        match self.state.strikes.borrow().verdict(&fingerprint, now) {
+        let verdict = self.state.strikes.borrow().verdict(&fingerprint, now);
+        match verdict {
             StrikeVerdict::Clear => {}
             StrikeVerdict::Refused => return Err(crash_refusal().into()),
             StrikeVerdict::Isolated => {
+                let turn = self.await_isolated_turn(&fingerprint, history).await?;
                 let routes = self.state.current_routes()?;
-                let strikes = self.state.strikes.borrow();
-                let is_barred = |id: &&EndpointId| !strikes.may_retry_on(&fingerprint, id, now);
-                excluded.extend(routes.endpoints.keys().filter(is_barred).cloned());
+                excluded.extend(routes.endpoints.keys().filter(|id| **id != turn).cloned());
             }
         }
         let total = self.context.deadline.saturating_duration_since(self.context.arrived);
@@ -285,12 +291,59 @@
         }
     }
 
+    /// Waits until a request that was in flight at a crash has an endpoint to itself among the requests from
+    /// that crash.
+    async fn await_isolated_turn(
+        &mut self,
+        fingerprint: &RequestFingerprint,
+        history: &AttemptHistory,
+    ) -> Result<EndpointId, TaskEnd> {
+        loop {
+            // The other routers' strikes of the same crash arrive meanwhile.
+            self.caller.unless_gone(compio::time::sleep(STRIKE_SETTLE_TIME)).await?;
+            let now = Instant::now();
+            let endpoints = self.isolation_candidates(history)?;
+            if endpoints.is_empty() || now + STRIKE_SETTLE_TIME >= self.context.deadline {
+                let refusal = self.state.admission.overloaded();
+                return Err(history.refusal(refusal, self.idempotent).into());
+            }
+            let turn = self.state.strikes.borrow().next_turn(fingerprint, &endpoints, now);
+            if let Some(endpoint) = turn {
+                return Ok(endpoint);
+            }
+        }
+    }
+
+    fn isolation_candidates(
+        &self,
+        history: &AttemptHistory,
+    ) -> Result<BTreeSet<EndpointId>, Refusal> {
+        let routes = self.state.current_routes()?;
+        let is_candidate = |id: &&EndpointId| {
+            routes.serves(id, &self.target)
+                && !history.excluded.contains(*id)
+                && self.state.admission.is_available(id)
+        };
+        Ok(routes.endpoints.keys().filter(is_candidate).cloned().collect())
+    }
+
     fn attempt_target(&self, slot: &EndpointSlot) -> Option<AttemptTarget> {
         let routes = self.state.current_routes().ok()?;
         let config = routes.endpoints.get(&slot.endpoint)?;
         Some(AttemptTarget { endpoint: slot.endpoint.clone(), address: config.address })
     }
 
+    /// Lets the next request from the same crash use an endpoint, or its turn, if this one had it to itself.
+    fn free_isolated_endpoint(&self, endpoint: &EndpointId) {
+        let fingerprint = self.fingerprint();
+        let report = self.state.strikes.borrow_mut().record_retry_end(
+            &fingerprint,
+            endpoint,
+            Instant::now(),
+        );
+        self.state.share_strikes(report.into_iter().collect());
+    }
+
     /// Takes note of what a failure says about the endpoint and about the request.
     fn record_failure(&self, target: &AttemptTarget, failed: &FailedCall) {
         let now = Instant::now();
--- a/crates/bramleywind_store/src/lib.rs
+++ b/crates/bramleywind_store/src/lib.rs
@@ -22,6 +22,6 @@
     KeyedValue, ListOutcome, NotAppliedReason, ReadOutcome, UnavailableReason, VersionedValue,
     WatchOutcome, WriteOutcome,
 };
-pub use store_key::{PAGE_COUNT, StoreKey};
+pub use store_key::{CLAIM_PAGE_COUNT, PAGE_COUNT, StoreKey};
 pub use store_trait::Store;
 pub use store_version::StoreVersion;
--- a/crates/bramleywind_store/src/store_key.rs
+++ b/crates/bramleywind_store/src/store_key.rs
@@ -3,12 +3,18 @@
 use bramleywind_types::{BudgetId, InstanceId, RequestKey};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// How many pages budgets and claims are spread over.
+/// How many pages budgets are spread over.
 ///
 /// 190,000 budgets of 200 bytes are 74 KB a page, and 512 writes refresh all of them. Changing the number
 /// moves every budget, so it is fixed for the life of a deployment.
 pub const PAGE_COUNT: u64 = 512;
 
+/// How many pages claims are spread over.
+///
+/// At 38 claims a second and 250 bytes each, the claims of 24 h are 200 KB a page. Changing the number makes
+/// earlier claims invisible, so it is fixed for the life of a deployment.
+pub const CLAIM_PAGE_COUNT: u64 = 4_096;
+
 /// A key of the store.
 ///
 /// ```
@@ -41,7 +47,7 @@
 
     /// The key of the page that holds the claim of a request.
     pub fn claim_page(key: &RequestKey) -> Self {
-        let page = key.hash64() % PAGE_COUNT;
+        let page = key.hash64() % CLAIM_PAGE_COUNT;
         Self(format!("{}{page:04}", Self::CLAIMS).into())
     }
 
