--- a/crates/bramleywind_peer/src/accepted_connection.rs
+++ b/crates/bramleywind_peer/src/accepted_connection.rs
@@ -128,6 +128,7 @@
         let peer = compio::time::timeout(timeout, handshake)
             .await
             .map_err(|_| ConnectionError::Silent)??;
+        reader.allow_large_frames();
         let instance = peer.instance.clone();
         self.peer = Some(peer.clone());
         info!(self.log, "peer accepted"; "peer" => %instance, "run" => %peer.run);
@@ -196,7 +197,8 @@
         writer: &mut FrameWriter,
         reason: RefusalReason,
     ) -> Result<(), ConnectionError> {
-        writer.send(encode_frame(&AcceptorMessage::Refused(reason))?).await
+        writer.send(encode_frame(&AcceptorMessage::Refused(reason))?).await?;
+        writer.finish()
     }
 
     async fn answer_requests(
@@ -218,6 +220,10 @@
                     if !push_reply(&outbound, reply) {
                         return ConnectionError::Stalled;
                     }
+                    if !has_room {
+                        // The peer was not silent: it was not read.
+                        deadline = Instant::now() + dead_after;
+                    }
                     continue;
                 }
                 message = if has_room { read.as_mut().left_future() } else {
