Keep one waker for each listener of a signal

A runtime may hand out wakers that do not compare as equal. Each poll then added a waker, and each waker caused a poll, so that the number of polls doubled with each notification.

--- a/crates/bramleywind_ledger/src/funds_keeper.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper.rs
@@ -134,8 +134,9 @@
         loop {
             let generation = self.core.work.generation();
             jobs.extend(self.take_due_jobs());
+            let listener = self.core.work.listen(generation);
             poll_fn(|context| {
-                let mut progress = self.core.work.poll_changed(generation, context);
+                let mut progress = listener.poll_changed(context);
                 while let Poll::Ready(Some(())) = jobs.poll_next_unpin(context) {
                     progress = Poll::Ready(());
                 }
