Add the budget experiment

It compares a fixed equal split, one compare-and-swap a request and the funds keeper in simulated time, so that a run of minutes takes a second and follows from its seed.

--- /dev/null
+++ b/crates/bramleywind_bench/src/bin/budget_experiment/trial.rs
@@ -0,0 +1,288 @@
+//! One run of one way of sharing under one condition.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use bramleywind_ledger::BudgetPage;
+use bramleywind_store::StoreKey;
+use hdrhistogram::Histogram;
+
+use crate::{
+    exact_ledger::{ExactVerdict, judge},
+    network::{Keeper, Network, instance},
+    sharing::{Sharing, SharingKind, peers},
+    workload::{BUDGETS, ListedRequest, ROUTERS, Workload, budget_id},
+};
+
+/// Time for the routers to register before the first request.
+const WARM_UP: Duration = Duration::from_secs(2);
+/// Time for the last requests to end and for funds to come back.
+const COOL_DOWN: Duration = Duration::from_secs(60);
+const HEARTBEAT: Duration = Duration::from_millis(500);
+const DEAD_AFTER: Duration = Duration::from_secs(3);
+const PAUSE: Duration = Duration::from_secs(20);
+/// The router that is killed or paused, the second largest.
+const VICTIM: usize = 1;
+/// The data centre that is cut off.
+const CUT_OFF: std::ops::Range<usize> = 2..4;
+/// The owner of tasks that no router runs.
+const SCRIPT: usize = ROUTERS;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Condition {
+    Calm,
+    Killed,
+    Paused,
+    Partition,
+    StoreDown,
+}
+
+/// What one run measured.
+#[derive(Debug, Clone)]
+pub struct TrialReport {
+    pub requests: usize,
+    pub overspend: u64,
+    pub refused: usize,
+    pub false_refusals: usize,
+    pub near_end_refusals: usize,
+    pub store_writes: u64,
+    pub stranded_tokens: u64,
+    /// Until the victim's last slice was closed; nothing if that did not happen.
+    pub stranded_time: Option<Duration>,
+    pub mean_delay: Duration,
+    pub high_delay: Duration,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    /// Its router died while it waited for tokens.
+    Waiting,
+    Refused,
+    /// Reserved at this router, and not settled.
+    Open(usize),
+    Billed,
+}
+
+struct Trial {
+    network: Rc<Network>,
+    sharing: Sharing,
+    workload: Workload,
+    fates: RefCell<Vec<Fate>>,
+    /// Bills and open reservations, and the most that they exceeded the credit by.
+    spent: RefCell<[u64; BUDGETS]>,
+    credits: RefCell<[u64; BUDGETS]>,
+    overspend: Cell<u64>,
+    delays: RefCell<Histogram<u64>>,
+    stranded: Cell<(u64, Option<Duration>)>,
+}
+
+pub fn run(
+    condition: Condition,
+    kind: SharingKind,
+    workload: &Workload,
+    length: Duration,
+    seed: u64,
+) -> TrialReport {
+    let network = Network::new();
+    let sharing = Sharing::start(kind, &network, workload.credits, seed);
+    let trial = Rc::new(Trial {
+        network: Rc::clone(&network),
+        sharing,
+        workload: workload.clone(),
+        fates: RefCell::new(vec![Fate::Waiting; workload.requests.len()]),
+        spent: RefCell::default(),
+        credits: RefCell::new(workload.credits),
+        overspend: Cell::new(0),
+        delays: RefCell::new(Histogram::new_with_max(60_000_000, 3).expect("the bounds are valid")),
+        stranded: Cell::new((0, None)),
+    });
+    let runtime = network.runtime.clone();
+    let end = runtime.now() + WARM_UP + length + COOL_DOWN;
+    if let Sharing::FundsKeeper(keepers) = &trial.sharing {
+        for router in 0..ROUTERS {
+            runtime.spawn(router, watch_peers(Rc::clone(&network), keepers.clone(), router));
+        }
+    }
+    runtime.spawn(SCRIPT, play_condition(Rc::clone(&trial), condition, length));
+    runtime.spawn(SCRIPT, send_requests(Rc::clone(&trial)));
+    runtime.run_until(end);
+    trial.report(condition, length)
+}
+
+fn top_up_amounts(workload: &Workload) -> [u64; BUDGETS] {
+    workload.credits.map(|credit| credit / 10)
+}
+
+async fn send_requests(trial: Rc<Trial>) {
+    let runtime = trial.network.runtime.clone();
+    let start = runtime.now() + WARM_UP;
+    for (index, request) in trial.workload.requests.clone().into_iter().enumerate() {
+        let arrival = start + request.arrival;
+        runtime.sleep(arrival.saturating_duration_since(runtime.now())).await;
+        // Callers of a router that does not answer go to the next entry.
+        let router = (0..ROUTERS).map(|step| (request.router + step) % ROUTERS);
+        let Some(router) = router.into_iter().find(|router| trial.network.is_running(*router))
+        else {
+            continue;
+        };
+        runtime.spawn(router, serve(Rc::clone(&trial), index, router, request));
+    }
+}
+
+async fn serve(trial: Rc<Trial>, index: usize, router: usize, request: ListedRequest) {
+    let (network, budget) = (&trial.network, request.budget);
+    let runtime = &network.runtime;
+    let arrival = runtime.now();
+    let held = trial.sharing.reserve(router, budget, request.tokens, network).await;
+    let delay = runtime.now().duration_since(arrival);
+    let Some(held) = held else {
+        trial.fates.borrow_mut()[index] = Fate::Refused;
+        return;
+    };
+    trial.delays.borrow_mut().saturating_record(delay.as_micros() as u64);
+    trial.fates.borrow_mut()[index] = Fate::Open(router);
+    trial.spend(budget, request.tokens);
+    runtime.sleep(request.service).await;
+    trial.fates.borrow_mut()[index] = Fate::Billed;
+    trial.spent.borrow_mut()[budget] -= request.tokens - request.billed;
+    trial.sharing.settle(router, budget, held, request.billed, network).await;
+}
+
+async fn play_condition(trial: Rc<Trial>, condition: Condition, length: Duration) {
+    let network = &trial.network;
+    let runtime = &network.runtime;
+    runtime.sleep(WARM_UP + length / 4).await;
+    match condition {
+        Condition::Calm => {}
+        Condition::Killed => {
+            runtime.sleep(length / 12).await;
+            network.dead[VICTIM].set(true);
+            runtime.kill(VICTIM);
+            runtime.spawn(SCRIPT, measure_stranded(Rc::clone(&trial)));
+        }
+        Condition::Paused => {
+            runtime.sleep(length / 12).await;
+            network.paused[VICTIM].set(true);
+            runtime.pause(VICTIM);
+            runtime.spawn(SCRIPT, measure_stranded(Rc::clone(&trial)));
+            runtime.sleep(PAUSE).await;
+            network.paused[VICTIM].set(false);
+            runtime.wake(VICTIM);
+        }
+        Condition::Partition => {
+            CUT_OFF.for_each(|router| network.cut[router].set(true));
+            runtime.sleep(length / 4).await;
+            let amounts = top_up_amounts(&trial.workload);
+            trial.sharing.top_up(network, amounts);
+            trial.raise_credits(amounts);
+            runtime.sleep(length / 4).await;
+            CUT_OFF.for_each(|router| network.cut[router].set(false));
+        }
+        Condition::StoreDown => {
+            network.outage.set(true);
+            runtime.sleep(length / 2).await;
+            network.outage.set(false);
+        }
+    }
+}
+
+/// Waits until no page has a slice of the victim's incarnation.
+async fn measure_stranded(trial: Rc<Trial>) {
+    let tokens = trial.sharing.unused(VICTIM);
+    trial.stranded.set((tokens, None));
+    let Sharing::FundsKeeper(keepers) = &trial.sharing else { return };
+    let incarnation = keepers[VICTIM].incarnation();
+    let runtime = &trial.network.runtime;
+    let start = runtime.now();
+    loop {
+        let has_slice = |budget| {
+            let found = trial.network.memory.peek(&StoreKey::budget_page(&budget_id(budget)));
+            found.is_some_and(|found| {
+                BudgetPage::from_bytes(&found.value).is_ok_and(|page| page.has_slice(incarnation))
+            })
+        };
+        if !(0..BUDGETS).any(has_slice) {
+            trial.stranded.set((tokens, Some(runtime.now().duration_since(start))));
+            return;
+        }
+        runtime.sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Stands for the heartbeats: tells a keeper which peers live, and reclaims those that died.
+async fn watch_peers(network: Rc<Network>, keepers: Vec<Keeper>, router: usize) {
+    let runtime = network.runtime.clone();
+    let mut last_seen = [runtime.now(); ROUTERS];
+    let mut incarnations: Vec<_> = keepers.iter().map(Keeper::incarnation).collect();
+    let mut was_alive = [true; ROUTERS];
+    loop {
+        let now = runtime.now();
+        for other in (0..ROUTERS).filter(|other| *other != router) {
+            if network.is_running(other) && network.is_connected(router, other) {
+                last_seen[other] = now;
+                incarnations[other] = keepers[other].incarnation();
+            }
+        }
+        let is_alive = |other: usize| now.duration_since(last_seen[other]) < DEAD_AFTER;
+        keepers[router].set_peers(peers(&keepers, |other| other != router && is_alive(other)));
+        for other in (0..ROUTERS).filter(|other| *other != router) {
+            if was_alive[other] && !is_alive(other) {
+                let (keeper, incarnation) = (keepers[router].clone(), incarnations[other]);
+                runtime.spawn(router, async move {
+                    let _outcome = keeper.reclaim(&instance(other), incarnation).await;
+                });
+            }
+            was_alive[other] = is_alive(other);
+        }
+        runtime.sleep(HEARTBEAT).await;
+    }
+}
+
+impl Trial {
+    fn raise_credits(&self, amounts: [u64; BUDGETS]) {
+        let mut credits = self.credits.borrow_mut();
+        credits.iter_mut().zip(amounts).for_each(|(credit, amount)| *credit += amount);
+    }
+
+    fn spend(&self, budget: usize, tokens: u64) {
+        let mut spent = self.spent.borrow_mut();
+        spent[budget] += tokens;
+        let over = spent[budget].saturating_sub(self.credits.borrow()[budget]);
+        self.overspend.set(self.overspend.get().max(over));
+    }
+
+    fn report(&self, condition: Condition, length: Duration) -> TrialReport {
+        let fates = self.fates.borrow();
+        let killed_at = length / 3;
+        let billed = |request: &ListedRequest| {
+            let is_running_then =
+                request.arrival < killed_at && request.arrival + request.service > killed_at;
+            let is_killed = condition == Condition::Killed && request.router == VICTIM;
+            if is_killed && is_running_then { request.tokens } else { request.billed }
+        };
+        let top_up = (condition == Condition::Partition)
+            .then(|| (length / 2, top_up_amounts(&self.workload)));
+        let verdicts = judge(&self.workload, billed, top_up);
+        let refusals = |verdict| {
+            let pairs = fates.iter().zip(&verdicts);
+            pairs.filter(|(fate, exact)| **fate == Fate::Refused && **exact == verdict).count()
+        };
+        let delays = self.delays.borrow();
+        let (stranded_tokens, stranded_time) = self.stranded.get();
+        TrialReport {
+            requests: fates.len(),
+            overspend: self.overspend.get(),
+            refused: fates.iter().filter(|fate| **fate == Fate::Refused).count(),
+            false_refusals: refusals(ExactVerdict::Accepted),
+            near_end_refusals: refusals(ExactVerdict::NearEnd),
+            store_writes: self.network.memory.counters().writes,
+            stranded_tokens,
+            stranded_time,
+            mean_delay: Duration::from_micros(delays.mean() as u64),
+            high_delay: Duration::from_micros(delays.value_at_quantile(0.99)),
+        }
+    }
+}
