--- a/crates/bramleywind_ledger/src/funds_keeper/keeper_state.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper/keeper_state.rs
@@ -5,10 +5,11 @@
 
 use bramleywind_store::{StoreKey, StoreVersion};
 use bramleywind_types::{
-    BudgetId, ConfigRevision, IncarnationId, JournalSequence, RequestKey, TokenCount,
+    BudgetId, ConfigRevision, IncarnationId, InstanceId, JournalSequence, RequestKey, TokenCount,
 };
 
 use rand::{Rng, rngs::StdRng};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     membership_state::MembershipState,
@@ -18,12 +19,18 @@
 use crate::{
     BudgetBalance, BudgetPage, JournalEntry, KeeperSettings, LoanId, PeerRecord, SealReport,
     WitnessBook, WitnessId, holder_journal::HolderJournal, holder_slice::HolderSlice,
-    loan_desk::LoanDesk, witness_copies::WitnessCopies,
+    loan_desk::LoanDesk, usage_window::UsageWindow, witness_copies::WitnessCopies,
 };
 
 /// After this time without a reservation, the unused part of a slice goes back to the pool.
 const IDLE_TIME: Duration = Duration::from_secs(10);
 
+/// How many requests of the same size within ten seconds make a router take grants of its own: a grant then
+/// serves about ten requests, a tenth of the writes of one compare-and-swap a request.
+const HEAVY_USE: u64 = 10;
+/// How long a lender that did not answer is not asked first: the time after which a silent peer is dead.
+const AVOID_TIME: Duration = Duration::from_secs(3);
+
 /// All that a keeper knows. Its methods do no I/O and never wait.
 #[derive(Debug)]
 pub(crate) struct KeeperState {
@@ -33,6 +40,10 @@
     pub(crate) incarnation: IncarnationId,
     pub(crate) journal: HolderJournal,
     pub(crate) slices: BTreeMap<BudgetId, HolderSlice>,
+    /// What this router's requests, and its borrowers', used lately.
+    pub(crate) usage: BTreeMap<BudgetId, UsageWindow>,
+    /// Lenders that did not answer, and until when they are not asked first.
+    pub(crate) avoided: BTreeMap<InstanceId, Instant>,
     /// Settlements whose entries no witness has acknowledged yet, so that a reclaim may count the whole
     /// reservations.
     uncovered_settlements: VecDeque<(JournalSequence, LateSettlement)>,
@@ -65,6 +76,8 @@
             incarnation: run,
             journal: HolderJournal::new(run),
             slices: BTreeMap::new(),
+            usage: BTreeMap::new(),
+            avoided: BTreeMap::new(),
             uncovered_settlements: VecDeque::new(),
             witnesses: WitnessCopies::default(),
             membership: MembershipState::default(),
@@ -114,12 +127,54 @@
         let slice = self.slices.get_mut(budget).filter(|slice| slice.available() >= tokens)?;
         slice.open = slice.open.saturating_add(tokens);
         slice.last_used = now;
-        slice.usage.add(now, tokens);
         slice.gives_back = false;
+        self.note_use(budget, tokens);
         let entry = JournalEntry::Reserve { budget: budget.clone(), tokens, key: key.cloned() };
         Some(self.journal.push(entry))
     }
 
+    pub(crate) fn note_use(&mut self, budget: &BudgetId, tokens: TokenCount) {
+        let now = self.now();
+        let usage = self.usage.entry(budget.clone()).or_insert_with(|| UsageWindow::new(now));
+        usage.add(now, tokens);
+    }
+
+    pub(crate) fn recent_use(&mut self, budget: &BudgetId) -> TokenCount {
+        let now = self.now();
+        self.usage.get_mut(budget).map_or(TokenCount(0), |usage| usage.total(now))
+    }
+
+    /// The live router that takes the grants of a page, so that most others can borrow instead of writing.
+    /// Rendezvous hashing spreads the pages. Routers may disagree for a while, which costs writes only.
+    pub(crate) fn page_home(&self, budget: &BudgetId) -> InstanceId {
+        let page = StoreKey::budget_page(budget);
+        let live = self.peers.iter().filter(|peer| !peer.leaving).map(PeerRecord::instance);
+        let own = &self.settings.instance;
+        let score = |instance: &&InstanceId| xxh3_64(format!("{page} {instance}").as_bytes());
+        live.chain([own]).max_by_key(score).unwrap_or(own).clone()
+    }
+
+    /// Whom a request is to borrow from before the pool is asked: the page's home, unless this router uses
+    /// the budget heavily or the home did not answer lately.
+    pub(crate) fn first_lender(
+        &mut self,
+        budget: &BudgetId,
+        tokens: TokenCount,
+    ) -> Option<InstanceId> {
+        let now = self.now();
+        self.avoided.retain(|_, until| *until > now);
+        let is_heavy = self.recent_use(budget) >= TokenCount(tokens.0.saturating_mul(HEAVY_USE));
+        let home = self.page_home(budget);
+        let is_asked =
+            !is_heavy && home != self.settings.instance && !self.avoided.contains_key(&home);
+        is_asked.then_some(home)
+    }
+
+    pub(crate) fn avoid_lender(&mut self, lender: &InstanceId) {
+        let until = self.now() + AVOID_TIME;
+        self.avoided.insert(lender.clone(), until);
+    }
+
     /// Settles a reservation of this or an earlier incarnation. Repeating it changes nothing.
     ///
     /// Freed tokens may be reserved again at once: the entry that reserves them stands behind this one in
@@ -266,6 +321,7 @@
                 self.page_queue.insert(key.clone());
             }
         }
+        self.usage.retain(|_, usage| usage.total(now) > TokenCount(0));
         for (loan, budget) in self.loans.take_expired(now) {
             self.bill_in_full(&budget, loan);
         }
--- a/crates/bramleywind_ledger/src/funds_keeper/loan_work.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper/loan_work.rs
@@ -22,7 +22,7 @@
     pub(super) async fn give_loan(&self, request: &LoanRequest) -> LoanOutcome {
         let (borrower, number) = (request.borrower, request.number);
         let mut shares = PendingShares::new(&self.core, &request.budget);
-        let (deadline, tokens) = {
+        let (deadline, takes_grant) = {
             let mut state = self.state();
             match state.loans.given(borrower, number) {
                 None => {}
@@ -37,13 +37,23 @@
                     return if is_open { lent } else { LoanOutcome::Nothing };
                 }
             }
+            let is_home = state.page_home(&request.budget) == state.settings.instance;
+            let is_short = state.available(&request.budget) < request.tokens;
+            state.answer_loan(request, GivenLoan::Pending);
+            (state.now() + LOAN_COVER_TIME, is_home && is_short && !state.stopping)
+        };
+        if takes_grant {
+            // The home takes grants for its borrowers. Whatever comes of it, the slice decides.
+            let _answer = self.await_grant(&request.budget, request.tokens, deadline).await;
+        }
+        let tokens = {
+            let mut state = self.state();
             let tokens = state.available(&request.budget).min(request.tokens);
             if tokens == TokenCount(0) || state.stopping {
                 state.answer_loan(request, GivenLoan::Nothing);
                 return LoanOutcome::Nothing;
             }
-            state.answer_loan(request, GivenLoan::Pending);
-            (state.now() + LOAN_COVER_TIME, tokens)
+            tokens
         };
         // If this future is dropped, the share is handed back and the answer stays pending: the borrower
         // goes on asking until it learns that the loan does not exist.
--- a/crates/bramleywind_ledger/src/funds_keeper/page_work.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper/page_work.rs
@@ -11,7 +11,9 @@
     keeper_state::KeeperState,
     page_state::{DemandAnswer, LateSettlement},
 };
-use crate::{BudgetPage, BudgetRecord, JournalLink, UnresolvedReservation};
+use crate::{
+    BudgetPage, BudgetRecord, JournalLink, UnresolvedReservation, holder_slice::HolderSlice,
+};
 
 /// How often one round reads again after a lost race, a lost answer or a stale read.
 const MAX_ATTEMPTS: usize = 8;
@@ -331,10 +333,9 @@
             let asked: TokenCount = tickets.iter().map(|(_, tokens)| *tokens).sum();
             // The basis may grant more than is usable yet, if a write of ours took effect late.
             let granted = record.slices.get(&self.incarnation).map_or(TokenCount(0), |s| s.granted);
-            let slice = self.slices.get_mut(&budget);
-            let (committed, used) = slice.map_or((TokenCount(0), TokenCount(0)), |slice| {
-                (slice.committed(), slice.usage.total(now))
-            });
+            let slice = self.slices.get(&budget);
+            let committed = slice.map_or(TokenCount(0), HolderSlice::committed);
+            let used = self.usage.get_mut(&budget).map_or(TokenCount(0), |usage| usage.total(now));
             let available = granted.saturating_sub(committed);
             let shortfall = asked.saturating_sub(available);
             if shortfall > record.pool() && !is_fresh {
--- a/crates/bramleywind_ledger/src/funds_keeper/reserving.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper/reserving.rs
@@ -40,6 +40,7 @@
         deadline: Instant,
     ) -> ReserveOutcome {
         let mut answer = DemandAnswer::StoreUnavailable;
+        let mut first_lender = self.state().first_lender(budget, tokens);
         for _ in 0..MAX_DEMANDS {
             if self.state().stopping {
                 return ReserveOutcome::Unavailable(UnavailableCause::Stopping);
@@ -55,6 +56,14 @@
                     }
                 }
             }
+            if let Some(lender) = first_lender.take()
+                && self.borrow_from(&lender, &mut shares, tokens, key).await
+                && shares.tokens() == tokens
+            {
+                self.state().note_use(budget, tokens);
+                return ReserveOutcome::Reserved(shares.complete(key));
+            }
+            drop(shares);
             match self.await_grant(budget, tokens, deadline).await {
                 Some(DemandAnswer::Granted) => {}
                 Some(short) => {
@@ -97,7 +106,7 @@
     }
 
     /// Waits for a round of the budget's page; nothing if the deadline passes first.
-    async fn await_grant(
+    pub(super) async fn await_grant(
         &self,
         budget: &BudgetId,
         tokens: TokenCount,
@@ -204,6 +213,7 @@
             }
             LoanOutcome::Unreachable => {
                 shares.cancel_asked();
+                self.state().avoid_lender(lender);
                 false
             }
         }
--- a/crates/bramleywind_ledger/src/holder_slice.rs
+++ b/crates/bramleywind_ledger/src/holder_slice.rs
@@ -2,8 +2,6 @@
 
 use bramleywind_types::TokenCount;
 
-use crate::usage_window::UsageWindow;
-
 /// A slice as its holder sees it. All counts are cumulative within the slice.
 #[derive(Debug, Clone)]
 pub(crate) struct HolderSlice {
@@ -13,7 +11,6 @@
     pub(crate) settled: TokenCount,
     pub(crate) open: TokenCount,
     pub(crate) last_used: Instant,
-    pub(crate) usage: UsageWindow,
     /// The unused part shall go back to the pool.
     pub(crate) gives_back: bool,
 }
@@ -25,7 +22,6 @@
             settled: TokenCount(0),
             open: TokenCount(0),
             last_used: now,
-            usage: UsageWindow::new(now),
             gives_back: false,
         }
     }
