--- a/crates/bramleywind_ledger/tests/store_outcomes.rs
+++ b/crates/bramleywind_ledger/tests/store_outcomes.rs
@@ -129,6 +129,10 @@
 }
 
 async fn keeper(script: &[WriteFault]) -> (Keeper, ScriptedStore) {
+    keeper_with_clock(script, KeeperClock::System).await
+}
+
+async fn keeper_with_clock(script: &[WriteFault], clock: KeeperClock) -> (Keeper, ScriptedStore) {
     let store = ScriptedStore {
         memory: MemoryStore::new(),
         script: Rc::new(RefCell::new(script.iter().copied().collect())),
@@ -137,7 +141,7 @@
     let settings = KeeperSettings {
         instance: "akl-a-1".parse().unwrap(),
         data_centre: "akl-a".parse().unwrap(),
-        clock: KeeperClock::System,
+        clock,
     };
     let keeper = FundsKeeper::with_seed(settings, store.clone(), NoPeers, 1);
     keeper.configure(ConfigRevision(1), vec![(budget(), TokenCount(100))]);
@@ -226,3 +230,26 @@
         assert_eq!(store.memory.counters().writes - before, 1);
     });
 }
+
+/// Guards against a stale read that shows a grant from before it was handed back.
+#[test]
+fn a_stale_read_gives_nothing_back_to_the_slice() {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let clock = KeeperClock::manual();
+        let (keeper, store) = keeper_with_clock(&[], clock.clone()).await;
+        let ReserveOutcome::Reserved(reservation) = reserve(&keeper, 30).await else {
+            panic!("the pool has enough");
+        };
+        keeper.settle(reservation, TokenCount(0));
+        clock.advance(Duration::from_secs(11));
+        while granted(&store) > TokenCount(0) {
+            compio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let faults = StoreFaults { stale_reads: true, ..StoreFaults::default() };
+        store.memory.set_faults(faults);
+        let unavailable = ReserveOutcome::Unavailable(UnavailableCause::StoreUnavailable);
+        let deadline = clock.now() + Duration::from_secs(2);
+        assert_eq!(keeper.reserve(&budget(), TokenCount(200), None, deadline).await, unavailable);
+        assert_eq!(keeper.balance(&budget()).unwrap().slice_available, TokenCount(0));
+    });
+}
