--- a/crates/bramleywind_ledger/tests/store_outcomes.rs
+++ b/crates/bramleywind_ledger/tests/store_outcomes.rs
@@ -24,6 +24,7 @@
 /// What happens to one write of a budget page.
 #[derive(Debug, Clone, Copy)]
 enum WriteFault {
+    Nothing,
     LostRace,
     Refused,
     AppliedButUnknown,
@@ -54,7 +55,7 @@
         let is_page = key.as_str().starts_with(StoreKey::BUDGETS);
         let fault = if is_page { self.script.borrow_mut().pop_front() } else { None };
         match fault {
-            None => self.memory.write(key, value, expected).await,
+            None | Some(WriteFault::Nothing) => self.memory.write(key, value, expected).await,
             Some(WriteFault::LostRace) => {
                 let current = self
                     .memory
@@ -253,3 +254,26 @@
         assert_eq!(keeper.balance(&budget()).unwrap().slice_available, TokenCount(0));
     });
 }
+
+/// Guards against spending what a hand-back of unknown fate may still take away.
+#[test]
+fn a_hand_back_in_doubt_binds_the_holder() {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let clock = KeeperClock::manual();
+        let mut script = vec![WriteFault::Nothing, WriteFault::AppliedLate];
+        script.extend([WriteFault::Refused; 3]);
+        let (keeper, store) = keeper_with_clock(&script, clock.clone()).await;
+        let ReserveOutcome::Reserved(reservation) = reserve(&keeper, 30).await else {
+            panic!("the pool has enough");
+        };
+        keeper.settle(reservation, TokenCount(0));
+        clock.advance(Duration::from_secs(11));
+        while store.script.borrow().len() > 2 {
+            compio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let unavailable = ReserveOutcome::Unavailable(UnavailableCause::StoreUnavailable);
+        let deadline = clock.now() + Duration::from_secs(2);
+        assert_eq!(keeper.reserve(&budget(), TokenCount(10), None, deadline).await, unavailable);
+        assert_eq!(keeper.balance(&budget()).unwrap().slice_available, TokenCount(0));
+    });
+}
