Refund loans of dead lenders within seconds

A settlement that a lender did not answer was retried for half an hour before it was tried in the store. It is now tried there as well after six attempts; only one of the two ways finds the loan open.

The home of a page is looked up only for requests that the slice can't pay for.

--- a/crates/bramleywind_ledger/src/funds_keeper/keeper_state.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper/keeper_state.rs
@@ -209,6 +209,12 @@
         self.page_queue.insert(key);
     }
 
+    /// Withdraws a late settlement that turned out not to be needed.
+    pub(crate) fn withdraw_late(&mut self, late: &LateSettlement) {
+        let key = StoreKey::budget_page(&late.budget);
+        self.page(&key).late.retain(|other| other != late);
+    }
+
     pub(crate) fn is_covered(&self, incarnation: IncarnationId, entry: JournalSequence) -> bool {
         self.incarnation == incarnation && self.witnesses.cover(entry.next())
     }
--- a/crates/bramleywind_ledger/src/funds_keeper/loan_work.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper/loan_work.rs
@@ -87,9 +87,15 @@
                     continue;
                 }
                 message.retry.failed(now, jitter);
-                if message.is_hopeless() {
-                    state.give_up_message(message);
-                } else {
+                // A lender that can't be reached may be dead, and its slice be reclaimed with the loan in
+                // it. Only one of the two ways finds the loan open.
+                if message.needs_store()
+                    && let LoanMessageContent::Settle(settlement) = &message.content
+                {
+                    state.settle_late(late_loan(&message, settlement));
+                    message.settles_late = true;
+                }
+                if !message.is_hopeless() {
                     state.loans.messages.push(message);
                 }
             }
@@ -112,9 +118,16 @@
             }
         };
         match self.shared.link.settle_loan(&message.lender, &settlement).await {
-            SettlementOutcome::Settled => true,
+            SettlementOutcome::Settled => {
+                if message.settles_late {
+                    self.state().withdraw_late(&late_loan(message, &settlement));
+                }
+                true
+            }
             SettlementOutcome::Unknown => {
-                self.state().settle_late(late_loan(message, &settlement));
+                if !message.settles_late {
+                    self.state().settle_late(late_loan(message, &settlement));
+                }
                 true
             }
             SettlementOutcome::Unreachable => false,
@@ -153,13 +166,6 @@
             self.bill_in_full(&budget, loan);
         }
     }
-
-    /// A lender that can't be reached for long is dead, and its slice is reclaimed with the loan in it.
-    fn give_up_message(&mut self, message: LoanMessage) {
-        if let LoanMessageContent::Settle(settlement) = &message.content {
-            self.settle_late(late_loan(&message, settlement));
-        }
-    }
 }
 
 fn late_loan(message: &LoanMessage, settlement: &LoanSettlement) -> LateSettlement {
--- a/crates/bramleywind_ledger/src/funds_keeper/reserving.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper/reserving.rs
@@ -40,7 +40,7 @@
         deadline: Instant,
     ) -> ReserveOutcome {
         let mut answer = DemandAnswer::StoreUnavailable;
-        let mut first_lender = self.state().first_lender(budget, tokens);
+        let mut has_asked_home = false;
         for _ in 0..MAX_DEMANDS {
             if self.state().stopping {
                 return ReserveOutcome::Unavailable(UnavailableCause::Stopping);
@@ -56,7 +56,9 @@
                     }
                 }
             }
-            if let Some(lender) = first_lender.take()
+            let home = self.state().first_lender(budget, tokens);
+            if let Some(lender) = home
+                && !std::mem::replace(&mut has_asked_home, true)
                 && self.borrow_from(&lender, &mut shares, tokens, key).await
                 && shares.tokens() == tokens
             {
--- a/crates/bramleywind_ledger/src/loan_desk.rs
+++ b/crates/bramleywind_ledger/src/loan_desk.rs
@@ -13,6 +13,9 @@
 /// How many answers to loan requests are remembered. A repeated request comes within seconds, and a router
 /// makes a few loans a second at most.
 const MAX_ANSWERS: usize = 10_000;
+/// After so many attempts a settlement is also tried in the store: two seconds with the delays, in which a
+/// message that was merely lost has arrived.
+const ATTEMPTS_BEFORE_STORE: u32 = 6;
 /// How many attempts to reach a lender are made: half an hour at the longest delay.
 const MAX_ATTEMPTS: u32 = 900;
 
@@ -43,6 +46,8 @@
     pub(crate) lender: InstanceId,
     pub(crate) budget: BudgetId,
     pub(crate) content: LoanMessageContent,
+    /// The settlement is also tried in the store, in case the lender is dead.
+    pub(crate) settles_late: bool,
     pub(crate) retry: RetryDelay,
 }
 
@@ -57,7 +62,11 @@
 
 impl LoanMessage {
     pub(crate) fn new(lender: InstanceId, budget: BudgetId, content: LoanMessageContent) -> Self {
-        Self { lender, budget, content, retry: RetryDelay::default() }
+        Self { lender, budget, content, settles_late: false, retry: RetryDelay::default() }
+    }
+
+    pub(crate) fn needs_store(&self) -> bool {
+        !self.settles_late && self.retry.failures() >= ATTEMPTS_BEFORE_STORE
     }
 
     pub(crate) fn is_hopeless(&self) -> bool {
--- a/crates/bramleywind_ledger/tests/simulation.rs
+++ b/crates/bramleywind_ledger/tests/simulation.rs
@@ -214,3 +214,27 @@
     // Of the first 10 tokens, 7 came back by the late settlement.
     assert_eq!(world.counted_as_spent()[0], TokenCount(3));
 }
+
+/// Guards against a loan that stays counted in full because its lender died before the bill.
+#[test]
+fn a_loan_of_a_dead_lender_is_refunded() {
+    let world = World::new(ROUTERS, 41);
+    world.end_faults();
+    world.run_for(Duration::from_secs(2));
+    world.reserve(0, 0, 10, None);
+    world.run_for(Duration::from_secs(1));
+    let holder = world.lender(0);
+    world.settle_all(0);
+    world.reserve((holder + 1) % ROUTERS, 0, 50, None);
+    world.run_for(Duration::from_secs(1));
+    assert_eq!((world.count(Fate::Open), world.lender(0)), (1, holder));
+    world.kill(holder);
+    world.run_for(Duration::from_secs(3));
+    world.all_heartbeat();
+    let outcome = world.reclaim_and_wait((holder + 2) % ROUTERS, holder);
+    assert_eq!(outcome, Some(ReclaimOutcome::Closed));
+    assert_eq!(world.counted_as_spent()[0], TokenCount(50));
+    world.settle_all(30);
+    world.run_for(Duration::from_secs(10));
+    assert_eq!(world.counted_as_spent()[0], TokenCount(15));
+}
