--- /dev/null
+++ b/crates/bramleywind_harness/tests/failures/double_failures.rs
@@ -0,0 +1,163 @@
+//! Two failures at once, and the same one twice.
+
+use std::{
+    cell::{Cell, RefCell},
+    time::Duration,
+};
+
+use bramleywind_harness::{ProcessSignal, SseAnswer, SseEnd, wait_until};
+use serde_json::json;
+
+use crate::{
+    account::{account, wait_for_spent},
+    test_fleet::{
+        BUDGET, PREPAID, RECLAIM_LIMIT, SHORT, TestFleet, chat_body, headers, run, usage,
+    },
+};
+
+const SOON: Duration = Duration::from_secs(20);
+
+/// Streams an answer through a router and kills the router when some of it has arrived.
+async fn stream_until_killed(
+    test: &mut TestFleet,
+    index: usize,
+    key: &str,
+    content: &str,
+) -> SseAnswer {
+    let url = test.chat_url(index);
+    let headers = headers("guides-key", Some(key));
+    let refs: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (*n, v.as_str())).collect();
+    let body = chat_body(content, 300, true);
+    let caller = test.fleet.caller.clone();
+    let is_killed = Cell::new(false);
+    let process = RefCell::new(&mut test.fleet.routers[index].process);
+    let kill = |chunks: usize| {
+        if chunks >= 10 && !is_killed.replace(true) {
+            process.borrow_mut().signal(ProcessSignal::Kill);
+        }
+    };
+    caller.stream(&url, &refs, &body, kill).await.unwrap().1
+}
+
+#[test]
+fn request_whose_routers_are_killed_twice_is_billed_once() {
+    run(async {
+        let mut test = TestFleet::start().await;
+        for index in [1, 3] {
+            let cut = stream_until_killed(&mut test, index, "script", "write the tour").await;
+            assert_eq!(cut.end, SseEnd::Cut);
+        }
+        let (_, whole) = test.stream(5, Some("script"), "write the tour", 300, |_| ()).await;
+        assert_eq!((whole.end, whole.chunks), (SseEnd::Done, 300));
+        let billed = usage(&whole.usage.unwrap());
+        wait_for_spent(&test.fleet, BUDGET, billed, RECLAIM_LIMIT).await;
+    });
+}
+
+#[test]
+fn router_killed_during_an_outage_is_reclaimed_after_it() {
+    run(async {
+        let mut test = TestFleet::start().await;
+        let mut billed = 0;
+        for index in 0..6 {
+            billed += usage(&test.chat(index, None, "before", SHORT).await.json()["usage"]);
+        }
+        test.set_store_faults(json!({ "outage": true })).await;
+        let cut = stream_until_killed(&mut test, 2, "script", "write the tour").await;
+        let (_, whole) = test.stream(4, Some("script"), "write the tour", 300, |_| ()).await;
+        test.set_store_faults(json!({})).await;
+        match (cut.end, whole.end) {
+            (SseEnd::Cut, SseEnd::Done) => billed += usage(&whole.usage.unwrap()),
+            // What is held may not pay for it. Then the refusal says so, and nothing is billed for it.
+            (_, SseEnd::Cut) => {}
+            ends => panic!("{ends:?}"),
+        }
+        wait_for_spent(&test.fleet, BUDGET, billed, RECLAIM_LIMIT).await;
+    });
+}
+
+/// A router and its witness in the same data centre are lost together. What they may have spent stays counted.
+#[test]
+fn loss_of_a_data_centre_gives_nothing_out_twice() {
+    run(async {
+        let mut test = TestFleet::start().await;
+        let mut billed = 0;
+        for index in 0..6 {
+            billed += usage(&test.chat(index, None, "before", SHORT).await.json()["usage"]);
+        }
+        let granted_to_lost: u64 = {
+            let found = account(&test.fleet, BUDGET);
+            let is_lost = |holder: &serde_json::Value| {
+                (0..2).any(|index| json!(test.fleet.routers[index].plan.instance) == *holder)
+            };
+            let slices = found["slices"].as_array().cloned().unwrap_or_default();
+            slices
+                .iter()
+                .filter(|slice| is_lost(&slice["holder"]))
+                .filter_map(|slice| slice["granted"].as_u64())
+                .sum()
+        };
+        for index in 0..2 {
+            test.fleet.routers[index].process.kill();
+        }
+        for index in 2..6 {
+            let answer = test.chat(index, None, "after", SHORT).await;
+            assert_eq!(answer.status, 200, "{:#}", answer.json());
+            billed += usage(&answer.json()["usage"]);
+        }
+        let settled = wait_until("the other routers hand back", RECLAIM_LIMIT, || async {
+            let found = account(&test.fleet, BUDGET);
+            let others_hold = found["in_slices"].as_u64()? - found["stranded"].as_u64()?;
+            (others_hold == 0).then_some(found)
+        });
+        let found = settled.await.unwrap();
+        let available = found["available"].as_u64().unwrap();
+        // Nothing that was spent, or may have been by the lost routers, is available again.
+        assert!(available <= PREPAID - billed, "{found:#}");
+        assert!(available >= PREPAID - billed - granted_to_lost, "{found:#}");
+    });
+}
+
+/// The holder of a claim is killed after its call ran and before its answer. A repeat must not run it again.
+#[test]
+fn unlock_whose_router_is_killed_runs_once_and_is_never_called_not_run() {
+    run(async {
+        let mut test = TestFleet::start().await;
+        for locker in ["locker-1", "locker-2"] {
+            let address = test.fleet.endpoint(locker).unwrap().address;
+            test.fleet.set_faults(address, &json!({ "delay_ms": 3_000 })).await.unwrap();
+        }
+        let url = test.unlock_url(1);
+        let caller = test.fleet.caller.clone();
+        let first = compio::runtime::spawn(async move {
+            let headers = [("authorization", "Bearer guides-key"), ("idempotency-key", "killed-1")];
+            caller.post_json(&url, &headers, &json!({ "bay": 1 })).await
+        });
+        let has_run = || async { (test.executions("killed-1").await == 1).then_some(()) };
+        wait_until("the call runs at a locker", SOON, has_run).await.unwrap();
+        test.fleet.routers[1].process.kill();
+        drop(first.await);
+        for index in [0, 3, 5] {
+            let repeat = test.unlock(index, "killed-1", 1).await;
+            assert_ne!(repeat.status, 200);
+            assert_eq!(repeat.json()["error"]["ran"], "may_have_run", "{:#}", repeat.json());
+        }
+        assert_eq!(test.executions("killed-1").await, 1);
+    });
+}
+
+/// A store that answers slowly must delay only what needs it.
+#[test]
+fn slow_store_delays_orders_and_stops_nothing() {
+    run(async {
+        let test = TestFleet::start().await;
+        test.set_store_faults(json!({ "delay_ms": 400 })).await;
+        for index in 0..6 {
+            let answer = test.chat(index, None, "slow", SHORT).await;
+            assert_eq!(answer.status, 200, "{:#}", answer.json());
+        }
+        assert_eq!(test.unlock(2, "slow-1", 1).await.status, 200);
+        assert_eq!(test.unlock(4, "slow-1", 1).await.status, 200);
+        assert_eq!(test.executions("slow-1").await, 1);
+    });
+}
--- a/crates/bramleywind_harness/tests/failures/main.rs
+++ b/crates/bramleywind_harness/tests/failures/main.rs
@@ -9,6 +9,7 @@
 mod budget_failures;
 mod configuration;
 mod crashing_request;
+mod double_failures;
 mod leaving;
 mod store_outage;
 mod test_fleet;
