Take earlier attempts back only when asked to

A repeat that was settled took back what a reclaim had counted for its key. A keeper can't tell a dead router from a sealed one, so resolving is now the caller's call, with the condition stated, and the simulation keeps to it.

--- a/crates/bramleywind_ledger/src/funds_keeper.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper.rs
@@ -216,26 +216,22 @@
     }
 
     /// Bills a reservation; at most its tokens. Returns what exceeded them (rule B3).
-    ///
-    /// If the last page that was read counts an earlier attempt with the same key, that is taken back.
     pub fn settle(&self, reservation: Reservation, billed: TokenCount) -> TokenCount {
         let excess = billed.saturating_sub(reservation.tokens());
-        let Reservation { budget, key, own, loans } = reservation;
+        let Reservation { budget, own, loans } = reservation;
         self.core.settle_shares(&budget, own, &loans, billed);
-        if let Some(key) = key
-            && self.state().counts_earlier_attempt(&budget, &key)
-        {
-            self.state().add_resolve(&budget, &key, false);
-        }
         excess
     }
 
     /// Takes back what a reclaim counted for earlier attempts of a request that was now billed (rule B6).
-    /// The request must have been settled before.
+    ///
+    /// The request must have been settled before, and the processes of all earlier attempts must have ended:
+    /// a router that was sealed while it was paused or cut off still runs its requests, and what it bills
+    /// later would not be covered.
     pub async fn resolve(&self, budget: &BudgetId, key: &RequestKey) -> ResolveOutcome {
         let (ticket, page, failures) = {
             let mut state = self.state();
-            let ticket = state.add_resolve(budget, key, true);
+            let ticket = state.add_resolve(budget, key);
             let page = StoreKey::budget_page(budget);
             let failures = state.page(&page).failed_rounds;
             (ticket, page, failures)
@@ -425,21 +421,13 @@
 }
 
 impl KeeperState {
-    fn counts_earlier_attempt(&self, budget: &BudgetId, key: &RequestKey) -> bool {
-        let page = self.pages.get(&StoreKey::budget_page(budget));
-        let cached = page.and_then(|page| page.cached.as_ref());
-        let record = cached.and_then(|(_, page)| page.budgets.get(budget));
-        record.is_some_and(|record| {
-            record.unresolved.iter().any(|entry| entry.key.as_ref() == Some(key))
-        })
-    }
-
-    fn add_resolve(&mut self, budget: &BudgetId, key: &RequestKey, awaited: bool) -> u64 {
+    fn add_resolve(&mut self, budget: &BudgetId, key: &RequestKey) -> u64 {
         let ticket = self.next_ticket;
         self.next_ticket += 1;
         let (budget, key) = (budget.clone(), key.clone());
         let page = StoreKey::budget_page(&budget);
-        self.page(&page).resolves.push(KeyResolve { ticket, budget, key, refund: None, awaited });
+        let resolve = KeyResolve { ticket, budget, key, refund: None, awaited: true };
+        self.page(&page).resolves.push(resolve);
         self.page_queue.insert(page);
         ticket
     }
--- a/crates/bramleywind_ledger/src/funds_keeper/loan_work.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper/loan_work.rs
@@ -67,7 +67,7 @@
             return LoanOutcome::Nothing;
         };
         let loan = LoanId { incarnation, reservation };
-        let _lent = shares.complete(None);
+        let _lent = shares.complete();
         let mut state = self.state();
         let expiry = LoanDesk::expiry(state.now());
         let budget = request.budget.clone();
--- a/crates/bramleywind_ledger/src/funds_keeper/pending_shares.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper/pending_shares.rs
@@ -73,10 +73,9 @@
         }
     }
 
-    pub(super) fn complete(mut self, key: Option<&RequestKey>) -> Reservation {
+    pub(super) fn complete(mut self) -> Reservation {
         Reservation {
             budget: self.budget.clone(),
-            key: key.cloned(),
             own: self.own.take(),
             loans: std::mem::take(&mut self.loans),
         }
--- a/crates/bramleywind_ledger/src/funds_keeper/reserving.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper/reserving.rs
@@ -48,7 +48,7 @@
             let mut shares = PendingShares::new(&self.core, budget);
             if shares.claim(tokens, key) {
                 match self.await_cover(shares.own_entry(), deadline).await {
-                    CoverOutcome::Covered => return ReserveOutcome::Reserved(shares.complete(key)),
+                    CoverOutcome::Covered => return ReserveOutcome::Reserved(shares.complete()),
                     CoverOutcome::Sealed => continue,
                     CoverOutcome::DeadlinePassed => {
                         let cause = UnavailableCause::WitnessesUnreachable;
@@ -63,7 +63,7 @@
                 && shares.tokens() == tokens
             {
                 self.state().note_use(budget, tokens);
-                return ReserveOutcome::Reserved(shares.complete(key));
+                return ReserveOutcome::Reserved(shares.complete());
             }
             drop(shares);
             match self.await_grant(budget, tokens, deadline).await {
@@ -176,7 +176,7 @@
             };
         }
         match self.await_cover(shares.own_entry(), deadline).await {
-            CoverOutcome::Covered => ReserveOutcome::Reserved(shares.complete(key)),
+            CoverOutcome::Covered => ReserveOutcome::Reserved(shares.complete()),
             CoverOutcome::Sealed | CoverOutcome::DeadlinePassed => {
                 ReserveOutcome::Unavailable(UnavailableCause::WitnessesUnreachable)
             }
--- a/crates/bramleywind_ledger/src/reservation.rs
+++ b/crates/bramleywind_ledger/src/reservation.rs
@@ -1,7 +1,5 @@
 use bramleywind_macros::domain_type;
-use bramleywind_types::{
-    BudgetId, IncarnationId, InstanceId, JournalSequence, RequestKey, TokenCount,
-};
+use bramleywind_types::{BudgetId, IncarnationId, InstanceId, JournalSequence, TokenCount};
 
 use crate::LoanId;
 
@@ -12,7 +10,6 @@
 #[must_use = "a reservation that is not settled stays counted as spent"]
 pub struct Reservation {
     pub(crate) budget: BudgetId,
-    pub(crate) key: Option<RequestKey>,
     pub(crate) own: Option<OwnShare>,
     pub(crate) loans: Vec<LoanShare>,
 }
--- a/crates/bramleywind_ledger/tests/simulation/world.rs
+++ b/crates/bramleywind_ledger/tests/simulation/world.rs
@@ -368,10 +368,21 @@
             (request.reservation.take().unwrap(), keeper, billed, request.key.clone())
         };
         let _excess = keeper.settle(reservation, TokenCount(billed));
-        for request in self.0.requests.borrow_mut().iter_mut() {
-            if request.key == key && request.fate == Fate::Orphaned {
-                request.fate = Fate::Replaced;
+        let mut requests = self.0.requests.borrow_mut();
+        let (router, budget_index) = (requests[index].router, requests[index].budget);
+        let is_live = |fate| matches!(fate, Fate::Open | Fate::Waiting);
+        let mut attempts: Vec<&mut Request> =
+            requests.iter_mut().filter(|request| request.key == key).collect();
+        let has_orphan = attempts.iter().any(|request| request.fate == Fate::Orphaned);
+        if has_orphan && !attempts.iter().any(|request| is_live(request.fate)) {
+            for request in &mut attempts {
+                if request.fate == Fate::Orphaned {
+                    request.fate = Fate::Replaced;
+                }
             }
+            self.spawn(router, None, async move {
+                let _outcome = keeper.resolve(&budget(budget_index), &key).await;
+            });
         }
     }
 
