router: let a repeat's bill replace what was counted for a dead router

The keeper of the funds no longer does this by itself, because it cannot tell a dead router from a sealed one that still runs. The router asks for it once all silent routers have left the instance list and no attempt can be running any more.

--- a/crates/bramleywind_router/src/lib.rs
+++ b/crates/bramleywind_router/src/lib.rs
@@ -32,6 +32,7 @@
 mod operator_port;
 mod peer_answers;
 mod refusal_answer;
+mod repeat_book;
 mod request_context;
 mod request_limits;
 mod request_task;
@@ -75,6 +76,7 @@
     LEAVING_HEADER, REQUEST_ID_HEADER, insert_request_id, json_response, refusal_event,
     refusal_response,
 };
+pub use repeat_book::{BilledRequest, RepeatBook};
 pub use request_context::RequestContext;
 pub use request_limits::RequestLimits;
 pub use request_task::RequestTask;
--- a/crates/bramleywind_router/src/request_task.rs
+++ b/crates/bramleywind_router/src/request_task.rs
@@ -16,9 +16,9 @@
 
 use crate::{
     AdmissionRequest, AnswerBody, AnswerEnding, AttemptEnd, AttemptFailure, AttemptRunner,
-    AttemptTarget, BillDecision, BillInput, CallerGone, CallerLink, EndpointSlot, FailedCall,
-    KeyEnd, KeyStart, KeyTicket, RequestContext, RequestOutcome, RetryDecision, RetryInput,
-    RouteTarget, RouterState, RunningGuard, decide_bill, decide_retry, failure_refusal,
+    AttemptTarget, BillDecision, BillInput, BilledRequest, CallerGone, CallerLink, EndpointSlot,
+    FailedCall, KeyEnd, KeyStart, KeyTicket, RequestContext, RequestOutcome, RetryDecision,
+    RetryInput, RouteTarget, RouterState, RunningGuard, decide_bill, decide_retry, failure_refusal,
     funds_refusal, insert_request_id, refusal_event, refusal_response,
 };
 
@@ -152,6 +152,12 @@
             accepted: self.runner.accepted(),
         });
         state.funds.settle(reservation, bill.billed);
+        // A claimed request never runs twice, so only the others have earlier attempts.
+        if let (KeyTicket::Homes { .. }, Some(key)) = (&ticket, &self.context.key) {
+            let (budget, key) = (self.context.budget.clone(), key.clone());
+            let bill = BilledRequest { budget, key, at: Instant::now() };
+            state.repeats.borrow_mut().record_bill(bill);
+        }
         state.metrics.tokens_billed.inc_by(bill.billed.0);
         self.record_excess(&bill);
         if let (TaskEnd::Complete, Some(response)) =
--- a/crates/bramleywind_router/src/router.rs
+++ b/crates/bramleywind_router/src/router.rs
@@ -19,7 +19,10 @@
     Admission, CountedStore, DrainPhase, HeadLimits, HttpListener, KeyDesk, OperatorAccess,
     PeerAnswers, RequestLimits, RouterIdentity, RouterLink, RouterMetrics, RouterParts,
     RouterState, answer_caller, answer_operator,
-    background::{keep_funds, poll_instances, poll_loads, scan_members, watch_config, watch_peers},
+    background::{
+        keep_funds, poll_instances, poll_loads, resolve_repeats, scan_members, watch_config,
+        watch_peers,
+    },
 };
 
 /// How long one call of the store may take. The store answers within milliseconds when it is well.
@@ -186,6 +189,7 @@
             compio::runtime::spawn(async move { funds.run().await }),
             compio::runtime::spawn(keep_funds(state.clone(), settings.peers.len())),
             compio::runtime::spawn(scan_members(state.clone(), store.clone(), client.clone())),
+            compio::runtime::spawn(resolve_repeats(state.clone(), client.clone())),
             compio::runtime::spawn(watch_peers(state.clone(), client, key)),
             compio::runtime::spawn(watch_config(state.clone(), store, key)),
             compio::runtime::spawn(poll_instances(state.clone(), directory)),
--- a/crates/bramleywind_router/src/router_state.rs
+++ b/crates/bramleywind_router/src/router_state.rs
@@ -1,5 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeSet,
     fmt,
     net::SocketAddr,
     rc::Rc,
@@ -18,7 +19,7 @@
 use slog::{Logger, info};
 
 use crate::{
-    Admission, DrainPhase, DrainState, KeyDesk, RequestLimits, RouteTable, RouterLink,
+    Admission, DrainPhase, DrainState, KeyDesk, RepeatBook, RequestLimits, RouteTable, RouterLink,
     RouterMetrics, RouterStore,
 };
 
@@ -59,6 +60,10 @@
     pub keys: KeyDesk,
     /// The outcomes that this router keeps as a home of keys.
     pub key_home: RefCell<KeyHome>,
+    /// The bills that may replace those of dead routers.
+    pub repeats: RefCell<RepeatBook>,
+    /// The instances of the platform's last known list.
+    pub listed_instances: RefCell<BTreeSet<InstanceId>>,
     /// The requests that crash endpoints.
     pub strikes: RefCell<StrikeBook>,
     /// Counters.
@@ -121,6 +126,8 @@
             link,
             keys,
             key_home: RefCell::default(),
+            repeats: RefCell::default(),
+            listed_instances: RefCell::default(),
             strikes: RefCell::default(),
             metrics,
             log,
--- a/crates/bramleywind_router/tests/daemon.rs
+++ b/crates/bramleywind_router/tests/daemon.rs
@@ -14,16 +14,17 @@
 use bramleywind_operator::{EndpointSpec, Fleet, ModelSpec, WorkspaceSpec};
 use bramleywind_router::{CallTimes, DeclineRule, EndpointAnswer, call_endpoint};
 use bramleywind_standins::{EngineOptions, EngineStandin, InstancesStandin, StoreStandin};
-use bramleywind_store::StoreKey;
+use bramleywind_store::{InstanceKind, InstanceRecord, InstanceState, StoreKey};
 use bramleywind_types::{BudgetId, ConfigRevision, TokenCount};
 use bytes::Bytes;
 use http::{Method, Request};
 use http_body_util::Full;
 use serde_json::json;
+use test_case::test_case;
 
 const PATIENCE: Duration = Duration::from_secs(40);
 const TOKEN: &str = "operators-token-of-the-test";
-const CREDIT: u64 = 10_000;
+const CREDIT: u64 = 100_000;
 
 /// A daemon that is killed, by its id, when dropped.
 struct Daemon {
@@ -81,7 +82,7 @@
             "fleet_secret": { "file": folder.join("fleet") },
             "operator_token": { "file": folder.join("token") },
             "operator_public_key": public_key, "endpoint_policy": "round_robin",
-            "limits": { "drain_grace_ms": 300 }, "log": { "level": "warning" },
+            "limits": { "drain_grace_ms": 300, "request_timeout_ms": 10_000 }, "log": { "level": "warning" },
         });
         let path = folder.join(format!("settings-{index}.json"));
         std::fs::write(&path, settings.to_string()).unwrap();
@@ -127,30 +128,32 @@
     }
 }
 
-fn chat() -> Request<Full<Bytes>> {
-    let body = json!({ "model": "m", "max_tokens": 400, "stream": true,
+/// A request that costs five words and `tokens` tokens.
+fn chat(tokens: u64, key: &str) -> Request<Full<Bytes>> {
+    let body = json!({ "model": "m", "max_tokens": tokens, "stream": true,
         "messages": [{ "role": "user", "content": "tell it to the end" }] });
     Request::builder()
         .method(Method::POST)
         .uri("/v1/chat/completions")
         .header("host", "router")
         .header("authorization", "Bearer the-key")
-        .header("idempotency-key", "tale-1")
+        .header("idempotency-key", key)
         .body(Full::new(body.to_string().into()))
         .unwrap()
 }
 
 /// Guards against a bill that is lost or doubled by the death of a router, against funds that stay with the
-/// dead, and against a stop that fails.
-#[test]
-fn a_killed_router_costs_nobody_anything() {
+/// dead, and against a stop that fails. The home of a budget pays from its own slice; the others borrow from it.
+#[test_case(true; "that lent")]
+#[test_case(false; "that borrowed")]
+fn a_killed_router_costs_nobody_anything(is_home: bool) {
     compio::runtime::Runtime::new().unwrap().block_on(async {
         let any = "127.0.0.1:0".parse().unwrap();
         let store = StoreStandin::start(any).await.unwrap();
         let instances = InstancesStandin::start(any).await.unwrap();
         let engine = EngineStandin::start(EngineOptions {
             models: vec!["m".parse().unwrap()],
-            tokens_per_second: 400,
+            tokens_per_second: 1_000,
             ..EngineOptions::default()
         });
         let engine = engine.await.unwrap();
@@ -171,6 +174,15 @@
         let signed = SignedConfig::sign(ConfigRevision(1), &document, &key);
         store.store().put(&StoreKey::config(), serde_json::to_vec(&signed).unwrap());
         let public_key = key.public_key().to_string();
+        for index in 0..3 {
+            instances.put(InstanceRecord {
+                instance: format!("entry-{index}").parse().unwrap(),
+                data_centre: format!("dc-{index}").parse().unwrap(),
+                address: engine.address(),
+                kind: InstanceKind::Entry,
+                state: InstanceState::Live,
+            });
+        }
         let mut daemons = start_daemons(store.address(), instances.address(), &public_key);
         for daemon in &daemons {
             until(daemon, "the fleet is up", |dump| {
@@ -181,12 +193,26 @@
             .await;
         }
 
-        let mut cut = call(daemons[0].caller, chat()).await.unwrap();
-        cut.next_piece(PATIENCE).await.unwrap().unwrap();
+        let warm_up = text(call(daemons[0].caller, chat(3, "warm-up")).await.unwrap()).await;
+        assert!(warm_up.ends_with("data: [DONE]\n\n"), "{warm_up}");
+        let mut home = None;
+        for (index, daemon) in daemons.iter().enumerate() {
+            until(daemon, "the request has ended", |dump| dump["running"] == 0).await;
+            let left = &dump(daemon).await.unwrap()["funds"]["budgets"]["b"]["slice_available"];
+            if left.as_u64().is_some_and(|left| left > 0) {
+                home = Some(index);
+            }
+        }
+        let home = home.expect("a router has a slice");
+        // The victim comes first.
+        daemons.rotate_left(if is_home { home } else { (home + 1) % 3 });
         let victim = dump(&daemons[0]).await.unwrap();
+        let mut cut = call(daemons[0].caller, chat(400, "tale-1")).await.unwrap();
+        cut.next_piece(PATIENCE).await.unwrap().unwrap();
         daemons[0].child.kill().unwrap();
         daemons[0].child.wait().unwrap();
-        let repeat = text(call(daemons[1].caller, chat()).await.unwrap()).await;
+        instances.remove(&victim["instance"].as_str().unwrap().parse().unwrap());
+        let repeat = text(call(daemons[1].caller, chat(400, "tale-1")).await.unwrap()).await;
         assert!(repeat.ends_with("data: [DONE]\n\n"), "{repeat}");
         assert_eq!(repeat.matches("\"content\":").count(), 400);
         assert_eq!(engine.stats().requests_cancelled, 1);
@@ -201,6 +227,12 @@
             assert!(Instant::now() < deadline, "funds stay with the dead router: {:?}", page());
             compio::time::sleep(Duration::from_millis(50)).await;
         }
+        // The repeat's bill replaces what was counted for the dead router's attempt.
+        let deadline = Instant::now() + PATIENCE;
+        while !page().unresolved.is_empty() {
+            assert!(Instant::now() < deadline, "counted twice: {:?}", page());
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
 
         let drained = call(daemons[1].operator, operator_request(Method::POST, "/v1/drain")).await;
         assert!(text(drained.unwrap()).await.contains("leaving"));
@@ -211,7 +243,6 @@
         }
         let page = page();
         assert!(page.slices.is_empty() && page.unresolved.is_empty(), "{page:?}");
-        // Five words of prompt and 400 tokens, once.
-        assert_eq!(page.settled, TokenCount(405));
+        assert_eq!(page.settled, TokenCount((5 + 400) + (5 + 3)));
     });
 }
