--- a/crates/bramleywind_router/tests/daemon.rs
+++ b/crates/bramleywind_router/tests/daemon.rs
@@ -5,6 +5,7 @@
 use std::{
     io::Write,
     net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     time::{Duration, Instant},
 };
@@ -26,6 +27,24 @@
 const TOKEN: &str = "operators-token-of-the-test";
 const CREDIT: u64 = 100_000;
 
+/// A folder that is removed when dropped.
+struct TestFolder(PathBuf);
+
+impl TestFolder {
+    fn create() -> Self {
+        let name = format!("bramleywind-test-{}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&path).unwrap();
+        Self(path)
+    }
+}
+
+impl Drop for TestFolder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
 /// A daemon that is killed, by its id, when dropped.
 struct Daemon {
     child: Child,
@@ -58,9 +77,12 @@
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
-fn start_daemons(store: SocketAddr, instances: SocketAddr, public_key: &str) -> Vec<Daemon> {
-    let folder = std::env::temp_dir().join(format!("bramleywind-test-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
+fn start_daemons(
+    folder: &Path,
+    store: SocketAddr,
+    instances: SocketAddr,
+    public_key: &str,
+) -> Vec<Daemon> {
     for (name, secret) in [("fleet", "0123456789abcdef0123456789abcdef"), ("token", TOKEN)] {
         std::fs::File::create(folder.join(name)).unwrap().write_all(secret.as_bytes()).unwrap();
     }
@@ -174,6 +196,7 @@
         let signed = SignedConfig::sign(ConfigRevision(1), &document, &key);
         store.store().put(&StoreKey::config(), serde_json::to_vec(&signed).unwrap());
         let public_key = key.public_key().to_string();
+        let folder = TestFolder::create();
         for index in 0..3 {
             instances.put(InstanceRecord {
                 instance: format!("entry-{index}").parse().unwrap(),
@@ -183,7 +206,8 @@
                 state: InstanceState::Live,
             });
         }
-        let mut daemons = start_daemons(store.address(), instances.address(), &public_key);
+        let mut daemons =
+            start_daemons(&folder.0, store.address(), instances.address(), &public_key);
         for daemon in &daemons {
             until(daemon, "the fleet is up", |dump| {
                 dump["funds"]["registered"] == true
