config: let an engine ask for versions, adapters and a role

The platform's engines take orders to load a version or an adapter of a model and to change role, and the document had no place to ask for them. The three keys are optional, because a required one would refuse every document of format 1 that is in force. Two rules are new: a version or adapter belongs to a model that the engine serves, and a model has one version per engine; with two, each would be ordered in turn without end. Names keep to the form of identifiers, since they become parts of weight URLs.

--- a/crates/bramleywind_config/src/document_shape.rs
+++ b/crates/bramleywind_config/src/document_shape.rs
@@ -1,7 +1,8 @@
 //! The shape of the configuration document, field for field that of [`ConfigDocument`](crate::ConfigDocument).
 
 use bramleywind_types::{
-    BudgetId, DataCentreId, EndpointId, InstanceId, ModelId, ServiceId, WorkspaceId,
+    AdapterName, BudgetId, DataCentreId, EndpointId, InstanceId, ModelId, RoleName, ServiceId,
+    VersionName, WorkspaceId,
 };
 
 use crate::{
@@ -119,7 +120,30 @@
 
 const ENGINE_SHAPE: JsonShape = JsonShape::Object(&ObjectShape {
     name: "an engine",
-    fields: &[FieldShape::required("models", JsonShape::List(&MODEL))],
+    fields: &[
+        FieldShape::required("models", JsonShape::List(&MODEL)),
+        FieldShape::optional("versions", JsonShape::List(&VERSION_SHAPE)),
+        FieldShape::optional("adapters", JsonShape::List(&ADAPTER_SHAPE)),
+        FieldShape::optional("role", JsonShape::Text(parses_as::<RoleName>)),
+    ],
+    is_choice: false,
+});
+
+const VERSION_SHAPE: JsonShape = JsonShape::Object(&ObjectShape {
+    name: "a version",
+    fields: &[
+        FieldShape::required("model", MODEL),
+        FieldShape::required("version", JsonShape::Text(parses_as::<VersionName>)),
+    ],
+    is_choice: false,
+});
+
+const ADAPTER_SHAPE: JsonShape = JsonShape::Object(&ObjectShape {
+    name: "an adapter",
+    fields: &[
+        FieldShape::required("model", MODEL),
+        FieldShape::required("adapter", JsonShape::Text(parses_as::<AdapterName>)),
+    ],
     is_choice: false,
 });
 
--- a/crates/bramleywind_config/src/endpoint_config.rs
+++ b/crates/bramleywind_config/src/endpoint_config.rs
@@ -1,9 +1,11 @@
 use std::net::SocketAddr;
 
 use bramleywind_macros::domain_type;
-use bramleywind_types::{DataCentreId, EndpointId, InstanceId, ModelId, ServiceId};
+use bramleywind_types::{DataCentreId, EndpointId, InstanceId, ModelId, RoleName, ServiceId};
 use schemars::JsonSchema;
 
+use crate::{ModelAdapter, ModelVersion};
+
 /// A back end.
 #[domain_type]
 #[derive(JsonSchema)]
@@ -35,6 +37,15 @@
     Engine {
         /// The models it serves.
         models: Vec<ModelId>,
+        /// The versions that it should have, for models of which the version matters.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        versions: Vec<ModelVersion>,
+        /// The adapters that it should have.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        adapters: Vec<ModelAdapter>,
+        /// The role that it should take on; nothing to leave it as it is.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        role: Option<RoleName>,
     },
     /// A plain service.
     Service {
--- a/crates/bramleywind_config/src/rules.rs
+++ b/crates/bramleywind_config/src/rules.rs
@@ -11,6 +11,8 @@
 mod shadowed_route;
 mod unknown_reference;
 mod unreachable;
+mod unserved_model;
+mod version_conflict;
 mod zero_slots;
 
 use crate::json::Report;
@@ -32,4 +34,6 @@
     route_prefix::check,
     shadowed_route::check,
     unreachable::check,
+    unserved_model::check,
+    version_conflict::check,
 ];
--- /dev/null
+++ b/crates/bramleywind_config/src/rules/unserved_model.rs
@@ -0,0 +1,28 @@
+//! Versions and adapters belong to models that the engine serves.
+
+use std::collections::HashSet;
+
+use crate::{
+    json::{Report, text_field},
+    rules::{
+        DocumentNode,
+        document_node::{objects, texts},
+    },
+};
+
+pub(crate) fn check(document: &DocumentNode<'_, '_>, report: &mut Report<'_>) {
+    for engine in document.engines() {
+        let served: HashSet<&str> =
+            texts(engine, "models").map(|model| model.value.as_ref()).collect();
+        let users = objects(engine, "versions").chain(objects(engine, "adapters"));
+        for model in users.filter_map(|user| text_field(user, "model")) {
+            if !served.contains(model.value.as_ref()) {
+                let message = format!(
+                    "the engine does not serve `{}`; add it to the engine's `models` or remove this entry",
+                    model.value
+                );
+                report.add("unserved_model", model.range, message);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_config/src/rules/version_conflict.rs
@@ -0,0 +1,23 @@
+//! An engine has one version of a model; with two, each would be ordered in turn for ever.
+
+use std::collections::HashSet;
+
+use crate::{
+    json::{Report, text_field},
+    rules::{DocumentNode, document_node::objects},
+};
+
+pub(crate) fn check(document: &DocumentNode<'_, '_>, report: &mut Report<'_>) {
+    for engine in document.engines() {
+        let mut seen: HashSet<&str> = HashSet::new();
+        for model in objects(engine, "versions").filter_map(|entry| text_field(entry, "model")) {
+            if !seen.insert(model.value.as_ref()) {
+                let message = format!(
+                    "`versions` names `{}` a second time; keep one version of each model",
+                    model.value
+                );
+                report.add("version_conflict", model.range, message);
+            }
+        }
+    }
+}
--- a/crates/bramleywind_config/tests/rules.rs
+++ b/crates/bramleywind_config/tests/rules.rs
@@ -29,7 +29,9 @@
 #[test_case("unknown_field")]
 #[test_case("unknown_reference")]
 #[test_case("unreachable")]
+#[test_case("unserved_model")]
 #[test_case("value_type")]
+#[test_case("version_conflict")]
 #[test_case("zero_slots")]
 fn rule_strikes_its_bad_fixture_only(rule: &str) {
     let good = check_document(&fixture(&format!("{rule}_good.jsonc")));
--- a/crates/bramleywind_operator/src/endpoint_spec.rs
+++ b/crates/bramleywind_operator/src/endpoint_spec.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use bramleywind_config::{EndpointConfig, EndpointRole};
+use bramleywind_config::{EndpointConfig, EndpointRole, ModelAdapter, ModelVersion};
 
 use crate::name_parser::NameParser;
 
@@ -18,14 +18,25 @@
 
 #[derive(Debug, Clone)]
 enum RoleSpec {
-    Engine(Vec<Box<str>>),
+    Engine(EngineSpec),
     Service(Box<str>),
 }
 
+#[derive(Debug, Clone, Default)]
+struct EngineSpec {
+    models: Vec<Box<str>>,
+    /// Models with their versions.
+    versions: Vec<(Box<str>, Box<str>)>,
+    /// Models with their adapters.
+    adapters: Vec<(Box<str>, Box<str>)>,
+    role: Option<Box<str>>,
+}
+
 impl EndpointSpec {
     /// A model engine on the instance of the same name, with one slot.
     pub fn engine<'a>(id: &str, models: impl IntoIterator<Item = &'a str>) -> Self {
-        Self::new(id, RoleSpec::Engine(models.into_iter().map(Into::into).collect()))
+        let models = models.into_iter().map(Into::into).collect();
+        Self::new(id, RoleSpec::Engine(EngineSpec { models, ..EngineSpec::default() }))
     }
 
     /// A plain service on the instance of the same name, with one slot.
@@ -80,11 +91,54 @@
         self
     }
 
+    /// Asks that the engine has this version of one of its models. No effect on a plain service.
+    #[must_use]
+    pub fn version(mut self, model: &str, version: &str) -> Self {
+        if let RoleSpec::Engine(engine) = &mut self.role {
+            engine.versions.push((model.into(), version.into()));
+        }
+        self
+    }
+
+    /// Asks that the engine has this adapter of one of its models. No effect on a plain service.
+    #[must_use]
+    pub fn adapter(mut self, model: &str, adapter: &str) -> Self {
+        if let RoleSpec::Engine(engine) = &mut self.role {
+            engine.adapters.push((model.into(), adapter.into()));
+        }
+        self
+    }
+
+    /// Asks that the engine takes on this role. No effect on a plain service.
+    #[must_use]
+    pub fn engine_role(mut self, role: &str) -> Self {
+        if let RoleSpec::Engine(engine) = &mut self.role {
+            engine.role = Some(role.into());
+        }
+        self
+    }
+
     pub(crate) fn assemble(&self, names: &mut NameParser) -> Option<EndpointConfig> {
         names.enter("endpoint", &self.id);
         let role = match &self.role {
-            RoleSpec::Engine(models) => {
-                Some(EndpointRole::Engine { models: names.parse_all(models) })
+            RoleSpec::Engine(engine) => {
+                let versions = engine.versions.iter().filter_map(|(model, version)| {
+                    Some(ModelVersion {
+                        model: names.parse(model)?,
+                        version: names.parse(version)?,
+                    })
+                });
+                let versions = versions.collect();
+                let adapters = engine.adapters.iter().filter_map(|(model, adapter)| {
+                    Some(ModelAdapter {
+                        model: names.parse(model)?,
+                        adapter: names.parse(adapter)?,
+                    })
+                });
+                let adapters = adapters.collect();
+                let models = names.parse_all(&engine.models);
+                let role = engine.role.as_ref().and_then(|role| names.parse(role));
+                Some(EndpointRole::Engine { models, versions, adapters, role })
             }
             RoleSpec::Service(service) => {
                 names.parse(service).map(|service| EndpointRole::Service { service })
--- a/crates/bramleywind_router/src/route_table.rs
+++ b/crates/bramleywind_router/src/route_table.rs
@@ -156,7 +156,7 @@
     /// Whether an endpoint serves a target.
     pub fn serves(&self, endpoint: &EndpointId, target: &RouteTarget) -> bool {
         match (self.endpoints.get(endpoint).map(|endpoint| &endpoint.role), target) {
-            (Some(EndpointRole::Engine { models }), RouteTarget::Model(model)) => {
+            (Some(EndpointRole::Engine { models, .. }), RouteTarget::Model(model)) => {
                 models.contains(model)
             }
             (Some(EndpointRole::Service { service }), RouteTarget::Service(wanted)) => {
--- a/crates/bramleywind_types/src/lib.rs
+++ b/crates/bramleywind_types/src/lib.rs
@@ -28,6 +28,7 @@
 pub use request_key::RequestKey;
 pub use text_id::MAX_ID_BYTES;
 pub use text_ids::{
-    BudgetId, DataCentreId, EndpointId, InstanceId, ModelId, OperationId, ServiceId, WorkspaceId,
+    AdapterName, BudgetId, DataCentreId, EndpointId, InstanceId, ModelId, OperationId, RoleName,
+    ServiceId, VersionName, WorkspaceId,
 };
 pub use unix_deadline::UnixDeadline;
--- a/crates/bramleywind_types/src/text_ids.rs
+++ b/crates/bramleywind_types/src/text_ids.rs
@@ -34,6 +34,18 @@
     /// Names a model that engines serve.
     ModelId
 }
+text_id! {
+    /// Names a version of a model, as the weight store does.
+    VersionName
+}
+text_id! {
+    /// Names an adapter of a model, as the weight store does.
+    AdapterName
+}
+text_id! {
+    /// Names a role of an engine, as the engine does.
+    RoleName
+}
 text_id! {
     /// Names a plain service, the first segment below `/services/` in a request's path.
     ServiceId
