orders: compare engines with the configuration and order what is missing

The new crate has the duty without sockets: the store lease with its renewal, loss and hand-over, the decision whether the lease allows a send, the missing orders, and permits for downloads.

The rate record stores no time, because clocks of instances disagree. A process counts the interval from when it first saw a version of the record, which is later than its write, and takes a permit by compare-and-swap on that version; so two permits are an interval apart however late a write takes effect. A record with the time of the last permit was ruled out: it needs clocks that agree. A permit whose answer was lost is not used.

The duty is contended for every 2 s by the whole fleet rather than by each router, since 380 routers at 5 s would make 76 lease calls/s, a fifth or more of the store's write rate.

--- /dev/null
+++ b/crates/bramleywind_orders/src/duty_settings.rs
@@ -0,0 +1,30 @@
+use std::{net::SocketAddr, num::NonZeroU32, time::Duration};
+
+use crate::DutyTiming;
+
+/// What the duty is built from.
+#[derive(Debug, Clone)]
+pub struct DutySettings {
+    /// The holder's name, shown by the store.
+    pub holder: Box<str>,
+    /// The weight store; without it, orders that need weights are not sent.
+    pub weights: Option<WeightSettings>,
+    /// The times.
+    pub timing: DutyTiming,
+}
+
+/// The weight store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WeightSettings {
+    /// Its address.
+    pub address: SocketAddr,
+    /// The most downloads a minute that the whole fleet may cause.
+    pub downloads_per_minute: NonZeroU32,
+}
+
+impl WeightSettings {
+    /// The time between two downloads.
+    pub fn interval(&self) -> Duration {
+        Duration::from_secs(60) / self.downloads_per_minute.get()
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_orders/src/rate_view.rs
@@ -0,0 +1,53 @@
+use std::time::{Duration, Instant};
+
+use bramleywind_store::StoreVersion;
+
+use crate::RateRecord;
+
+/// What a process knows of the rate record.
+#[derive(Debug, Clone, Default)]
+pub struct RateView {
+    seen: Option<SeenRecord>,
+}
+
+#[derive(Debug, Clone)]
+struct SeenRecord {
+    record: RateRecord,
+    version: StoreVersion,
+    at: Instant,
+}
+
+/// Whether a permit may be taken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PermitDecision {
+    /// It may, by a write that expects this version. The record is the last one.
+    Take(RateRecord, StoreVersion),
+    /// Not before this time.
+    Wait(Instant),
+    /// The record was not read yet.
+    Unread,
+}
+
+impl RateView {
+    /// Takes in a read. `now` is a time after its answer. A version that was seen before keeps its time.
+    pub fn observe(&mut self, record: RateRecord, version: StoreVersion, now: Instant) {
+        if self.seen.as_ref().is_none_or(|seen| seen.version != version) {
+            self.seen = Some(SeenRecord { record, version, at: now });
+        }
+    }
+
+    /// Decides whether a permit may be taken.
+    ///
+    /// The write takes effect only if the version is still the one seen, which was written before it was
+    /// seen. So two permits are at least `interval` apart, whoever takes them and however late a write takes
+    /// effect, and no clock of another instance matters.
+    pub fn decide(&self, interval: Duration, now: Instant) -> PermitDecision {
+        match &self.seen {
+            None => PermitDecision::Unread,
+            Some(seen) if now >= seen.at + interval => {
+                PermitDecision::Take(seen.record.clone(), seen.version)
+            }
+            Some(seen) => PermitDecision::Wait(seen.at + interval),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_orders/src/wanted_engine.rs
@@ -0,0 +1,46 @@
+use std::net::SocketAddr;
+
+use bramleywind_config::{EndpointConfig, EndpointRole};
+use bramleywind_types::EndpointId;
+
+use crate::OrderAction;
+
+/// An engine with the results that the configuration asks of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WantedEngine {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Whether it refuses an old fencing token.
+    pub checks_fencing: bool,
+    /// What it should have, in the order in which to ask for it.
+    pub actions: Vec<OrderAction>,
+}
+
+impl WantedEngine {
+    /// What the configuration asks of an endpoint; nothing for a plain service.
+    pub fn from_config(config: &EndpointConfig) -> Option<Self> {
+        let EndpointRole::Engine { models, versions, adapters, role } = &config.role else {
+            return None;
+        };
+        // The role first, because engines may drop their models when it changes; a model before its version
+        // and its adapters, which build on it.
+        let role = role.iter().map(|role| OrderAction::ChangeRole { role: role.clone() });
+        let models = models.iter().map(|model| OrderAction::LoadModel { model: model.clone() });
+        let versions = versions.iter().map(|version| OrderAction::LoadVersion {
+            model: version.model.clone(),
+            version: version.version.clone(),
+        });
+        let adapters = adapters.iter().map(|adapter| OrderAction::LoadAdapter {
+            model: adapter.model.clone(),
+            adapter: adapter.adapter.clone(),
+        });
+        Some(Self {
+            endpoint: config.id.clone(),
+            address: config.address,
+            checks_fencing: config.checks_fencing,
+            actions: role.chain(models).chain(versions).chain(adapters).collect(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_orders/src/weight_permits.rs
@@ -0,0 +1,91 @@
+use std::time::{Duration, Instant};
+
+use bramleywind_store::{ReadOutcome, Store, StoreKey, StoreVersion, WriteOutcome};
+use bramleywind_types::FencingToken;
+
+use crate::{PermitDecision, RateRecord, RateView};
+
+/// The longest time from taking a permit to the write of its order, whatever the interval is.
+const LONGEST_VALIDITY: Duration = Duration::from_secs(2);
+
+/// The permit to cause one download.
+#[derive(Debug, PartialEq, Eq)]
+pub struct WeightPermit {
+    /// The order must not be written after this, so that permits cannot be hoarded by a pause: in any time
+    /// `t`, at most `t / interval + 2` orders are written.
+    pub valid_until: Instant,
+}
+
+/// What asking for a permit came to.
+#[derive(Debug, PartialEq, Eq)]
+pub enum PermitOutcome {
+    /// This process has one.
+    Taken(WeightPermit),
+    /// The rate allows none yet, or another process was faster.
+    Wait,
+    /// The store gave no answer. If a write was sent, it may take a permit that nobody uses.
+    Unavailable,
+}
+
+/// Takes permits from the fleet-wide rate record.
+#[derive(Debug)]
+pub struct WeightPermits<S> {
+    store: S,
+    interval: Duration,
+    view: RateView,
+}
+
+impl<S: Store> WeightPermits<S> {
+    /// Permits that are `interval` apart in the whole fleet.
+    pub fn new(store: S, interval: Duration) -> Self {
+        Self { store, interval, view: RateView::default() }
+    }
+
+    /// The key of the rate record.
+    pub fn key() -> StoreKey {
+        StoreKey::from_text("duties/weights")
+    }
+
+    /// Asks for a permit: no call while the rate allows none, otherwise a write, and a read if the record may
+    /// have changed.
+    pub async fn take(&mut self, holder: &str, fencing: FencingToken) -> PermitOutcome {
+        match self.view.decide(self.interval, Instant::now()) {
+            PermitDecision::Wait(_) => PermitOutcome::Wait,
+            PermitDecision::Unread => self.read().await,
+            PermitDecision::Take(last, version) => {
+                let record = RateRecord { taken: last.taken + 1, holder: holder.into(), fencing };
+                let sent = Instant::now();
+                let value = serde_json::to_vec(&record).unwrap_or_default();
+                match self.store.write(&Self::key(), value, version).await {
+                    WriteOutcome::Applied(version) => {
+                        self.view.observe(record, version, Instant::now());
+                        let valid_until = sent + self.interval.min(LONGEST_VALIDITY);
+                        PermitOutcome::Taken(WeightPermit { valid_until })
+                    }
+                    WriteOutcome::Conflict => self.read().await,
+                    // A permit that may be taken is not used: whether it is shows in the version only, and
+                    // the write may still be on its way.
+                    WriteOutcome::NotApplied(_) => PermitOutcome::Unavailable,
+                    WriteOutcome::Unknown => {
+                        self.read().await;
+                        PermitOutcome::Unavailable
+                    }
+                }
+            }
+        }
+    }
+
+    async fn read(&mut self) -> PermitOutcome {
+        let (record, version) = match self.store.read(&Self::key()).await {
+            ReadOutcome::Found(found) => match serde_json::from_slice(&found.value) {
+                Ok(record) => (record, found.version),
+                // A record that nobody can read is counted on from zero; the version still spaces permits.
+                Err(_) => (RateRecord::default(), found.version),
+            },
+            ReadOutcome::Missing => (RateRecord::default(), StoreVersion::MISSING),
+            ReadOutcome::Unavailable(_) => return PermitOutcome::Unavailable,
+        };
+        self.view.observe(record, version, Instant::now());
+        PermitOutcome::Wait
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_orders/tests/decisions.rs
@@ -0,0 +1,111 @@
+//! Tests of the decisions that need neither a store nor an engine. The clock is an argument.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+#[path = "support/lib.rs"]
+mod support;
+
+use std::time::{Duration, Instant};
+
+use bramleywind_orders::{
+    DutyLease, DutyTiming, EngineInventory, OrderAction, SendDecision, WantedEngine, missing_orders,
+};
+use bramleywind_types::FencingToken;
+use support::{engine, lease};
+use test_case::test_case;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A holder with the times of production, whose lease of 15 s was acquired at `start`.
+fn holder(start: Instant) -> DutyLease {
+    let mut held = DutyLease::new(DutyTiming::default());
+    held.set_acquired(lease(7, start + 15 * SECOND), start);
+    held
+}
+
+/// Guards against an order whose call could outlast the lease: a call takes 4 s, and 1 s is the margin.
+#[test_case(0, true => true; "fresh")]
+#[test_case(10, true => true; "just enough is left")]
+#[test_case(11, true => false; "too little is left")]
+#[test_case(40, true => false; "woken after the lease")]
+#[test_case(10, false => false; "unfenced and not settled")]
+fn lease_allows_a_send(elapsed: u32, checks_fencing: bool) -> bool {
+    let start = Instant::now();
+    let now = start + elapsed * SECOND;
+    let decision = holder(start).decide(now, checks_fencing);
+    if let SendDecision::Allowed(fencing, window) = decision {
+        assert_eq!(fencing, FencingToken(7));
+        assert!(window.deadline + SECOND <= start + 15 * SECOND);
+        assert!(window.latest_write + 5 * SECOND <= start + 15 * SECOND);
+    }
+    matches!(decision, SendDecision::Allowed(..))
+}
+
+/// Guards the wait of a new holder for the previous one's lease and longest order.
+#[test]
+fn settling_ends_after_lease_and_order_time() {
+    let start = Instant::now();
+    let mut held = holder(start);
+    let settled = start + 19 * SECOND;
+    assert_eq!(held.decide(start, false), SendDecision::Settling(settled));
+    held.set_renewed(start + 33 * SECOND);
+    assert_eq!(
+        held.decide(settled - Duration::from_millis(1), false),
+        SendDecision::Settling(settled)
+    );
+    assert!(matches!(held.decide(settled, false), SendDecision::Allowed(..)));
+}
+
+/// Guards against an acquisition that counts although its answer came after the lease had ended.
+#[test]
+fn late_answer_of_an_acquisition_is_no_lease() {
+    let start = Instant::now();
+    let mut held = DutyLease::new(DutyTiming::default());
+    held.set_acquired(lease(1, start), start + SECOND);
+    assert_eq!(held.decide(start, true), SendDecision::NoLease);
+}
+
+/// Guards against a holder that goes on when an engine has seen a newer token or the store is silent.
+#[test]
+fn doubt_lasts_until_the_next_renewal() {
+    let start = Instant::now();
+    let mut held = holder(start);
+    assert!(!held.is_renewal_due(start));
+    held.doubt(start);
+    assert!(held.is_renewal_due(start));
+    assert_eq!(held.decide(start, true), SendDecision::Unconfirmed);
+    held.set_renewed(start + 15 * SECOND);
+    assert!(matches!(held.decide(start, true), SendDecision::Allowed(..)));
+}
+
+/// Guards the order of orders: the role before the models, a model before what builds on it, and nothing that
+/// is in place.
+#[test]
+fn missing_orders_come_in_order() {
+    let model = "weave".parse().unwrap();
+    let actions = vec![
+        engine("prefill", true).actions.remove(0),
+        OrderAction::LoadModel { model: "weave".parse().unwrap() },
+        OrderAction::LoadVersion { model, version: "v2".parse().unwrap() },
+        OrderAction::LoadAdapter {
+            model: "weave".parse().unwrap(),
+            adapter: "ferry".parse().unwrap(),
+        },
+    ];
+    let wanted = WantedEngine { actions, ..engine("any", true) };
+    let mut inventory = EngineInventory::default();
+    assert!(missing_orders(&wanted, &inventory).into_iter().eq(&wanted.actions));
+    inventory.models.insert("weave".into());
+    inventory.versions.insert("weave".into(), "v1".into());
+    let missing = missing_orders(&wanted, &inventory);
+    assert_eq!(missing, [&wanted.actions[0], &wanted.actions[2], &wanted.actions[3]]);
+}
+
+/// Guards against a load on the store that grows with the fleet.
+#[test_case(6; "today")]
+#[test_case(380; "target size")]
+fn contention_does_not_grow_with_the_fleet(routers: usize) {
+    let interval = DutyTiming::default().contention_interval(routers);
+    let calls_per_second = (routers - 1) as f64 / interval.as_secs_f64();
+    assert!(calls_per_second < 0.5, "{calls_per_second}");
+}
--- /dev/null
+++ b/crates/bramleywind_orders/tests/duty.rs
@@ -0,0 +1,194 @@
+//! Tests of the whole duty over a store and engines in memory.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+#[path = "support/lib.rs"]
+mod support;
+
+use std::time::{Duration, Instant};
+
+use bramleywind_orders::{LeaseChange, OrderOutcome, OrderResult};
+use bramleywind_store::{CallCounters, StoreFaults};
+use support::{
+    FakeLink, LossyStore, PATIENCE, TIMING, acquire, duty, engine, loading_engine, rounds_until,
+    run,
+};
+use test_case::test_case;
+
+fn results(report: &bramleywind_orders::RoundReport) -> Vec<OrderResult> {
+    report.steps.iter().map(|step| step.result).collect()
+}
+
+const CONFIRMED: [OrderResult; 2] =
+    [OrderResult::Sent(OrderOutcome::Accepted), OrderResult::Confirmed];
+
+/// Guards against two processes that send at the same time, and against orders without a lease.
+#[test]
+fn only_the_holder_sends() {
+    run(async {
+        let (store, link) = (LossyStore::default(), FakeLink::default());
+        let (mut first, mut second) = (duty("a", &store, &link), duty("b", &store, &link));
+        let (one, other) = futures_util::future::join(first.contend(), second.contend()).await;
+        assert_eq!((one, other), (LeaseChange::Acquired, LeaseChange::None));
+        let engines = [engine("prefill", true)];
+        assert_eq!(results(&second.round(&engines, || false).await), []);
+        assert_eq!(results(&first.round(&engines, || false).await), CONFIRMED);
+        assert_eq!(link.engines.arrived.borrow().len(), 1);
+        // What is in place is not ordered again.
+        assert_eq!(results(&first.round(&engines, || false).await), []);
+    });
+}
+
+/// Guards against a process that takes itself for the holder, or blocks the duty for good, when the answer of
+/// its acquisition was lost.
+#[test]
+fn lost_acquisition_ends_by_itself() {
+    run(async {
+        let (store, link) = (LossyStore::default(), FakeLink::default());
+        let (mut first, mut second) = (duty("a", &store, &link), duty("b", &store, &link));
+        store.lose_acquisitions.set(1);
+        assert_eq!(first.contend().await, LeaseChange::Unavailable);
+        assert_eq!(results(&first.round(&[engine("prefill", true)], || false).await), []);
+        assert_eq!(second.contend().await, LeaseChange::None);
+        acquire(&mut second).await;
+        rounds_until(&mut second, &[engine("prefill", true)], || {
+            link.engines.role(&engine("prefill", true)).as_deref() == Some("prefill")
+        })
+        .await;
+        assert_eq!(link.engines.arrived.borrow().len(), 1);
+    });
+}
+
+/// Guards against an order of a holder that was paused behind its last look at the lease and wakes after
+/// another took over: a fenced engine refuses it, and an unfenced one is corrected by the next round.
+#[test_case(true, &["decode"]; "fenced")]
+#[test_case(false, &["prefill", "decode"]; "unfenced")]
+fn late_order_of_a_paused_holder_does_not_last(checks_fencing: bool, after: &[&str]) {
+    run(async {
+        let (store, link) = (LossyStore::default(), FakeLink::default());
+        let paused = FakeLink { engines: link.engines.clone(), ..FakeLink::default() };
+        let mut first = duty("a", &store, &paused);
+        let old = engine("prefill", checks_fencing);
+        acquire(&mut first).await;
+        paused.is_paused.set(true);
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let report = first.round(std::slice::from_ref(&old), || false).await;
+            if results(&report).contains(&OrderResult::Sent(OrderOutcome::Unknown)) {
+                break;
+            }
+            assert!(Instant::now() < deadline, "no order was sent in time");
+            compio::time::sleep(Duration::from_millis(2)).await;
+        }
+        let mut second = duty("b", &store, &link);
+        acquire(&mut second).await;
+        let new = engine("decode", checks_fencing);
+        let is_new = || link.engines.role(&new).as_deref() == Some("decode");
+        rounds_until(&mut second, std::slice::from_ref(&new), is_new).await;
+        paused.is_paused.set(false);
+        let has_arrived = || link.engines.arrived.borrow().len() == 2;
+        let deadline = Instant::now() + PATIENCE;
+        while !has_arrived() {
+            assert!(Instant::now() < deadline, "the late order did not arrive in time");
+            compio::time::sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(link.engines.role(&new).as_deref(), Some(after[0]));
+        second.round(std::slice::from_ref(&new), || false).await;
+        assert_eq!(link.engines.role(&new).as_deref(), after.last().copied());
+        // The old holder has noticed and sends no more.
+        assert_eq!(results(&first.round(&[old], || false).await), []);
+        assert!(!first.is_holder());
+    });
+}
+
+/// Guards against a new holder that orders an engine without fencing while orders of the previous holder
+/// may be on their way.
+#[test]
+fn unfenced_engine_gets_no_order_before_the_settling_time() {
+    run(async {
+        let (store, link) = (LossyStore::default(), FakeLink::default());
+        let mut holder = duty("a", &store, &link);
+        let begun = Instant::now();
+        acquire(&mut holder).await;
+        let engines = [engine("prefill", false)];
+        assert_eq!(results(&holder.round(&engines, || false).await), [OrderResult::Settling]);
+        rounds_until(&mut holder, &engines, || !link.engines.arrived.borrow().is_empty()).await;
+        assert!(begun.elapsed() >= TIMING.settle_time(), "{:?}", begun.elapsed());
+    });
+}
+
+/// Guards against new orders while the store cannot confirm the lease, and against a holder that does not
+/// go on after a short outage or that keeps the duty over a long one.
+#[test]
+fn outage_stops_new_orders() {
+    run(async {
+        let (store, link) = (LossyStore::default(), FakeLink::default());
+        let mut holder = duty("a", &store, &link);
+        acquire(&mut holder).await;
+        let outage = StoreFaults { outage: true, ..StoreFaults::default() };
+        store.memory.set_faults(outage);
+        let deadline = Instant::now() + TIMING.renewal_time;
+        while Instant::now() < deadline {
+            compio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let engines = [engine("prefill", true)];
+        let report = holder.round(&engines, || false).await;
+        assert_eq!(results(&report), [OrderResult::StoreUnavailable]);
+        store.memory.set_faults(StoreFaults::default());
+        assert_eq!(results(&holder.round(&engines, || false).await), CONFIRMED);
+        store.memory.set_faults(outage);
+        let deadline = Instant::now() + PATIENCE;
+        while holder.is_holder() {
+            assert!(Instant::now() < deadline, "the lease did not end in time");
+            assert_ne!(holder.renew().await, LeaseChange::Acquired);
+            compio::time::sleep(Duration::from_millis(2)).await;
+        }
+        let changed = [engine("decode", true)];
+        assert_eq!(results(&holder.round(&changed, || false).await), []);
+        assert_eq!(link.engines.arrived.borrow().len(), 1);
+    });
+}
+
+/// Guards against a planned stop that leaves the duty to nobody until the lease ends, and against orders that
+/// are begun after the stop.
+#[test]
+fn stopping_holder_hands_over_at_once() {
+    run(async {
+        let (store, link) = (LossyStore::default(), FakeLink::default());
+        let (mut first, mut second) = (duty("a", &store, &link), duty("b", &store, &link));
+        acquire(&mut first).await;
+        assert_eq!(results(&first.round(&[engine("prefill", true)], || true).await), []);
+        first.release().await;
+        assert_eq!(second.contend().await, LeaseChange::Acquired);
+        assert!(!first.is_holder());
+    });
+}
+
+/// Guards against downloads that the rate does not know of because there is no weight store.
+#[test]
+fn weights_are_not_ordered_without_a_weight_store() {
+    run(async {
+        let (store, link) = (LossyStore::default(), FakeLink::default());
+        let mut holder = duty("a", &store, &link);
+        acquire(&mut holder).await;
+        let report = holder.round(&[loading_engine("engine-1", "weave")], || false).await;
+        assert_eq!(results(&report), [OrderResult::NoWeightStore]);
+        assert_eq!((report.missing, link.engines.arrived.borrow().len()), (1, 0));
+    });
+}
+
+/// Guards the figures of docs/engine-orders.md: a round without missing orders costs the store nothing but
+/// the renewal.
+#[test]
+fn quiet_rounds_cost_no_store_calls() {
+    run(async {
+        let (store, link) = (LossyStore::default(), FakeLink::default());
+        let mut holder = duty("a", &store, &link);
+        acquire(&mut holder).await;
+        for _ in 0..20 {
+            holder.round(&[], || false).await;
+        }
+        let expected = CallCounters { lease_calls: 1, ..CallCounters::default() };
+        assert_eq!(store.memory.counters(), expected);
+    });
+}
--- /dev/null
+++ b/crates/bramleywind_orders/tests/support/lib.rs
@@ -0,0 +1,208 @@
+//! Engines in memory, a store that loses lease answers, and a duty with short times.
+
+#![allow(dead_code, reason = "each test file uses a part of this")]
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bramleywind_orders::{
+    DutySettings, DutyTiming, EngineInventory, EngineLink, EngineOrder, InventoryOutcome,
+    LeaseChange, OrderAction, OrderDuty, OrderOutcome, SendWindow, WantedEngine, WeightSettings,
+};
+use bramleywind_store::{
+    Lease, LeaseOutcome, ListOutcome, MemoryStore, ReadOutcome, RenewOutcome, Store, StoreKey,
+    StoreVersion, UnavailableReason, WatchOutcome, WriteOutcome,
+};
+use bramleywind_types::{EndpointId, FencingToken};
+
+/// The longest wait of a test for anything.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+pub const TIMING: DutyTiming = DutyTiming {
+    lease_time: Duration::from_millis(300),
+    renewal_time: Duration::from_millis(50),
+    order_time: Duration::from_millis(100),
+    margin: Duration::from_millis(20),
+    read_time: Duration::from_millis(100),
+    repeat_time: Duration::from_millis(200),
+    round_time: Duration::from_millis(10),
+    round_time_per_engine: Duration::ZERO,
+    contention_time: Duration::from_millis(10),
+};
+
+/// What all links see of the engines.
+#[derive(Default)]
+pub struct FakeEngines {
+    pub inventories: RefCell<BTreeMap<EndpointId, EngineInventory>>,
+    /// Every order that arrived, with whether it was accepted.
+    pub arrived: RefCell<Vec<(EngineOrder, bool)>>,
+}
+
+impl FakeEngines {
+    pub fn role(&self, engine: &WantedEngine) -> Option<Box<str>> {
+        self.inventories.borrow().get(&engine.endpoint)?.role.clone()
+    }
+
+    fn apply(&self, engine: &WantedEngine, order: &EngineOrder) -> OrderOutcome {
+        let mut inventories = self.inventories.borrow_mut();
+        let inventory = inventories.entry(engine.endpoint.clone()).or_default();
+        let is_accepted = !engine.checks_fencing || order.fencing >= inventory.fencing;
+        self.arrived.borrow_mut().push((order.clone(), is_accepted));
+        if !is_accepted {
+            return OrderOutcome::Fenced;
+        }
+        inventory.fencing = inventory.fencing.max(order.fencing);
+        if let Some(role) = &order.role {
+            inventory.role = Some(role.as_str().into());
+        } else if let Some(model) = &order.model {
+            inventory.models.insert(model.as_str().into());
+        }
+        OrderOutcome::Accepted
+    }
+}
+
+/// One process's link.
+#[derive(Clone, Default)]
+pub struct FakeLink {
+    pub engines: Rc<FakeEngines>,
+    /// Orders are held behind the last look at the window, as by a paused process, and arrive when it is
+    /// reset.
+    pub is_paused: Rc<Cell<bool>>,
+}
+
+impl EngineLink for FakeLink {
+    async fn read_inventory(&self, engine: &WantedEngine, _deadline: Instant) -> InventoryOutcome {
+        let inventories = self.engines.inventories.borrow();
+        InventoryOutcome::Found(inventories.get(&engine.endpoint).cloned().unwrap_or_default())
+    }
+
+    async fn send_order(
+        &self,
+        engine: &WantedEngine,
+        order: &EngineOrder,
+        window: SendWindow,
+    ) -> OrderOutcome {
+        if Instant::now() > window.latest_write {
+            return OrderOutcome::NotSent;
+        }
+        if !self.is_paused.get() {
+            return self.engines.apply(engine, order);
+        }
+        let (link, engine, order) = (self.clone(), engine.clone(), order.clone());
+        compio::runtime::spawn(async move {
+            while link.is_paused.get() {
+                compio::time::sleep(Duration::from_millis(1)).await;
+            }
+            link.engines.apply(&engine, &order);
+        })
+        .detach();
+        std::future::pending().await
+    }
+}
+
+/// A store that loses the answers of acquisitions.
+#[derive(Clone, Default)]
+pub struct LossyStore {
+    pub memory: MemoryStore,
+    pub lose_acquisitions: Rc<Cell<u32>>,
+}
+
+impl Store for LossyStore {
+    async fn read(&self, key: &StoreKey) -> ReadOutcome {
+        self.memory.read(key).await
+    }
+
+    async fn write(&self, key: &StoreKey, value: Vec<u8>, expected: StoreVersion) -> WriteOutcome {
+        self.memory.write(key, value, expected).await
+    }
+
+    async fn watch(&self, key: &StoreKey, after: StoreVersion, deadline: Instant) -> WatchOutcome {
+        self.memory.watch(key, after, deadline).await
+    }
+
+    async fn list(&self, prefix: &str) -> ListOutcome {
+        self.memory.list(prefix).await
+    }
+
+    async fn acquire_lease(&self, key: &StoreKey, holder: &str, time: Duration) -> LeaseOutcome {
+        let outcome = self.memory.acquire_lease(key, holder, time).await;
+        if self.lose_acquisitions.get() == 0 {
+            return outcome;
+        }
+        self.lose_acquisitions.set(self.lose_acquisitions.get() - 1);
+        LeaseOutcome::Unavailable(UnavailableReason::Timeout)
+    }
+
+    async fn renew_lease(&self, lease: &Lease, time: Duration) -> RenewOutcome {
+        self.memory.renew_lease(lease, time).await
+    }
+
+    async fn release_lease(&self, lease: Lease) {
+        self.memory.release_lease(lease).await;
+    }
+}
+
+pub type TestDuty = OrderDuty<LossyStore, FakeLink>;
+
+pub fn duty(name: &str, store: &LossyStore, link: &FakeLink) -> TestDuty {
+    duty_with(name, store, link, None)
+}
+
+pub fn duty_with(
+    name: &str,
+    store: &LossyStore,
+    link: &FakeLink,
+    weights: Option<WeightSettings>,
+) -> TestDuty {
+    let settings = DutySettings { holder: name.into(), weights, timing: TIMING };
+    OrderDuty::new(settings, store.clone(), link.clone())
+}
+
+/// An engine that should have a role.
+pub fn engine(role: &str, checks_fencing: bool) -> WantedEngine {
+    WantedEngine {
+        endpoint: "engine-1".parse().unwrap(),
+        address: "192.0.2.11:8080".parse().unwrap(),
+        checks_fencing,
+        actions: vec![OrderAction::ChangeRole { role: role.parse().unwrap() }],
+    }
+}
+
+/// An engine that should have a model.
+pub fn loading_engine(name: &str, model: &str) -> WantedEngine {
+    let actions = vec![OrderAction::LoadModel { model: model.parse().unwrap() }];
+    WantedEngine { endpoint: name.parse().unwrap(), actions, ..engine("any", true) }
+}
+
+pub fn lease(fencing: u64, deadline: Instant) -> Lease {
+    Lease { id: "lease-1".into(), fencing: FencingToken(fencing), deadline }
+}
+
+/// Tries to take the lease until that succeeds.
+pub async fn acquire(duty: &mut TestDuty) {
+    let deadline = Instant::now() + PATIENCE;
+    while duty.contend().await != LeaseChange::Acquired {
+        assert!(Instant::now() < deadline, "the lease was not acquired in time");
+        compio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Runs rounds until a condition holds.
+pub async fn rounds_until(duty: &mut TestDuty, engines: &[WantedEngine], done: impl Fn() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !done() {
+        assert!(Instant::now() < deadline, "the rounds did not come to the expected state in time");
+        duty.round(engines, || false).await;
+        compio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Runs a test on a runtime of its own.
+pub fn run(test: impl Future<Output = ()>) {
+    compio::runtime::Runtime::new().unwrap().block_on(test);
+}
--- /dev/null
+++ b/crates/bramleywind_orders/tests/weights.rs
@@ -0,0 +1,163 @@
+//! The fleet-wide rate of downloads must hold whoever takes the permits and whatever becomes of the answers.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+#[path = "support/lib.rs"]
+mod support;
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bramleywind_orders::{
+    PermitDecision, PermitOutcome, RateRecord, RateView, WeightPermits, WeightSettings,
+};
+use bramleywind_store::{MemoryStore, StoreFaults, StoreVersion};
+use bramleywind_types::FencingToken;
+use proptest::prelude::*;
+use support::{FakeLink, LossyStore, PATIENCE, acquire, duty_with, loading_engine, run};
+use test_case::test_case;
+
+const INTERVAL: Duration = Duration::from_millis(40);
+
+/// Guards the rate under two holders, where answers are lost, writes take effect late, and reads are stale.
+#[test_case(StoreFaults::default(), 3; "calm")]
+#[test_case(StoreFaults { lose_answers: 5, ..StoreFaults::default() }, 3; "lost answers")]
+#[test_case(StoreFaults { apply_late_ms: 25, ..StoreFaults::default() }, 0; "late writes")]
+#[test_case(StoreFaults { delay_ms: 15, ..StoreFaults::default() }, 3; "slow store")]
+#[test_case(StoreFaults { stale_reads: true, ..StoreFaults::default() }, 0; "stale reads")]
+fn two_holders_keep_the_rate(faults: StoreFaults, least: usize) {
+    run(async {
+        let store = MemoryStore::new();
+        store.set_faults(faults);
+        let begun = Instant::now();
+        let taken = Rc::new(RefCell::new(0));
+        let takers = (0..2).map(|number| {
+            let (store, taken) = (store.clone(), taken.clone());
+            async move {
+                let mut permits = WeightPermits::new(store, INTERVAL);
+                while begun.elapsed() < 16 * INTERVAL {
+                    let outcome = permits.take("holder", FencingToken(number)).await;
+                    if matches!(outcome, PermitOutcome::Taken(_)) {
+                        *taken.borrow_mut() += 1;
+                    }
+                    compio::time::sleep(Duration::from_millis(1)).await;
+                }
+            }
+        });
+        futures_util::future::join_all(takers).await;
+        let allowed = begun.elapsed().div_duration_f64(INTERVAL) as u64;
+        let version = store.peek(&WeightPermits::<MemoryStore>::key()).unwrap().version;
+        assert!(version.0 <= allowed, "{version} writes where {allowed} are allowed");
+        let taken = *taken.borrow();
+        assert!(taken as u64 <= version.0 && taken >= least, "{taken} of {version}");
+    });
+}
+
+/// Guards against a permit that is used long after it was taken, when later ones were used already.
+#[test]
+fn permit_expires() {
+    run(async {
+        let mut permits = WeightPermits::new(MemoryStore::new(), INTERVAL);
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            if let PermitOutcome::Taken(permit) = permits.take("a", FencingToken(1)).await {
+                assert!(permit.valid_until <= Instant::now() + INTERVAL);
+                return;
+            }
+            assert!(Instant::now() < deadline, "no permit in time");
+            compio::time::sleep(Duration::from_millis(1)).await;
+        }
+    });
+}
+
+/// Guards against a duty that orders downloads without permits, or asks an engine again while it loads.
+#[test]
+fn duty_spaces_its_downloads() {
+    run(async {
+        let (store, link) = (LossyStore::default(), FakeLink::default());
+        let address = "192.0.2.100:7102".parse().unwrap();
+        // One download each 60 ms.
+        let weights = WeightSettings { address, downloads_per_minute: 1_000.try_into().unwrap() };
+        let mut holder = duty_with("a", &store, &link, Some(weights));
+        acquire(&mut holder).await;
+        let engines: Vec<_> =
+            (0..4).map(|number| loading_engine(&format!("engine-{number}"), "weave")).collect();
+        let begun = Instant::now();
+        let mut arrivals = Vec::new();
+        while arrivals.len() < engines.len() {
+            assert!(begun.elapsed() < PATIENCE, "the engines were not loaded in time");
+            holder.round(&engines, || false).await;
+            if link.engines.arrived.borrow().len() > arrivals.len() {
+                arrivals.push(Instant::now());
+            }
+            assert_eq!(link.engines.arrived.borrow().len(), arrivals.len());
+            compio::time::sleep(Duration::from_millis(1)).await;
+        }
+        // The first one waits for an interval too, since nobody knows when the last permit was taken.
+        assert!(begun.elapsed() >= 4 * weights.interval(), "{:?}", begun.elapsed());
+        let arrived = link.engines.arrived.borrow();
+        let expected = "http://192.0.2.100:7102/v1/weights/weave";
+        assert!(arrived.iter().all(|(order, _)| order.weights.as_deref() == Some(expected)));
+    });
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// A process reads the record.
+    Read(usize),
+    /// A process writes it, if it may; the write takes effect after this many milliseconds.
+    Write(usize, u64),
+    /// Time passes.
+    Wait(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        (0..3_usize).prop_map(Step::Read),
+        (0..3_usize, 0..300_u64).prop_map(|(process, late)| Step::Write(process, late)),
+        (1..120_u64).prop_map(Step::Wait),
+    ];
+    prop::collection::vec(step, 1..200)
+}
+
+proptest! {
+    /// Guards the spacing with a simulated clock: three processes, and writes that take effect at any later
+    /// time. Seen to fail where a version counts from its write rather than from when it was seen.
+    #[test]
+    fn writes_are_an_interval_apart(steps in steps()) {
+        const INTERVAL_MS: u64 = 100;
+        let start = Instant::now();
+        let at = |now: u64| start + Duration::from_millis(now);
+        let mut now = 0;
+        let mut version = StoreVersion::MISSING;
+        let mut applied: Vec<u64> = Vec::new();
+        let mut floating: Vec<(u64, StoreVersion)> = Vec::new();
+        let mut views = [RateView::default(), RateView::default(), RateView::default()];
+        for step in steps {
+            match step {
+                Step::Read(process) => views[process].observe(RateRecord::default(), version, at(now)),
+                Step::Write(process, late) => {
+                    let interval = Duration::from_millis(INTERVAL_MS);
+                    if let PermitDecision::Take(_, expected) = views[process].decide(interval, at(now)) {
+                        floating.push((now + late, expected));
+                    }
+                }
+                Step::Wait(time) => now += time,
+            }
+            floating.sort_by_key(|(due, _)| *due);
+            while floating.first().is_some_and(|(due, _)| *due <= now) {
+                let (_, expected) = floating.remove(0);
+                if expected == version {
+                    version = StoreVersion(version.0 + 1);
+                    applied.push(now);
+                }
+            }
+        }
+        for pair in applied.windows(2) {
+            prop_assert!(pair[1] - pair[0] >= INTERVAL_MS, "{:?}", applied);
+        }
+    }
+}
