settings: name the weight store and its rate

`weight_store_address` has no default: without it, no order is sent that would make an engine download. The rate is 6 downloads a minute for the whole fleet unless set otherwise; zero is refused, since it would never load.

--- a/crates/bramleywind_settings/src/daemon_settings.rs
+++ b/crates/bramleywind_settings/src/daemon_settings.rs
@@ -39,6 +39,10 @@
     pub store_address: SocketAddr,
     /// The instance list.
     pub instance_list_address: SocketAddr,
+    /// The weight store; without it, engines get no orders that need weights.
+    pub weight_store_address: Option<SocketAddr>,
+    /// The most downloads a minute that orders of the whole fleet may cause.
+    pub weight_downloads_per_minute: u32,
     /// The other routers to connect to at the start; never this instance.
     pub peers: Vec<PeerSeed>,
     /// What routers prove to each other that they know.
@@ -115,6 +119,8 @@
             capacity: options.capacity,
             store_address: options.store_address,
             instance_list_address: options.instance_list_address,
+            weight_store_address: options.weight_store_address,
+            weight_downloads_per_minute: options.weight_downloads_per_minute,
             fleet_secret,
             operator_token,
             operator_public_key: options.operator_public_key,
--- a/crates/bramleywind_settings/src/options_shape.rs
+++ b/crates/bramleywind_settings/src/options_shape.rs
@@ -87,6 +87,8 @@
         FieldShape::optional("capacity", SMALL_NUMBER),
         FieldShape::required("store_address", ADDRESS),
         FieldShape::required("instance_list_address", ADDRESS),
+        FieldShape::optional("weight_store_address", ADDRESS),
+        FieldShape::optional("weight_downloads_per_minute", SMALL_NUMBER),
         FieldShape::optional("peers", JsonShape::List(&PEER_SHAPE)),
         FieldShape::required("fleet_secret", SECRET_SHAPE),
         FieldShape::required("operator_token", SECRET_SHAPE),
--- a/crates/bramleywind_settings/src/raw_options.rs
+++ b/crates/bramleywind_settings/src/raw_options.rs
@@ -9,6 +9,10 @@
 /// The share of traffic of an instance that does not say its own.
 const DEFAULT_CAPACITY: u32 = 100;
 
+/// How many downloads a minute the weight store is asked for by default. Engines load seldom, and a store that
+/// serves one a second, as the stand-in does, then has nine tenths of its rate left for others.
+const DEFAULT_WEIGHT_DOWNLOADS: u32 = 6;
+
 /// The options as written in the file, without its secrets. The shape rules refuse unknown keys.
 #[derive(Debug, Clone, Deserialize)]
 pub(crate) struct RawOptions {
@@ -23,6 +27,9 @@
     pub(crate) capacity: u32,
     pub(crate) store_address: SocketAddr,
     pub(crate) instance_list_address: SocketAddr,
+    pub(crate) weight_store_address: Option<SocketAddr>,
+    #[serde(default = "default_weight_downloads")]
+    pub(crate) weight_downloads_per_minute: u32,
     #[serde(default)]
     pub(crate) peers: Vec<PeerSeed>,
     pub(crate) operator_public_key: OperatorPublicKey,
@@ -38,6 +45,10 @@
     DEFAULT_CAPACITY
 }
 
+fn default_weight_downloads() -> u32 {
+    DEFAULT_WEIGHT_DOWNLOADS
+}
+
 /// The limits as written in the file, times in milliseconds.
 #[derive(Debug, Clone, Copy, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/bramleywind_settings/src/rules/zero_limit.rs
+++ b/crates/bramleywind_settings/src/rules/zero_limit.rs
@@ -11,6 +11,15 @@
     let limits = limits.into_iter().flat_map(|limits| {
         LIMITS.iter().filter_map(|name| Some((*name, object_field(limits, name)?)))
     });
+    let weights = "weight_downloads_per_minute";
+    if let Some(number) = object_field(root, weights).and_then(|found| found.value.as_number_lit())
+        && number.value.parse() == Ok(0_u64)
+    {
+        let message = format!(
+            "with `{weights}` at `0`, no engine would ever load a model; write at least 1, or leave out `weight_store_address` to send no such orders"
+        );
+        report.add("zero_limit", number.range, message);
+    }
     let capacity = object_field(root, "capacity").map(|property| ("capacity", property));
     for (name, property) in capacity.into_iter().chain(limits) {
         let Some(number) = property.value.as_number_lit() else { continue };
