router: send orders to engines, and requests only where the model is loaded

One background task holds or contends for the order duty. The last look at the lease is after the connection to the engine is made, directly before the request is written, so that a slow connection cannot carry an order past the lease; what a pause after that look can do is corrected by the next round.

An engine that lists its loaded models in its report gets no requests for others: each of them cost an attempt and a retry before. An engine whose report lists none is believed to have what the configuration says.

The test fleet's engines check fencing, as their stand-ins do; the configuration had said otherwise, which made each order wait for the settling time of 19 s.

--- a/crates/bramleywind_orders/src/order_duty.rs
+++ b/crates/bramleywind_orders/src/order_duty.rs
@@ -70,6 +70,10 @@
                 self.lease.set_acquired(lease, Instant::now());
                 // What an earlier holder sent or this process sent earlier tells nothing of now.
                 self.pending.clear();
+                // The interval of the first permit counts from when the record was first seen.
+                if let Some(permits) = &mut self.permits {
+                    permits.read().await;
+                }
                 if self.is_holder() { LeaseChange::Acquired } else { LeaseChange::None }
             }
             LeaseOutcome::Held => LeaseChange::None,
@@ -169,6 +173,9 @@
                 report.steps.push(step);
             };
             note(result);
+            if result == OrderResult::WaitsForPermit {
+                report.waiting.insert(engine.endpoint.clone());
+            }
             if !matches!(result, OrderResult::Sent(outcome) if outcome != OrderOutcome::NotSent) {
                 continue;
             }
--- a/crates/bramleywind_orders/src/round_report.rs
+++ b/crates/bramleywind_orders/src/round_report.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use bramleywind_types::EndpointId;
 
 use crate::{OrderAction, OrderOutcome};
@@ -62,6 +64,8 @@
     pub missing: usize,
     /// Loaded models that the configuration does not ask for.
     pub unexpected: usize,
+    /// Engines of which an order waits for a permit, so that they can be looked at again soon.
+    pub waiting: BTreeSet<EndpointId>,
     /// Orders that were dealt with, in order.
     pub steps: Vec<OrderStep>,
 }
--- a/crates/bramleywind_orders/src/weight_permits.rs
+++ b/crates/bramleywind_orders/src/weight_permits.rs
@@ -75,7 +75,8 @@
         }
     }
 
-    async fn read(&mut self) -> PermitOutcome {
+    /// Reads the record, from which on the interval counts if it is new.
+    pub async fn read(&mut self) -> PermitOutcome {
         let (record, version) = match self.store.read(&Self::key()).await {
             ReadOutcome::Found(found) => match serde_json::from_slice(&found.value) {
                 Ok(record) => (record, found.version),
--- a/crates/bramleywind_router/src/admission.rs
+++ b/crates/bramleywind_router/src/admission.rs
@@ -11,7 +11,7 @@
     EndpointState, EndpointTable, EndpointTableDump, FairQueue, LoadReport, PolicyKind,
     QueuedRequest, ReturnDelay, RouteRequest, SelectedPolicy,
 };
-use bramleywind_types::{EndpointId, Refusal, RefusalCode, RepeatAdvice, WorkspaceId};
+use bramleywind_types::{EndpointId, ModelId, Refusal, RefusalCode, RepeatAdvice, WorkspaceId};
 use futures_channel::oneshot;
 
 use crate::{EndpointHealth, RouteTable, RouteTarget};
@@ -124,6 +124,11 @@
         !is_down && !self.is_leaving(endpoint)
     }
 
+    /// Whether an endpoint reports its loaded models and the model is not among them.
+    pub fn lacks_model(&self, endpoint: &EndpointId, model: &ModelId) -> bool {
+        self.inner.borrow().health.lacks_model(endpoint, model)
+    }
+
     /// Takes in an endpoint's load report.
     pub fn record_report(&self, endpoint: &EndpointId, report: LoadReport) {
         self.inner.borrow_mut().table.record_report(endpoint, report);
@@ -275,6 +280,7 @@
         let Some(routes) = &self.routes else { return false };
         routes.endpoints.values().any(|config| {
             routes.serves(&config.id, target)
+                && has_loaded(&self.health, &config.id, target)
                 && self.table.state(&config.id).is_some_and(EndpointState::has_free_slot)
                 && !self.health.is_leaving(&config.id, &config.instance, now)
                 && !self.health.is_avoided(&config.id, now)
@@ -308,7 +314,16 @@
 ) -> bool {
     let Some(config) = routes.endpoints.get(endpoint) else { return false };
     routes.serves(endpoint, &request.target)
+        && has_loaded(health, endpoint, &request.target)
         && !request.excluded.contains(endpoint)
         && !health.is_leaving(endpoint, &config.instance, now)
         && !health.is_down(endpoint, now)
 }
+
+/// Whether the endpoint has what the target needs, as far as it reports that.
+fn has_loaded(health: &EndpointHealth, endpoint: &EndpointId, target: &RouteTarget) -> bool {
+    match target {
+        RouteTarget::Model(model) => !health.lacks_model(endpoint, model),
+        RouteTarget::Service(_) => true,
+    }
+}
--- a/crates/bramleywind_router/src/background.rs
+++ b/crates/bramleywind_router/src/background.rs
@@ -5,6 +5,7 @@
 mod instance_poll;
 mod load_poll;
 mod member_scan;
+mod order_sending;
 mod peer_watch;
 
 pub use config_watch::{accept_config, watch_config};
@@ -12,4 +13,5 @@
 pub use instance_poll::poll_instances;
 pub use load_poll::poll_loads;
 pub use member_scan::scan_members;
+pub use order_sending::send_orders;
 pub use peer_watch::watch_peers;
--- a/crates/bramleywind_router/src/background/instance_poll.rs
+++ b/crates/bramleywind_router/src/background/instance_poll.rs
@@ -1,6 +1,8 @@
 use std::{rc::Rc, time::Duration};
 
-use bramleywind_store::{DirectoryOutcome, InstanceDirectory, InstanceKind, InstanceState};
+use bramleywind_store::{
+    DirectoryOutcome, InstanceDirectory, InstanceKind, InstanceRecord, InstanceState,
+};
 use slog::{info, warn};
 
 use crate::RouterState;
@@ -18,6 +20,10 @@
                 if !std::mem::replace(&mut is_answering, true) {
                     info!(state.log, "the instance list answers again");
                 }
+                let is_live_entry = |record: &&InstanceRecord| {
+                    record.kind == InstanceKind::Entry && record.state == InstanceState::Live
+                };
+                state.orders.entries.set(list.instances.iter().filter(is_live_entry).count());
                 let leaving = || {
                     let instances = list.instances.iter();
                     instances.filter(|record| record.state == InstanceState::Leaving)
--- a/crates/bramleywind_router/src/background/load_poll.rs
+++ b/crates/bramleywind_router/src/background/load_poll.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -31,6 +32,9 @@
     queued: u32,
     #[serde(default)]
     state: Option<Box<str>>,
+    /// The loaded models; some engines do not list them.
+    #[serde(default)]
+    models: Option<BTreeSet<Box<str>>>,
 }
 
 /// Follows the load of the engines. Plain services report none.
@@ -56,7 +60,10 @@
         // A late or odd report says nothing: requests find out how the engine is.
         Err(_) => return,
     };
-    state.admission.update_health(|health| health.record_up(endpoint));
+    state.admission.update_health(|health| {
+        health.record_up(endpoint);
+        health.record_models(endpoint, report.models);
+    });
     let load = LoadReport { running: report.running, queued: report.queued };
     state.admission.record_report(endpoint, load);
     if report.state.as_deref() == Some("leaving") {
--- a/crates/bramleywind_router/src/endpoint_call.rs
+++ b/crates/bramleywind_router/src/endpoint_call.rs
@@ -84,6 +84,22 @@
     request: Request<Full<Bytes>>,
     times: CallTimes,
     rule: DeclineRule,
+) -> Result<EndpointAnswer, FailedCall> {
+    let never = Instant::now() + times.connect + times.first_byte;
+    call_endpoint_before(address, request, times, rule, never).await
+}
+
+/// As [`call_endpoint`], but sends the request only if the connection is made before `latest_write`.
+///
+/// # Errors
+///
+/// [`FailedCall`] as above; [`AttemptFailure::NotConnected`] if it was too late.
+pub async fn call_endpoint_before(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    times: CallTimes,
+    rule: DeclineRule,
+    latest_write: Instant,
 ) -> Result<EndpointAnswer, FailedCall> {
     let stream = match timeout(times.connect, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
@@ -100,6 +116,9 @@
         // The error reaches the request through its own future.
         let _ = connection.await;
     });
+    if Instant::now() > latest_write {
+        return Err(AttemptFailure::NotConnected.into());
+    }
     let response = match timeout(times.first_byte, sender.send_request(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(_)) => return Err(AttemptFailure::Broken.into()),
--- a/crates/bramleywind_router/src/endpoint_health.rs
+++ b/crates/bramleywind_router/src/endpoint_health.rs
@@ -3,7 +3,7 @@
     time::{Duration, Instant},
 };
 
-use bramleywind_types::{EndpointId, InstanceId};
+use bramleywind_types::{EndpointId, InstanceId, ModelId};
 
 /// How long an endpoint is passed over after it declined a request.
 const AVOID_TIME: Duration = Duration::from_secs(1);
@@ -23,6 +23,8 @@
     announced: BTreeMap<EndpointId, Instant>,
     avoided: BTreeMap<EndpointId, Instant>,
     down: BTreeMap<EndpointId, Instant>,
+    /// The loaded models of the endpoints that report them.
+    models: BTreeMap<EndpointId, BTreeSet<Box<str>>>,
 }
 
 impl EndpointHealth {
@@ -51,6 +53,19 @@
         self.down.remove(endpoint);
     }
 
+    /// Notes the loaded models that an endpoint reports; nothing if its report does not list them.
+    pub fn record_models(&mut self, endpoint: &EndpointId, models: Option<BTreeSet<Box<str>>>) {
+        match models {
+            Some(models) => self.models.insert(endpoint.clone(), models),
+            None => self.models.remove(endpoint),
+        };
+    }
+
+    /// Whether the endpoint reports its loaded models and the model is not among them.
+    pub fn lacks_model(&self, endpoint: &EndpointId, model: &ModelId) -> bool {
+        self.models.get(endpoint).is_some_and(|models| !models.contains(model.as_str()))
+    }
+
     /// Whether the endpoint could not be reached a moment ago.
     pub fn is_down(&self, endpoint: &EndpointId, now: Instant) -> bool {
         self.down.get(endpoint).is_some_and(|until| now < *until)
--- /dev/null
+++ b/crates/bramleywind_router/src/engine_order_link.rs
@@ -0,0 +1,82 @@
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bramleywind_orders::{
+    EngineLink, EngineOrder, InventoryOutcome, OrderOutcome, SendWindow, WantedEngine,
+};
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, StatusCode, Uri, header};
+use http_body_util::Full;
+
+use crate::{AttemptFailure, CallTimes, DeclineRule, call_endpoint, call_endpoint_before};
+
+/// The largest state that an engine reports, in bytes.
+const INVENTORY_BYTES: usize = 256 * 1024;
+
+/// The orders of engines over HTTP, each call on a connection of its own.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct EngineOrderLink;
+
+impl EngineLink for EngineOrderLink {
+    async fn read_inventory(&self, engine: &WantedEngine, deadline: Instant) -> InventoryOutcome {
+        let request = order_request(Method::GET, engine.address, Bytes::new());
+        let times = times_until(deadline);
+        let call = call_endpoint(engine.address, request, times, DeclineRule::LeavingOnly).await;
+        let Ok(answer) = call else { return InventoryOutcome::Unavailable };
+        if answer.head.status != StatusCode::OK {
+            return InventoryOutcome::Unavailable;
+        }
+        let body = answer.collect(times.first_byte, INVENTORY_BYTES).await.ok();
+        let inventory = body.and_then(|body| serde_json::from_slice(&body).ok());
+        inventory.map_or(InventoryOutcome::Unavailable, InventoryOutcome::Found)
+    }
+
+    async fn send_order(
+        &self,
+        engine: &WantedEngine,
+        order: &EngineOrder,
+        window: SendWindow,
+    ) -> OrderOutcome {
+        let Ok(body) = serde_json::to_vec(order) else { return OrderOutcome::NotSent };
+        let request = order_request(Method::POST, engine.address, body.into());
+        let call = call_endpoint_before(
+            engine.address,
+            request,
+            times_until(window.deadline),
+            DeclineRule::LeavingOnly,
+            window.latest_write,
+        );
+        match call.await {
+            Ok(answer) if answer.head.status.is_success() => OrderOutcome::Accepted,
+            Ok(answer) if answer.head.status == StatusCode::CONFLICT => OrderOutcome::Fenced,
+            Ok(answer) if answer.head.status.is_client_error() => OrderOutcome::Refused,
+            // A server error may come after the order was begun.
+            Ok(_) => OrderOutcome::Unknown,
+            Err(failed) => match failed.failure {
+                AttemptFailure::NotConnected => OrderOutcome::NotSent,
+                AttemptFailure::Declined => OrderOutcome::Refused,
+                _ => OrderOutcome::Unknown,
+            },
+        }
+    }
+}
+
+/// The whole call ends by the deadline, since the duty drops it then.
+fn times_until(deadline: Instant) -> CallTimes {
+    let left = deadline.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+    CallTimes { connect: left, first_byte: left }
+}
+
+fn order_request(method: Method, address: SocketAddr, body: Bytes) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = Uri::from_static("/v1/orders");
+    let json = HeaderValue::from_static("application/json");
+    request.headers_mut().insert(header::CONTENT_TYPE, json);
+    if let Ok(host) = HeaderValue::try_from(address.to_string()) {
+        request.headers_mut().insert(header::HOST, host);
+    }
+    request
+}
--- a/crates/bramleywind_router/src/lib.rs
+++ b/crates/bramleywind_router/src/lib.rs
@@ -20,6 +20,7 @@
 mod endpoint_call;
 mod endpoint_health;
 mod engine_event;
+mod engine_order_link;
 mod entry_answer;
 mod entry_weights;
 mod event_scan;
@@ -30,6 +31,7 @@
 mod key_start;
 mod logger;
 mod operator_port;
+mod order_state;
 mod peer_answers;
 mod refusal_answer;
 mod request_context;
@@ -57,9 +59,12 @@
 pub use counted_store::CountedStore;
 pub use daemon::run_daemon;
 pub use drain_state::{DrainPhase, DrainState};
-pub use endpoint_call::{CallTimes, DeclineRule, EndpointAnswer, FailedCall, call_endpoint};
+pub use endpoint_call::{
+    CallTimes, DeclineRule, EndpointAnswer, FailedCall, call_endpoint, call_endpoint_before,
+};
 pub use endpoint_health::EndpointHealth;
 pub use engine_event::{DONE_DATA, EngineEvent};
+pub use engine_order_link::EngineOrderLink;
 pub use entry_answer::{ENTRY_VALIDITY, entry_list};
 pub use entry_weights::entry_weight;
 pub use event_scan::{EventFields, EventScanner, MAX_EVENT_BYTES};
@@ -70,6 +75,7 @@
 pub use key_start::{KeyEnd, KeyStart, KeyTicket};
 pub use logger::new_logger;
 pub use operator_port::{OperatorAccess, RouterStatusAnswer, answer_operator};
+pub use order_state::OrderState;
 pub use peer_answers::PeerAnswers;
 pub use refusal_answer::{
     LEAVING_HEADER, REQUEST_ID_HEADER, insert_request_id, json_response, refusal_event,
@@ -85,7 +91,7 @@
 pub use router::{Router, RouterOptions, StartError};
 pub use router_link::RouterLink;
 pub use router_metrics::{
-    CodeLabel, OutcomeLabel, PeerLabel, RequestOutcome, RouterMetrics, StoreLabel,
+    CodeLabel, OrderLabel, OutcomeLabel, PeerLabel, RequestOutcome, RouterMetrics, StoreLabel,
 };
 pub use router_state::{RouterIdentity, RouterParts, RouterState, RunningGuard};
 pub use service_attempts::{ServiceAttempts, ServiceRequest, end_to_end_headers};
--- a/crates/bramleywind_router/src/router.rs
+++ b/crates/bramleywind_router/src/router.rs
@@ -1,11 +1,13 @@
 use std::{
     net::SocketAddr,
+    num::NonZeroU32,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use bramleywind_claims::{ClaimHolder, ClaimKeeper};
 use bramleywind_ledger::{FundsKeeper, KeeperClock, KeeperSettings};
+use bramleywind_orders::{DutySettings, DutyTiming, WeightSettings};
 use bramleywind_peer::{FleetSecret, MeshError, MeshSettings, MeshTiming, PeerMesh, SecretError};
 use bramleywind_routing::PolicyKind;
 use bramleywind_settings::DaemonSettings;
@@ -19,7 +21,10 @@
     Admission, CountedStore, DrainPhase, HeadLimits, HttpListener, KeyDesk, OperatorAccess,
     PeerAnswers, RequestLimits, RouterIdentity, RouterLink, RouterMetrics, RouterParts,
     RouterState, answer_caller, answer_operator,
-    background::{keep_funds, poll_instances, poll_loads, scan_members, watch_config, watch_peers},
+    background::{
+        keep_funds, poll_instances, poll_loads, scan_members, send_orders, watch_config,
+        watch_peers,
+    },
 };
 
 /// How long one call of the store may take. The store answers within milliseconds when it is well.
@@ -107,6 +112,15 @@
     })
 }
 
+fn duty_settings(settings: &DaemonSettings) -> DutySettings {
+    let rate = NonZeroU32::new(settings.weight_downloads_per_minute);
+    let weights = settings.weight_store_address.zip(rate);
+    let weights = weights
+        .map(|(address, downloads_per_minute)| WeightSettings { address, downloads_per_minute });
+    let holder = settings.instance.as_str().into();
+    DutySettings { holder, weights, timing: DutyTiming::default() }
+}
+
 /// A running router. It stops at once, and its connections break, when it is dropped.
 #[derive(Debug)]
 pub struct Router {
@@ -177,6 +191,7 @@
         let access = OperatorAccess { token: settings.operator_token.clone(), allow_test_faults };
         let operator = bound
             .serve(head, move |request| answer_operator(answers.clone(), access.clone(), request));
+        let duty = duty_settings(&settings);
         let key = settings.operator_public_key;
         let client = mesh.client();
         let answers = Rc::new(PeerAnswers::new(state.clone()));
@@ -187,6 +202,7 @@
             compio::runtime::spawn(keep_funds(state.clone(), settings.peers.len())),
             compio::runtime::spawn(scan_members(state.clone(), store.clone(), client.clone())),
             compio::runtime::spawn(watch_peers(state.clone(), client, key)),
+            compio::runtime::spawn(send_orders(state.clone(), store.clone(), duty)),
             compio::runtime::spawn(watch_config(state.clone(), store, key)),
             compio::runtime::spawn(poll_instances(state.clone(), directory)),
             compio::runtime::spawn(poll_loads(state.clone())),
@@ -228,5 +244,9 @@
         let outcome = self.state.funds.hand_back_all(deadline).await;
         info!(self.state.log, "slices handed back"; "outcome" => ?outcome);
         self.state.keys.claims.drain(deadline).await;
+        // The next holder need not wait for the lease to end. An order may still be under way.
+        while !self.state.orders.is_released.get() && Instant::now() < deadline {
+            compio::time::sleep(DRAIN_POLL).await;
+        }
     }
 }
--- a/crates/bramleywind_router/src/router_metrics.rs
+++ b/crates/bramleywind_router/src/router_metrics.rs
@@ -59,6 +59,15 @@
     pub outcome: &'static str,
 }
 
+/// The labels of the order counter.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OrderLabel {
+    /// The kind of order.
+    pub order: &'static str,
+    /// What became of it.
+    pub outcome: &'static str,
+}
+
 /// The label of the peer gauge.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct PeerLabel {
@@ -89,6 +98,16 @@
     pub late_chunks: Counter,
     /// Store calls.
     pub store_calls: Family<StoreLabel, Counter>,
+    /// Orders to engines.
+    pub orders: Family<OrderLabel, Counter>,
+    /// One while this router holds the order duty.
+    pub orders_holder: Gauge,
+    /// Orders that are missing.
+    pub orders_missing: Gauge,
+    /// Loaded models that nobody asks for.
+    pub orders_unexpected: Gauge,
+    /// Engines that did not tell their state.
+    pub orders_unreadable: Gauge,
     /// Peers by state.
     pub peers: Family<PeerLabel, Gauge>,
     /// Requests that are running.
@@ -120,6 +139,20 @@
         registry.register("late_chunks", "Late pieces that were dropped", late_chunks.clone());
         let store_calls = Family::default();
         registry.register("store_calls", "Store calls by kind and outcome", store_calls.clone());
+        let orders = Family::default();
+        registry.register("orders", "Orders to engines by kind and outcome", orders.clone());
+        let orders_holder = Gauge::default();
+        let holder_help = "Whether this router holds the order duty";
+        registry.register("orders_holder", holder_help, orders_holder.clone());
+        let orders_missing = Gauge::default();
+        let missing_help = "Orders missing after the latest round";
+        registry.register("orders_missing", missing_help, orders_missing.clone());
+        let orders_unexpected = Gauge::default();
+        let unexpected_help = "Loaded models that no configuration asks for";
+        registry.register("orders_unexpected_models", unexpected_help, orders_unexpected.clone());
+        let orders_unreadable = Gauge::default();
+        let unreadable_help = "Engines that did not tell their state";
+        registry.register("orders_unreadable_engines", unreadable_help, orders_unreadable.clone());
         let peers = Family::default();
         registry.register("peers", "Peers by state", peers.clone());
         let running = Gauge::default();
@@ -135,6 +168,11 @@
             resumes,
             late_chunks,
             store_calls,
+            orders,
+            orders_holder,
+            orders_missing,
+            orders_unexpected,
+            orders_unreadable,
             peers,
             running,
             registry,
--- a/crates/bramleywind_router/src/router_state.rs
+++ b/crates/bramleywind_router/src/router_state.rs
@@ -18,7 +18,7 @@
 use slog::{Logger, info};
 
 use crate::{
-    Admission, DrainPhase, DrainState, KeyDesk, RequestLimits, RouteTable, RouterLink,
+    Admission, DrainPhase, DrainState, KeyDesk, OrderState, RequestLimits, RouteTable, RouterLink,
     RouterMetrics, RouterStore,
 };
 
@@ -61,6 +61,8 @@
     pub key_home: RefCell<KeyHome>,
     /// The requests that crash endpoints.
     pub strikes: RefCell<StrikeBook>,
+    /// The order duty.
+    pub orders: OrderState,
     /// Counters.
     pub metrics: RouterMetrics,
     /// The log.
@@ -122,6 +124,7 @@
             keys,
             key_home: RefCell::default(),
             strikes: RefCell::default(),
+            orders: OrderState::default(),
             metrics,
             log,
             running: Cell::new(0),
--- a/crates/bramleywind_router/src/state_dump.rs
+++ b/crates/bramleywind_router/src/state_dump.rs
@@ -5,7 +5,7 @@
 use bramleywind_types::{ConfigRevision, DataCentreId, InstanceId};
 use serde::Serialize;
 
-use crate::{DrainPhase, RouterState};
+use crate::{DrainPhase, OrderState, RouterState};
 
 /// The whole state of a router, without secrets.
 #[derive(Debug, Serialize)]
@@ -30,6 +30,8 @@
     pub claims: ClaimStats,
     /// The other routers; nothing before the peer connections are up.
     pub peers: Option<MembershipView>,
+    /// The order duty.
+    pub orders: OrderState,
     /// Keys that this router remembers as a home.
     pub home_keys: usize,
 }
@@ -49,6 +51,7 @@
             funds: state.funds.dump(),
             claims: state.keys.claims.stats(),
             peers: state.link.client().map(PeerClient::view),
+            orders: state.orders.clone(),
             home_keys: state.key_home.borrow().len(),
         }
     }
--- a/crates/bramleywind_router/tests/router/harness.rs
+++ b/crates/bramleywind_router/tests/router/harness.rs
@@ -45,6 +45,8 @@
     pub routers: usize,
     /// Further engines that the test runs itself.
     pub own_engines: Vec<SocketAddr>,
+    /// The weight store of the settings.
+    pub weight_store: Option<SocketAddr>,
 }
 
 impl Default for FleetPlan {
@@ -56,6 +58,7 @@
             policy: EndpointPolicy::RoundRobin,
             routers: 1,
             own_engines: Vec::new(),
+            weight_store: None,
         }
     }
 }
@@ -136,6 +139,8 @@
             capacity: 100,
             store_address: self.store.address(),
             instance_list_address: self.instances.address(),
+            weight_store_address: plan.weight_store,
+            weight_downloads_per_minute: 600,
             peers: peers.collect(),
             fleet_secret: Secret::new("0123456789abcdef0123456789abcdef"),
             operator_token: Secret::new(TOKEN),
@@ -237,7 +242,8 @@
                 .on_instance(&format!("engine-{index}"))
                 .placed_in("dc-0")
                 .at(&engine.address().to_string())
-                .slots(options.slots),
+                .slots(options.slots)
+                .checks_fencing(),
         );
     }
     for (index, address) in plan.own_engines.iter().enumerate() {
--- a/crates/bramleywind_router/tests/router/main.rs
+++ b/crates/bramleywind_router/tests/router/main.rs
@@ -6,5 +6,6 @@
 mod drains;
 mod engine_faults;
 mod harness;
+mod orders;
 mod repeats;
 mod whole_path;
