--- a/crates/bramleywind_orders/src/duty_lease.rs
+++ b/crates/bramleywind_orders/src/duty_lease.rs
@@ -6,6 +6,22 @@
 use crate::{DutyTiming, SendWindow};
 
 /// The lease of the duty as this process knows it.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use bramleywind_orders::{DutyLease, DutyTiming, SendDecision};
+/// use bramleywind_store::Lease;
+/// use bramleywind_types::FencingToken;
+///
+/// let now = Instant::now();
+/// let mut held = DutyLease::new(DutyTiming::default());
+/// assert_eq!(held.decide(now, true), SendDecision::NoLease);
+/// let deadline = now + Duration::from_secs(15);
+/// held.set_acquired(Lease { id: "lease-1".into(), fencing: FencingToken(3), deadline }, now);
+/// assert!(matches!(held.decide(now, true), SendDecision::Allowed(FencingToken(3), _)));
+/// assert!(matches!(held.decide(now, false), SendDecision::Settling(_)));
+/// assert_eq!(held.decide(deadline, true), SendDecision::NoLease);
+/// ```
 #[derive(Debug, Clone)]
 pub struct DutyLease {
     timing: DutyTiming,
--- a/crates/bramleywind_orders/src/duty_settings.rs
+++ b/crates/bramleywind_orders/src/duty_settings.rs
@@ -14,6 +14,15 @@
 }
 
 /// The weight store.
+///
+/// ```
+/// use std::time::Duration;
+/// use bramleywind_orders::WeightSettings;
+///
+/// let address = "192.0.2.100:7102".parse().unwrap();
+/// let weights = WeightSettings { address, downloads_per_minute: 6.try_into().unwrap() };
+/// assert_eq!(weights.interval(), Duration::from_secs(10));
+/// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WeightSettings {
     /// Its address.
--- a/crates/bramleywind_orders/src/duty_timing.rs
+++ b/crates/bramleywind_orders/src/duty_timing.rs
@@ -1,6 +1,17 @@
 use std::time::Duration;
 
 /// The times of the duty. Tests shorten them.
+///
+/// ```
+/// use std::time::Duration;
+/// use bramleywind_orders::DutyTiming;
+///
+/// let timing = DutyTiming::default();
+/// assert_eq!(timing.settle_time(), Duration::from_secs(19));
+/// assert_eq!(timing.round_interval(10), Duration::from_secs(5));
+/// assert_eq!(timing.round_interval(810), Duration::from_millis(32_400));
+/// assert_eq!(timing.contention_interval(6), Duration::from_secs(12));
+/// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DutyTiming {
     /// How long the lease lasts without a renewal.
--- a/crates/bramleywind_orders/src/rate_view.rs
+++ b/crates/bramleywind_orders/src/rate_view.rs
@@ -5,6 +5,21 @@
 use crate::RateRecord;
 
 /// What a process knows of the rate record.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use bramleywind_orders::{PermitDecision, RateRecord, RateView};
+/// use bramleywind_store::StoreVersion;
+///
+/// let (now, interval) = (Instant::now(), Duration::from_secs(10));
+/// let mut view = RateView::default();
+/// assert_eq!(view.decide(interval, now), PermitDecision::Unread);
+/// view.observe(RateRecord::default(), StoreVersion(4), now);
+/// assert_eq!(view.decide(interval, now), PermitDecision::Wait(now + interval));
+/// let later = now + interval;
+/// let take = PermitDecision::Take(RateRecord::default(), StoreVersion(4));
+/// assert_eq!(view.decide(interval, later), take);
+/// ```
 #[derive(Debug, Clone, Default)]
 pub struct RateView {
     seen: Option<SeenRecord>,
--- a/crates/bramleywind_orders/src/weight_permits.rs
+++ b/crates/bramleywind_orders/src/weight_permits.rs
@@ -28,6 +28,19 @@
 }
 
 /// Takes permits from the fleet-wide rate record.
+///
+/// ```
+/// use std::time::Duration;
+/// use bramleywind_orders::{PermitOutcome, WeightPermits};
+/// use bramleywind_store::MemoryStore;
+/// use bramleywind_types::FencingToken;
+///
+/// compio::runtime::Runtime::new().unwrap().block_on(async {
+///     let mut permits = WeightPermits::new(MemoryStore::new(), Duration::from_secs(10));
+///     // The first call reads the record, from which on the interval counts.
+///     assert_eq!(permits.take("entry-1", FencingToken(1)).await, PermitOutcome::Wait);
+/// });
+/// ```
 #[derive(Debug)]
 pub struct WeightPermits<S> {
     store: S,
