harness: pause the holder of the order duty until another took over, and wake it

Guards against a holder that goes on after its lease has ended, on engines with and without fencing: each gets one order from either holder, with rising tokens, and keeps the newer role.

--- a/crates/bramleywind_harness/tests/failures/main.rs
+++ b/crates/bramleywind_harness/tests/failures/main.rs
@@ -10,5 +10,6 @@
 mod configuration;
 mod crashing_request;
 mod leaving;
+mod orders;
 mod store_outage;
 mod test_fleet;
--- /dev/null
+++ b/crates/bramleywind_harness/tests/failures/orders.rs
@@ -0,0 +1,100 @@
+//! Guards the order duty with real processes: a holder that is paused and wakes must leave no mark.
+
+use std::time::Duration;
+
+use bramleywind_config::{ConfigDocument, EndpointRole};
+use bramleywind_harness::{LocalFleet, ProcessSignal, wait_until};
+use serde_json::{Value, json};
+
+use crate::test_fleet::{MODEL, PREPAID, TestFleet, document, plan, run};
+
+/// An attempt of each router within 18 s, and 19 s of settling for the engine without fencing.
+const FIRST_ORDER_LIMIT: Duration = Duration::from_secs(60);
+
+/// As for the first order, after the lease of 15 s.
+const TAKE_OVER_LIMIT: Duration = Duration::from_secs(80);
+
+/// An engine that ignores the fencing token.
+const UNFENCED: &str = "engine-5";
+
+fn document_with_role(fleet: &LocalFleet, role: &str) -> ConfigDocument {
+    let mut document = document(fleet, PREPAID);
+    for endpoint in &mut document.endpoints {
+        endpoint.checks_fencing &= endpoint.id.as_str() != UNFENCED;
+        if let EndpointRole::Engine { role: wanted, .. } = &mut endpoint.role {
+            *wanted = Some(role.parse().unwrap());
+        }
+    }
+    document
+}
+
+/// A paused router cannot be waited for.
+fn apply_without_waiting(fleet: &LocalFleet, document: &ConfigDocument) {
+    let file = fleet.folder().join("second.json");
+    std::fs::write(&file, serde_json::to_string(document).unwrap()).unwrap();
+    let key = fleet.folder().join("operator.key").display().to_string();
+    fleet.tool(&["config", "apply", &file.display().to_string(), "--key", &key]).unwrap();
+}
+
+async fn wait_for_role(test: &TestFleet, role: &str, limit: Duration) {
+    let addresses: Vec<_> = test.fleet.endpoints.iter().filter(|found| is_engine(found)).collect();
+    wait_until(&format!("all engines are `{role}`"), limit, || async {
+        for engine in &addresses {
+            let url = format!("http://{}/v1/orders", engine.address);
+            let inventory = test.fleet.caller.get_json(&url, &[]).await.ok()?;
+            if inventory["role"] != json!(role) {
+                return None;
+            }
+        }
+        Some(())
+    })
+    .await
+    .unwrap();
+}
+
+fn is_engine(endpoint: &bramleywind_harness::EndpointProcess) -> bool {
+    endpoint.endpoint.as_str().starts_with("engine")
+}
+
+async fn is_holder(test: &TestFleet, index: usize) -> Option<bool> {
+    test.fleet.dump(index).await.ok()?["orders"]["is_holder"].as_bool()
+}
+
+#[test]
+fn paused_holder_of_the_order_duty_leaves_no_mark() {
+    run(async {
+        let arguments = ["--model", MODEL, "--checks-fencing", "false"];
+        let plan = plan().engine(UNFENCED, "plateau", &arguments);
+        let mut test = TestFleet::start_with(plan).await;
+        let first = document_with_role(&test.fleet, "prefill");
+        test.fleet.apply(&first).await.unwrap();
+        wait_for_role(&test, "prefill", FIRST_ORDER_LIMIT).await;
+        let mut holders = Vec::new();
+        for index in 0..6 {
+            if is_holder(&test, index).await.unwrap() {
+                holders.push(index);
+            }
+        }
+        assert_eq!(holders.len(), 1, "{holders:?}");
+        let holder = holders[0];
+        test.fleet.routers[holder].process.signal(ProcessSignal::Pause);
+        let second = document_with_role(&test.fleet, "decode");
+        apply_without_waiting(&test.fleet, &second);
+        wait_for_role(&test, "decode", TAKE_OVER_LIMIT).await;
+        test.fleet.routers[holder].process.signal(ProcessSignal::Continue);
+        wait_until("the old holder knows that it is none", FIRST_ORDER_LIMIT, || async {
+            (!is_holder(&test, holder).await?).then_some(())
+        })
+        .await
+        .unwrap();
+        wait_for_role(&test, "decode", Duration::from_secs(10)).await;
+        for engine in test.fleet.endpoints.iter().filter(|found| is_engine(found)) {
+            let stats = test.engine_stats(engine.endpoint.as_str()).await;
+            let orders = stats["orders"].as_array().unwrap();
+            let roles: Vec<&Value> = orders.iter().map(|record| &record["order"]["role"]).collect();
+            assert_eq!(roles, ["prefill", "decode"], "{}: {stats:#}", engine.endpoint);
+            let tokens: Vec<_> = orders.iter().map(|record| &record["order"]["fencing"]).collect();
+            assert!(tokens[0].as_u64() < tokens[1].as_u64(), "{tokens:?}");
+        }
+    });
+}
