--- a/crates/bramleywind_harness/tests/failures/orders.rs
+++ b/crates/bramleywind_harness/tests/failures/orders.rs
@@ -1,6 +1,6 @@
 //! Guards the order duty with real processes: a holder that is paused and wakes must leave no mark.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bramleywind_config::{ConfigDocument, EndpointRole};
 use bramleywind_harness::{LocalFleet, ProcessSignal, wait_until};
@@ -98,3 +98,29 @@
         }
     });
 }
+
+/// Guards the figure in docs/engine-orders.md: 0.62 lease calls/s by the constants, with the jitter of the
+/// attempts on top. A router that tries in each tick of its task would make four.
+#[test]
+fn quiet_order_duty_costs_the_store_less_than_one_call_a_second() {
+    run(async {
+        const WINDOW: Duration = Duration::from_secs(48);
+        let test = TestFleet::start().await;
+        let lease_calls = async || {
+            let counters = test.fleet.store_counters().await.unwrap();
+            counters["lease_calls"].as_u64().unwrap()
+        };
+        wait_until("the duty is taken", FIRST_ORDER_LIMIT, || async {
+            (lease_calls().await > 1).then_some(())
+        })
+        .await
+        .unwrap();
+        let (before, begun) = (lease_calls().await, Instant::now());
+        // The window is what is measured; no condition ends it earlier.
+        compio::time::sleep(WINDOW).await;
+        let calls = lease_calls().await - before;
+        let per_second = calls as f64 / begun.elapsed().as_secs_f64();
+        println!("{calls} lease calls in {:?}, {per_second:.2}/s", begun.elapsed());
+        assert!(per_second < 1.0, "{per_second}");
+    });
+}
