--- a/crates/bramleywind_harness/tests/failures/orders.rs
+++ b/crates/bramleywind_harness/tests/failures/orders.rs
@@ -102,6 +102,7 @@
 /// Guards the figure in docs/engine-orders.md: 0.62 lease calls/s by the constants, with the jitter of the
 /// attempts on top. A router that tries in each tick of its task would make four.
 #[test]
+#[allow(clippy::print_stdout, reason = "the figure goes into the operators' page")]
 fn quiet_order_duty_costs_the_store_less_than_one_call_a_second() {
     run(async {
         const WINDOW: Duration = Duration::from_secs(48);
