--- a/crates/bramleywind_orders/src/duty_settings.rs
+++ b/crates/bramleywind_orders/src/duty_settings.rs
@@ -3,6 +3,16 @@
 use crate::DutyTiming;
 
 /// What the duty is built from.
+///
+/// ```
+/// use bramleywind_orders::{DutySettings, DutyTiming, WeightSettings};
+///
+/// let address = "192.0.2.100:7102".parse().unwrap();
+/// let weights = WeightSettings { address, downloads_per_minute: 6.try_into().unwrap() };
+/// let timing = DutyTiming::default();
+/// let settings = DutySettings { holder: "entry-1".into(), weights: Some(weights), timing };
+/// assert!(settings.timing.order_time < settings.timing.lease_time);
+/// ```
 #[derive(Debug, Clone)]
 pub struct DutySettings {
     /// The holder's name, shown by the store.
--- a/crates/bramleywind_orders/src/round_report.rs
+++ b/crates/bramleywind_orders/src/round_report.rs
@@ -5,6 +5,13 @@
 use crate::{OrderAction, OrderOutcome};
 
 /// What became of a missing order in a round.
+///
+/// ```
+/// use bramleywind_orders::{OrderOutcome, OrderResult};
+///
+/// assert_eq!(OrderResult::Sent(OrderOutcome::Fenced).name(), "fenced");
+/// assert_eq!(OrderResult::WaitsForPermit.name(), "waits_for_permit");
+/// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderResult {
     /// It was sent, or tried to be.
--- a/crates/bramleywind_router/src/endpoint_health.rs
+++ b/crates/bramleywind_router/src/endpoint_health.rs
@@ -17,6 +17,18 @@
 const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(30);
 
 /// Which endpoints may be sent new work.
+///
+/// ```
+/// use bramleywind_router::EndpointHealth;
+///
+/// let (engine, model) = ("engine-1".parse().unwrap(), "weave".parse().unwrap());
+/// let mut health = EndpointHealth::default();
+/// assert!(!health.lacks_model(&engine, &model), "what is not reported is not missing");
+/// health.record_models(&engine, Some(["warp".into()].into()));
+/// assert!(health.lacks_model(&engine, &model));
+/// health.record_models(&engine, None);
+/// assert!(!health.lacks_model(&engine, &model));
+/// ```
 #[derive(Debug, Default)]
 pub struct EndpointHealth {
     leaving_instances: BTreeSet<InstanceId>,
--- a/crates/bramleywind_router/tests/router/orders.rs
+++ b/crates/bramleywind_router/tests/router/orders.rs
@@ -110,3 +110,16 @@
         assert_eq!(found, InventoryOutcome::Found(expected));
     });
 }
+
+/// Guards against a drain that leaves the duty to nobody for the 15 s of its lease.
+#[test]
+fn a_draining_holder_hands_the_duty_over() {
+    run(async {
+        let fleet = TestFleet::start(FleetPlan { routers: 2, ..FleetPlan::default() }).await;
+        let holds = |index: usize| fleet.routers[index].state().orders.is_holder.get();
+        eventually("the duty is taken", || holds(0) || holds(1)).await;
+        let holder = usize::from(holds(1));
+        fleet.routers[holder].state().begin_drain("test");
+        eventually("the duty is handed over", || holds(1 - holder) && !holds(holder)).await;
+    });
+}
