--- a/crates/bramleywind_harness/tests/failures/main.rs
+++ b/crates/bramleywind_harness/tests/failures/main.rs
@@ -11,5 +11,6 @@
 mod crashing_request;
 mod double_failures;
 mod leaving;
+mod orders;
 mod store_outage;
 mod test_fleet;
--- a/crates/bramleywind_router/src/endpoint_health.rs
+++ b/crates/bramleywind_router/src/endpoint_health.rs
@@ -3,7 +3,7 @@
     time::{Duration, Instant},
 };
 
-use bramleywind_types::{EndpointId, InstanceId};
+use bramleywind_types::{EndpointId, InstanceId, ModelId};
 
 /// How long an endpoint is passed over after it declined a request.
 const AVOID_TIME: Duration = Duration::from_secs(1);
@@ -17,12 +17,26 @@
 const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(30);
 
 /// Which endpoints may be sent new work.
+///
+/// ```
+/// use bramleywind_router::EndpointHealth;
+///
+/// let (engine, model) = ("engine-1".parse().unwrap(), "weave".parse().unwrap());
+/// let mut health = EndpointHealth::default();
+/// assert!(!health.lacks_model(&engine, &model), "what is not reported is not missing");
+/// health.record_models(&engine, Some(["warp".into()].into()));
+/// assert!(health.lacks_model(&engine, &model));
+/// health.record_models(&engine, None);
+/// assert!(!health.lacks_model(&engine, &model));
+/// ```
 #[derive(Debug, Default)]
 pub struct EndpointHealth {
     leaving_instances: BTreeSet<InstanceId>,
     announced: BTreeMap<EndpointId, Instant>,
     avoided: BTreeMap<EndpointId, Instant>,
     down: BTreeMap<EndpointId, Instant>,
+    /// The loaded models of the endpoints that report them.
+    models: BTreeMap<EndpointId, BTreeSet<Box<str>>>,
 }
 
 impl EndpointHealth {
@@ -51,6 +65,19 @@
         self.down.remove(endpoint);
     }
 
+    /// Notes the loaded models that an endpoint reports; nothing if its report does not list them.
+    pub fn record_models(&mut self, endpoint: &EndpointId, models: Option<BTreeSet<Box<str>>>) {
+        match models {
+            Some(models) => self.models.insert(endpoint.clone(), models),
+            None => self.models.remove(endpoint),
+        };
+    }
+
+    /// Whether the endpoint reports its loaded models and the model is not among them.
+    pub fn lacks_model(&self, endpoint: &EndpointId, model: &ModelId) -> bool {
+        self.models.get(endpoint).is_some_and(|models| !models.contains(model.as_str()))
+    }
+
     /// Whether the endpoint could not be reached a moment ago.
     pub fn is_down(&self, endpoint: &EndpointId, now: Instant) -> bool {
         self.down.get(endpoint).is_some_and(|until| now < *until)
--- a/crates/bramleywind_router/src/router_state.rs
+++ b/crates/bramleywind_router/src/router_state.rs
@@ -18,8 +18,8 @@
 use slog::{Logger, info};
 
 use crate::{
-    Admission, DrainPhase, DrainState, KeyDesk, RepeatBook, RequestLimits, RouteTable, RouterLink,
-    RouterMetrics, RouterStore,
+    Admission, DrainPhase, DrainState, KeyDesk, OrderState, RepeatBook, RequestLimits, RouteTable,
+    RouterLink, RouterMetrics, RouterStore,
 };
 
 /// Who this router is.
@@ -63,6 +63,8 @@
     pub repeats: RefCell<RepeatBook>,
     /// The requests that crash endpoints.
     pub strikes: RefCell<StrikeBook>,
+    /// The order duty.
+    pub orders: OrderState,
     /// Counters.
     pub metrics: RouterMetrics,
     /// The log.
@@ -125,6 +127,7 @@
             key_home: RefCell::default(),
             repeats: RefCell::default(),
             strikes: RefCell::default(),
+            orders: OrderState::default(),
             metrics,
             log,
             running: Cell::new(0),
