harness: separate the acceptance of a configuration from its taking effect

The time to in force needs the moment at which the store accepted; apply_text returned only when all routers had it. submit_text returns at acceptance, and apply_text calls it.

--- a/crates/bramleywind_harness/src/local_fleet.rs
+++ b/crates/bramleywind_harness/src/local_fleet.rs
@@ -156,12 +156,7 @@
     ///
     /// [`FleetError`] if it is refused or not in force in time.
     pub async fn apply_text(&mut self, text: &str) -> Result<(), FleetError> {
-        write(self.folder.path(), "config.json", text)?;
-        let file = self.folder.path().join("config.json").display().to_string();
-        let key = self.folder.path().join("operator.key").display().to_string();
-        let printed = self.tool(&["--output", "json", "config", "apply", &file, "--key", &key])?;
-        let applied: Value = serde_json::from_str(&printed).unwrap_or(Value::Null);
-        let revision = applied["revision"].as_u64().unwrap_or(1);
+        let revision = self.submit_text(text)?;
         for index in 0..self.routers.len() {
             if !self.routers[index].process.has_ended() {
                 self.wait_for_revision(index, revision).await?;
@@ -170,6 +165,20 @@
         Ok(())
     }
 
+    /// Applies a document given as text, and returns its revision as soon as the store has accepted it.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Command`] if it is refused.
+    pub fn submit_text(&self, text: &str) -> Result<u64, FleetError> {
+        write(self.folder.path(), "config.json", text)?;
+        let file = self.folder.path().join("config.json").display().to_string();
+        let key = self.folder.path().join("operator.key").display().to_string();
+        let printed = self.tool(&["--output", "json", "config", "apply", &file, "--key", &key])?;
+        let applied: Value = serde_json::from_str(&printed).unwrap_or(Value::Null);
+        Ok(applied["revision"].as_u64().unwrap_or(1))
+    }
+
     /// Waits until a router has at least the given revision in force.
     ///
     /// # Errors
