--- /dev/null
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/fleet_shape.rs
@@ -0,0 +1,81 @@
+use bramleywind_config::ConfigDocument;
+use bramleywind_harness::{FleetPlan, LocalFleet, RouterPlan};
+use bramleywind_operator::{EndpointSpec, Fleet, ModelSpec, ServiceSpec, WorkspaceSpec};
+
+use crate::MeasureResult;
+
+/// The data centres of the target size; the first three are one region, the others another.
+const DATA_CENTRES: [&str; 5] = ["north-a", "north-b", "north-c", "south-a", "south-b"];
+
+/// The model of all engines.
+pub const MODEL: &str = "weave";
+
+/// What each budget has, in tokens: more than a measurement uses.
+const PREPAID: u64 = 100_000_000;
+
+/// A plan with some routers and engines, spread over the data centres of the target size.
+pub fn plan(routers: usize, engines: usize, services: usize) -> MeasureResult<FleetPlan> {
+    let mut plan = FleetPlan::six_routers([DATA_CENTRES[0], DATA_CENTRES[1], DATA_CENTRES[2]]);
+    let router = |index: usize| -> MeasureResult<RouterPlan> {
+        let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
+        Ok(RouterPlan {
+            instance: format!("{data_centre}-r{index:03}").parse()?,
+            data_centre: data_centre.parse()?,
+            capacity: 1,
+        })
+    };
+    plan.routers = (0..routers).map(router).collect::<Result<_, _>>()?;
+    let arguments = ["--model", MODEL, "--slots", "64", "--tokens-per-second", "2000"];
+    for index in 0..engines {
+        let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
+        plan = plan.engine(&format!("engine-{index}"), data_centre, &arguments);
+    }
+    for index in 0..services {
+        plan = plan.service(&format!("locker-{index}"), DATA_CENTRES[index % DATA_CENTRES.len()]);
+    }
+    Ok(plan)
+}
+
+/// The name of a budget.
+pub fn budget_name(index: usize) -> String {
+    format!("budget-{index:06}")
+}
+
+/// The bearer key that draws on a budget.
+pub fn bearer(index: usize) -> String {
+    format!("bearer-key-of-budget-{index:06}")
+}
+
+/// A configuration with the given numbers of workspaces and budgets, one key for each budget, and the endpoints
+/// of a fleet. `note` is the only part that differs between otherwise equal configurations.
+pub fn document(
+    fleet: Option<&LocalFleet>,
+    workspaces: usize,
+    budgets: usize,
+    note: u64,
+) -> MeasureResult<ConfigDocument> {
+    let mut description = Fleet::new()
+        .model(ModelSpec::new(MODEL, 4_096))
+        .service(ServiceSpec::new("lockers", 1).non_idempotent_route("POST", "/unlock"));
+    for index in 0..workspaces {
+        let mut workspace = WorkspaceSpec::new(&format!("workspace-{index:04}"))
+            .may_use_model(MODEL)
+            .may_use_service("lockers");
+        for budget in (index..budgets).step_by(workspaces) {
+            let name = budget_name(budget);
+            workspace = workspace.budget(&name, PREPAID + note).key(&bearer(budget), &name);
+        }
+        description = description.workspace(workspace);
+    }
+    let endpoints = fleet.map(|fleet| fleet.endpoints.as_slice()).unwrap_or_default();
+    let specs = endpoints.iter().map(|running| {
+        let id = running.endpoint.as_str();
+        let spec = if id.starts_with("engine") {
+            EndpointSpec::engine(id, [MODEL]).slots(64).checks_fencing()
+        } else {
+            EndpointSpec::service(id, "lockers").slots(64)
+        };
+        spec.placed_in(running.data_centre.as_str()).at(&running.address.to_string())
+    });
+    Ok(description.endpoints(specs).build()?)
+}
--- /dev/null
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/fleet_window.rs
@@ -0,0 +1,119 @@
+use std::time::{Duration, Instant};
+
+use bramleywind_harness::LocalFleet;
+use serde_json::Value;
+
+use crate::{MeasureResult, peer_traffic::PeerTraffic, process_sample::ProcessSample};
+
+/// How long the routers rest after their dumps are taken, which cost processor time themselves.
+const REST: Duration = Duration::from_millis(1_000);
+
+/// The kinds of calls that the store stand-in counts.
+const STORE_CALLS: [&str; 5] = ["reads", "writes", "watches", "lists", "lease_calls"];
+
+/// What the processes of a fleet used up to a moment.
+#[derive(Debug)]
+pub struct FleetWindow {
+    traffic: Vec<PeerTraffic>,
+    processes: Vec<ProcessSample>,
+    store: Value,
+    begun: Instant,
+}
+
+/// What the processes used during a window, by router.
+#[derive(Debug)]
+pub struct FleetUse {
+    pub seconds: f64,
+    /// The time between the dumps of the first router, over which the traffic was counted.
+    pub traffic_seconds: f64,
+    /// Processor time in seconds.
+    pub processor: Vec<f64>,
+    /// Peer messages a second, in and out.
+    pub messages: Vec<f64>,
+    /// Peer bytes a second, in and out.
+    pub bytes: Vec<f64>,
+    /// Resident memory in bytes, at the end.
+    pub resident: Vec<f64>,
+    /// Anonymous memory in bytes, at the end.
+    pub anonymous: Vec<f64>,
+    /// Live peers of the router that has the fewest.
+    pub fewest_live: usize,
+    pub violations: u64,
+    store_before: Value,
+    store_after: Value,
+}
+
+impl FleetWindow {
+    /// Begins a window. The processor time of the dumps lies outside of it.
+    pub async fn begin(fleet: &LocalFleet) -> MeasureResult<Self> {
+        let traffic = PeerTraffic::of_all(fleet).await?;
+        compio::time::sleep(REST).await;
+        let store = fleet.store_counters().await?;
+        let processes = sample_routers(fleet)?;
+        Ok(Self { traffic, processes, store, begun: Instant::now() })
+    }
+
+    /// Ends the window.
+    pub async fn end(self, fleet: &LocalFleet) -> MeasureResult<FleetUse> {
+        let seconds = self.begun.elapsed().as_secs_f64();
+        let processes = sample_routers(fleet)?;
+        let store_after = fleet.store_counters().await?;
+        let traffic = PeerTraffic::of_all(fleet).await?;
+        let rate = |of: fn(&PeerTraffic) -> f64| -> Vec<f64> {
+            let pairs = self.traffic.iter().zip(&traffic);
+            let per_second = |(before, after): (&PeerTraffic, &PeerTraffic)| {
+                (of(after) - of(before)) / (after.taken_at - before.taken_at).as_secs_f64()
+            };
+            pairs.map(per_second).collect()
+        };
+        let pairs = self.processes.iter().zip(&processes);
+        Ok(FleetUse {
+            seconds,
+            traffic_seconds: (traffic[0].taken_at - self.traffic[0].taken_at).as_secs_f64(),
+            processor: pairs
+                .map(|(before, after)| after.processor_seconds - before.processor_seconds)
+                .collect(),
+            messages: rate(|traffic| traffic.messages),
+            bytes: rate(|traffic| traffic.bytes),
+            resident: processes.iter().map(|sample| sample.resident_bytes).collect(),
+            anonymous: processes.iter().map(|sample| sample.anonymous_bytes).collect(),
+            fewest_live: traffic.iter().map(|traffic| traffic.live_peers).min().unwrap_or(0),
+            violations: traffic.iter().map(|traffic| traffic.violations).sum(),
+            store_before: self.store,
+            store_after,
+        })
+    }
+}
+
+impl FleetUse {
+    /// How many calls of a kind the store received.
+    pub fn store_calls(&self, kind: &str) -> f64 {
+        let count = |counters: &Value| counters[kind].as_f64().unwrap_or(0.0);
+        count(&self.store_after) - count(&self.store_before)
+    }
+
+    /// How many calls of any kind the store received.
+    pub fn all_store_calls(&self) -> f64 {
+        STORE_CALLS.iter().map(|kind| self.store_calls(kind)).sum()
+    }
+
+    /// How many watches waited at the end.
+    pub fn waiting_watches(&self) -> f64 {
+        self.store_after["waiting_watches"].as_f64().unwrap_or(0.0)
+    }
+}
+
+/// The mean of some values.
+pub fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len().max(1) as f64
+}
+
+/// The largest of some values that are not negative.
+pub fn largest(values: &[f64]) -> f64 {
+    values.iter().copied().fold(0.0, f64::max)
+}
+
+fn sample_routers(fleet: &LocalFleet) -> MeasureResult<Vec<ProcessSample>> {
+    let samples = fleet.routers.iter().map(|router| ProcessSample::of(router.process.id()));
+    Ok(samples.collect::<Result<_, _>>()?)
+}
--- /dev/null
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/main.rs
@@ -0,0 +1,72 @@
+//! Measures how state, messages, processor time, memory and store calls of a router grow with the fleet, with
+//! the real daemon and the stand-ins on loopback, and extrapolates to the target size. `docs/CAPACITY.md`
+//! states the results.
+
+mod args;
+mod budget_slopes;
+mod fleet_shape;
+mod fleet_window;
+mod idle_slopes;
+mod linear_fit;
+mod measurement_table;
+mod peer_traffic;
+mod process_sample;
+mod reclaim_times;
+mod request_costs;
+mod structure_costs;
+
+use std::{error::Error, time::Duration};
+
+use args::{Args, Part};
+use clap::Parser;
+use compio::runtime::Runtime;
+use measurement_table::MeasurementTable;
+
+/// The error of a measurement, which ends the program with its message.
+type MeasureResult<T> = Result<T, Box<dyn Error>>;
+
+/// Nodes, engines and budgets of the target size, and the pages of all budgets.
+const TARGET_ROUTERS: usize = 380;
+const TARGET_ENGINES: usize = 810;
+const TARGET_BUDGETS: usize = 190_000;
+const TARGET_PAGES: usize = 512;
+
+fn main() -> MeasureResult<()> {
+    let args = Args::parse();
+    let window = Duration::from_secs(args.seconds);
+    let mut table = MeasurementTable::new(args.csv);
+    table.print_head()?;
+    Runtime::new()?.block_on(async {
+        for part in Part::selected(&args.parts) {
+            match part {
+                Part::Structures => structure_costs::measure(&mut table)?,
+                Part::Idle => {
+                    for routers in &args.sizes {
+                        idle_slopes::measure(&mut table, *routers, window).await?;
+                    }
+                    table.print_fits("idle", TARGET_ROUTERS)?;
+                }
+                Part::Engines => {
+                    for engines in idle_slopes::ENGINE_COUNTS {
+                        idle_slopes::measure_engines(&mut table, engines, window).await?;
+                    }
+                    table.print_fits("engines", TARGET_ENGINES)?;
+                }
+                Part::Budgets => {
+                    budget_slopes::measure(&mut table).await?;
+                    table.print_fits("budgets", TARGET_BUDGETS)?;
+                }
+                Part::Requests => request_costs::measure(&mut table, window).await?,
+                Part::Reclaim => {
+                    for budgets in reclaim_times::BUDGET_COUNTS {
+                        reclaim_times::measure(&mut table, budgets, false).await?;
+                    }
+                    table.print_fits("reclaim", TARGET_PAGES)?;
+                    reclaim_times::measure(&mut table, reclaim_times::BUDGET_COUNTS[0], true)
+                        .await?;
+                }
+            }
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/measurement_table.rs
@@ -0,0 +1,77 @@
+use std::io::{self, Write};
+
+use crate::linear_fit::LinearFit;
+
+/// One measured value. Values of the same part and quantity lie on one curve over `size`.
+#[derive(Debug)]
+pub struct Measurement {
+    pub part: &'static str,
+    pub size: usize,
+    pub quantity: &'static str,
+    pub value: f64,
+}
+
+/// Prints measurements as they come, and the straight lines through them at the end.
+#[derive(Debug)]
+pub struct MeasurementTable {
+    rows: Vec<Measurement>,
+    csv: bool,
+}
+
+impl MeasurementTable {
+    pub fn new(csv: bool) -> Self {
+        Self { rows: Vec::new(), csv }
+    }
+
+    pub fn add(&mut self, part: &'static str, size: usize, quantity: &'static str, value: f64) {
+        let cells = [part.into(), size.to_string(), quantity.into(), format!("{value:.4}")];
+        // A closed standard output is found when the fits are printed.
+        let _ = self.write_row(&cells);
+        self.rows.push(Measurement { part, size, quantity, value });
+    }
+
+    /// Prints the line through each quantity of a part, extrapolated to `target`.
+    pub fn print_fits(&self, part: &'static str, target: usize) -> io::Result<()> {
+        let mut quantities: Vec<&'static str> = Vec::new();
+        for row in self.rows.iter().filter(|row| row.part == part) {
+            if !quantities.contains(&row.quantity) {
+                quantities.push(row.quantity);
+            }
+        }
+        for quantity in quantities {
+            let rows = self.rows.iter().filter(|row| row.part == part && row.quantity == quantity);
+            let points: Vec<_> = rows.map(|row| (row.size as f64, row.value)).collect();
+            let Some(fit) = LinearFit::of(&points) else { continue };
+            let x = target as f64;
+            self.write_row(&[
+                format!("{part}-fit"),
+                target.to_string(),
+                quantity.to_owned(),
+                format!("{:.4}", fit.at(x)),
+                format!("{:.4}", fit.doubt_at(x)),
+                format!("{:.6}", fit.intercept),
+                format!("{:.6}", fit.slope),
+                format!("{:.4}", fit.r_squared),
+            ])?;
+        }
+        Ok(())
+    }
+
+    pub fn print_head(&self) -> io::Result<()> {
+        let head =
+            ["part", "size", "quantity", "value", "doubt", "intercept", "slope", "r_squared"];
+        self.write_row(&head.map(str::to_owned))
+    }
+
+    fn write_row(&self, cells: &[String]) -> io::Result<()> {
+        let mut output = io::stdout().lock();
+        if self.csv {
+            return writeln!(output, "{}", cells.join(","));
+        }
+        let widths = [15, 8, 38, 16, 14, 16, 16, 10];
+        for (cell, width) in cells.iter().zip(widths) {
+            write!(output, "{cell:<width$}")?;
+        }
+        writeln!(output)
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/reclaim_times.rs
@@ -0,0 +1,124 @@
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use bramleywind_harness::{LocalFleet, ProcessSignal};
+use bramleywind_ledger::BudgetPage;
+use bramleywind_store::{HttpStore, ListOutcome, Store as _, StoreKey, StoreVersion, WriteOutcome};
+use bramleywind_types::{BudgetId, IncarnationId};
+use futures_util::future::try_join_all;
+use serde_json::json;
+
+use crate::{
+    MeasureResult, TARGET_BUDGETS, fleet_shape, idle_slopes::wait_for_mesh,
+    measurement_table::MeasurementTable, process_sample::ProcessSample,
+};
+
+/// Numbers of budgets that the killed router has slices of.
+pub const BUDGET_COUNTS: [usize; 4] = [8, 64, 192, 512];
+
+const ROUTERS: usize = 6;
+
+/// How many requests run at once while the slices are granted.
+const CONCURRENT: usize = 16;
+
+/// How long a call of the store may take; a listing of full pages is tens of megabytes.
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+
+/// How often the pages are looked at.
+const POLL: Duration = Duration::from_millis(100);
+
+/// How long a reclaim may take: the target is 30 s.
+const RECLAIM_LIMIT: Duration = Duration::from_secs(45);
+
+/// Measures the time from the death of a router until no page shows a slice of it. With `full_pages`, the store
+/// holds the pages of all budgets of the target size.
+pub async fn measure(
+    table: &mut MeasurementTable,
+    budgets: usize,
+    full_pages: bool,
+) -> MeasureResult<()> {
+    let part = if full_pages { "reclaim-full" } else { "reclaim" };
+    let mut fleet = LocalFleet::start(fleet_shape::plan(ROUTERS, 4, 0)?).await?;
+    let store = HttpStore::new(fleet.store_address, CALL_LIMIT)?;
+    if full_pages {
+        fill_pages(&store).await?;
+    }
+    fleet.apply(&fleet_shape::document(Some(&fleet), 1, budgets, 0)?).await?;
+    wait_for_mesh(&fleet, ROUTERS).await?;
+    compio::time::sleep(Duration::from_secs(4)).await;
+    let incarnation: IncarnationId =
+        fleet.status(0).await?["incarnation"].as_str().unwrap_or_default().parse()?;
+    let started = Instant::now();
+    let lanes = (0..CONCURRENT).map(|lane| use_budgets(&fleet, lane, budgets));
+    try_join_all(lanes).await?;
+    let grant_seconds = started.elapsed().as_secs_f64();
+    let pages = pages_with_slice(&store, incarnation).await?;
+    let before = fleet.store_counters().await?;
+    fleet.routers[0].process.signal(ProcessSignal::Kill);
+    let killed = Instant::now();
+    let mut open = pages;
+    while open > 0 && killed.elapsed() < RECLAIM_LIMIT {
+        compio::time::sleep(POLL).await;
+        open = pages_with_slice(&store, incarnation).await?;
+    }
+    let seconds = killed.elapsed().as_secs_f64();
+    let after = fleet.store_counters().await?;
+    let peaks: Vec<f64> = fleet.routers[1..]
+        .iter()
+        .map(|router| ProcessSample::of(router.process.id()).map(|sample| sample.peak_bytes))
+        .collect::<Result<_, _>>()?;
+    let writes = |counters: &serde_json::Value| counters["writes"].as_f64().unwrap_or(0.0);
+    let mut add = |quantity, value| table.add(part, pages, quantity, value);
+    add("grant_s_of_all_budgets", grant_seconds);
+    add("reclaim_s", seconds);
+    add("pages_left_open", open as f64);
+    add("store_writes", writes(&after) - writes(&before));
+    add("peak_mb_of_largest_router", peaks.into_iter().fold(0.0, f64::max) / 1e6);
+    Ok(())
+}
+
+async fn use_budgets(fleet: &LocalFleet, lane: usize, budgets: usize) -> MeasureResult<()> {
+    let url = format!("http://{}/v1/chat/completions", fleet.routers[0].caller_address);
+    for budget in (lane..budgets).step_by(CONCURRENT) {
+        let bearer = format!("Bearer {}", fleet_shape::bearer(budget));
+        let messages = json!([{ "role": "user", "content": "hello" }]);
+        let body = json!({ "model": fleet_shape::MODEL, "max_tokens": 2, "stream": false,
+            "messages": messages });
+        let headers = [("authorization", bearer.as_str())];
+        let answer = fleet.caller.post_json(&url, &headers, &body).await?;
+        if !answer.status.is_success() {
+            return Err(format!("budget {budget} was refused: {}", answer.json()).into());
+        }
+    }
+    Ok(())
+}
+
+async fn pages_with_slice(store: &HttpStore, incarnation: IncarnationId) -> MeasureResult<usize> {
+    let ListOutcome::Found(pages) = store.list(StoreKey::BUDGETS).await else {
+        return Err("the budget pages could not be listed".into());
+    };
+    let mut count = 0;
+    for page in pages {
+        count += usize::from(BudgetPage::from_bytes(&page.entry.value)?.has_slice(incarnation));
+    }
+    Ok(count)
+}
+
+/// Writes the pages of all budgets of the target size. Their records are empty, as before their first use.
+async fn fill_pages(store: &HttpStore) -> MeasureResult<()> {
+    let mut pages: BTreeMap<StoreKey, BudgetPage> = BTreeMap::new();
+    for index in 0..TARGET_BUDGETS {
+        let budget: BudgetId = fleet_shape::budget_name(index).parse()?;
+        let page = pages.entry(StoreKey::budget_page(&budget)).or_default();
+        page.budgets.entry(budget).or_default();
+    }
+    for (key, page) in pages {
+        let outcome = store.write(&key, page.to_bytes(), StoreVersion::MISSING).await;
+        if !matches!(outcome, WriteOutcome::Applied(_)) {
+            return Err(format!("page `{}` was not written: {outcome:?}", key.as_str()).into());
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/request_costs.rs
@@ -0,0 +1,117 @@
+use std::time::Duration;
+
+use bramleywind_harness::LocalFleet;
+use futures_util::future::try_join_all;
+use serde_json::json;
+
+use crate::{
+    MeasureResult, fleet_shape,
+    fleet_window::{FleetUse, FleetWindow},
+    idle_slopes::wait_for_mesh,
+    measurement_table::MeasurementTable,
+};
+
+const ROUTERS: usize = 6;
+
+/// Requests of each kind, all at the first router, and how many of them run at once.
+const REQUESTS: usize = 800;
+const CONCURRENT: usize = 16;
+
+/// What makes one kind of request differ from the others.
+#[derive(Debug, Clone, Copy)]
+enum RequestKind {
+    /// A model call without a key: reservation, journal and settlement.
+    Unkeyed,
+    /// A model call with a key: the key homes besides.
+    Keyed,
+    /// A service call that must not be repeated: a durable claim in the store.
+    Claimed,
+}
+
+/// Measures what one request costs the router that serves it and all others together, less what the routers
+/// use when idle.
+pub async fn measure(table: &mut MeasurementTable, window: Duration) -> MeasureResult<()> {
+    let mut fleet = LocalFleet::start(fleet_shape::plan(ROUTERS, 4, 2)?).await?;
+    fleet.apply(&fleet_shape::document(Some(&fleet), 1, 1, 0)?).await?;
+    wait_for_mesh(&fleet, ROUTERS).await?;
+    // The first requests take a grant and register the witnesses.
+    send_all(&fleet, RequestKind::Unkeyed, "warm", CONCURRENT).await?;
+    compio::time::sleep(Duration::from_secs(4)).await;
+    let begun = FleetWindow::begin(&fleet).await?;
+    compio::time::sleep(window).await;
+    let idle = begun.end(&fleet).await?;
+    for (kind, name) in [
+        (RequestKind::Unkeyed, "unkeyed"),
+        (RequestKind::Keyed, "keyed"),
+        (RequestKind::Claimed, "claimed"),
+    ] {
+        let begun = FleetWindow::begin(&fleet).await?;
+        send_all(&fleet, kind, name, REQUESTS).await?;
+        let used = begun.end(&fleet).await?;
+        add_costs(table, name, &idle, &used);
+    }
+    Ok(())
+}
+
+fn add_costs(table: &mut MeasurementTable, name: &'static str, idle: &FleetUse, used: &FleetUse) {
+    let requests = REQUESTS as f64;
+    let processor = |router: usize| {
+        let background = idle.processor[router] / idle.seconds * used.seconds;
+        1e6 * (used.processor[router] - background) / requests
+    };
+    // Each message is counted by its sender and by its receiver. The window of the traffic is longer than the
+    // other one by the rest and the dumps, over which its rates are spread.
+    let traffic_seconds = used.traffic_seconds;
+    let sum = |rates: &[f64]| rates.iter().sum::<f64>() * traffic_seconds / 2.0;
+    let extra = |of: fn(&FleetUse) -> &[f64]| (sum(of(used)) - sum(of(idle))) / requests;
+    let mut add = |quantity, value| table.add(name, REQUESTS, quantity, value);
+    add("seconds", used.seconds);
+    add("processor_us_of_serving_router", processor(0));
+    add("processor_us_of_all_others", (1..ROUTERS).map(processor).sum());
+    add("peer_messages_per_request", extra(|used| &used.messages));
+    add("peer_bytes_per_request", extra(|used| &used.bytes));
+    let idle_writes = idle.store_calls("writes") / idle.seconds * used.seconds;
+    add("store_writes_per_request", (used.store_calls("writes") - idle_writes) / requests);
+    let idle_calls = idle.all_store_calls() / idle.seconds * used.seconds;
+    add("store_calls_per_request", (used.all_store_calls() - idle_calls) / requests);
+}
+
+/// Sends requests of a kind to the first router, a fixed number at once.
+async fn send_all(
+    fleet: &LocalFleet,
+    kind: RequestKind,
+    label: &str,
+    requests: usize,
+) -> MeasureResult<()> {
+    let lanes = (0..CONCURRENT).map(|lane| async move {
+        for number in (lane..requests).step_by(CONCURRENT) {
+            send(fleet, kind, &format!("{label}-{number}")).await?;
+        }
+        Ok::<(), Box<dyn std::error::Error>>(())
+    });
+    try_join_all(lanes).await.map(|_| ())
+}
+
+async fn send(fleet: &LocalFleet, kind: RequestKind, key: &str) -> MeasureResult<()> {
+    let address = fleet.routers[0].caller_address;
+    let bearer = format!("Bearer {}", fleet_shape::bearer(0));
+    let mut headers = vec![("authorization", bearer.as_str())];
+    if !matches!(kind, RequestKind::Unkeyed) {
+        headers.push(("idempotency-key", key));
+    }
+    let (path, body) = match kind {
+        RequestKind::Claimed => ("/services/lockers/unlock", json!({ "bay": 1 })),
+        RequestKind::Unkeyed | RequestKind::Keyed => {
+            let messages = json!([{ "role": "user", "content": key }]);
+            let body = json!({ "model": fleet_shape::MODEL, "max_tokens": 8, "stream": false,
+                "messages": messages });
+            ("/v1/chat/completions", body)
+        }
+    };
+    let answer =
+        fleet.caller.post_json(&format!("http://{address}{path}"), &headers, &body).await?;
+    if !answer.status.is_success() {
+        return Err(format!("request `{key}` was refused: {}", answer.json()).into());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/structure_costs.rs
@@ -0,0 +1,212 @@
+use std::{
+    collections::BTreeMap,
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+use bramleywind_claims::{
+    KeyClaimRequest, KeyFinishRequest, KeyHome, RecordedOutcome, RequestFingerprint, StrikeBook,
+    StrikeId, StrikeReport,
+};
+use bramleywind_config::{OperatorSigningKey, SignedConfig};
+use bramleywind_ledger::{
+    BudgetPage, BudgetRecord, JournalBatch, JournalEntry, SliceRecord, WitnessBook, WitnessId,
+};
+use bramleywind_store::{MAX_VALUE_BYTES, StoreKey};
+use bramleywind_types::{
+    BodyHash, BudgetId, ConfigRevision, EndpointId, IncarnationId, JournalSequence, RequestId,
+    RequestKey, TokenCount,
+};
+
+use crate::{
+    MeasureResult, TARGET_BUDGETS, fleet_shape, measurement_table::MeasurementTable,
+    process_sample::ProcessSample,
+};
+
+/// Budgets of the configurations whose size is stated; the last one is the target size.
+const DOCUMENT_SHAPES: [(usize, usize); 4] =
+    [(10, 460), (60, 2_760), (820, 38_000), (4_100, TARGET_BUDGETS)];
+
+/// Budgets of a journal. A settlement looks for its budget.
+const JOURNAL_BUDGETS: [usize; 3] = [10, 500, 5_000];
+
+/// Measures sizes and processor times of single structures.
+pub fn measure(table: &mut MeasurementTable) -> MeasureResult<()> {
+    measure_documents(table)?;
+    measure_pages(table)?;
+    for budgets in JOURNAL_BUDGETS {
+        measure_journal(table, budgets)?;
+    }
+    measure_key_home(table)?;
+    measure_strikes(table)
+}
+
+fn measure_documents(table: &mut MeasurementTable) -> MeasureResult<()> {
+    let key = OperatorSigningKey::from_seed([7; 32]);
+    for (workspaces, budgets) in DOCUMENT_SHAPES {
+        let document = fleet_shape::document(None, workspaces, budgets, 0)?;
+        let text = serde_json::to_string(&document)?;
+        drop(document);
+        let signed = SignedConfig::sign(ConfigRevision(1), &text, &key);
+        let value = signed.to_bytes();
+        let before = ProcessSample::own()?;
+        let opened = signed.open(&key.public_key())?;
+        let after = ProcessSample::own()?;
+        let seconds = after.processor_seconds - before.processor_seconds;
+        let mut add = |quantity, value| table.add("document", budgets, quantity, value);
+        add("text_bytes", text.len() as f64);
+        add("store_value_bytes", value.len() as f64);
+        add("store_value_bytes_per_budget", value.len() as f64 / budgets as f64);
+        add("store_values_needed", value.len() as f64 / MAX_VALUE_BYTES as f64);
+        add("check_processor_s", seconds);
+        drop(opened);
+    }
+    table.print_fits("document", TARGET_BUDGETS)?;
+    Ok(())
+}
+
+/// Pages of the target size: budgets that were never used, used ones without slices, and with two slices each.
+fn measure_pages(table: &mut MeasurementTable) -> MeasureResult<()> {
+    for slices in [0, 2, 8] {
+        let mut pages: BTreeMap<StoreKey, BudgetPage> = BTreeMap::new();
+        for index in 0..TARGET_BUDGETS {
+            let budget: BudgetId = fleet_shape::budget_name(index).parse()?;
+            let page = pages.entry(StoreKey::budget_page(&budget)).or_default();
+            page.budgets.insert(budget, budget_record(slices)?);
+        }
+        let sizes: Vec<usize> = pages.values().map(|page| page.to_bytes().len()).collect();
+        let page = pages.values().next().cloned().unwrap_or_default();
+        let bytes = page.to_bytes();
+        let swap = processor_us(|_| {
+            let read = BudgetPage::from_bytes(black_box(&bytes)).unwrap_or_default();
+            black_box(read.to_bytes());
+        })?;
+        let total: usize = sizes.iter().sum();
+        let mut add = |quantity, value| table.add("page", slices, quantity, value);
+        add("bytes_per_budget", total as f64 / TARGET_BUDGETS as f64);
+        add("mean_page_bytes", total as f64 / sizes.len() as f64);
+        add("largest_page_bytes", sizes.iter().copied().max().unwrap_or(0) as f64);
+        add("all_pages_mb", total as f64 / 1e6);
+        add("read_and_write_processor_us", swap);
+    }
+    Ok(())
+}
+
+fn budget_record(slices: usize) -> MeasureResult<BudgetRecord> {
+    let mut record = BudgetRecord::default();
+    record.set_base(ConfigRevision(812), TokenCount(100_000_000));
+    record.settled = TokenCount(41_234_567);
+    for slice in 0..slices {
+        let holder = format!("north-a-r{slice:03}").parse()?;
+        let (granted, settled) = (TokenCount(81_920), TokenCount(40_960));
+        record.slices.insert(IncarnationId::random(), SliceRecord { holder, granted, settled });
+    }
+    Ok(record)
+}
+
+/// The copy of a journal at a witness: a reservation and its settlement are one request.
+fn measure_journal(table: &mut MeasurementTable, budgets: usize) -> MeasureResult<()> {
+    let own = WitnessId { instance: "north-a-r000".parse()?, run: IncarnationId::from_number(1) };
+    let incarnation = IncarnationId::from_number(2);
+    let names: Vec<BudgetId> = (0..budgets)
+        .map(|index| fleet_shape::budget_name(index).parse())
+        .collect::<Result<_, _>>()?;
+    let mut book = WitnessBook::new(own.clone());
+    let mut next = JournalSequence(0);
+    let mut append = |entry: JournalEntry| {
+        let batch = JournalBatch { incarnation, first: next, entries: vec![entry] };
+        next = next.next();
+        black_box(book.append(&own, &batch));
+        batch
+    };
+    let mut bytes = 0.0;
+    let processor = processor_us(|turn| {
+        let budget = names[turn % names.len()].clone();
+        let key = Some(request_key(turn));
+        let reserve = append(JournalEntry::Reserve { budget, tokens: TokenCount(2_048), key });
+        let settle =
+            append(JournalEntry::Settle { reservation: reserve.first, billed: TokenCount(812) });
+        if turn == 0 {
+            bytes = (wire_bytes(&reserve) + wire_bytes(&settle)) as f64;
+        }
+    })?;
+    table.add("journal", budgets, "processor_us_per_request", processor);
+    table.add("journal", budgets, "bytes_per_request_and_witness", bytes);
+    Ok(())
+}
+
+fn measure_key_home(table: &mut MeasurementTable) -> MeasureResult<()> {
+    let mut home = KeyHome::default();
+    let now = Instant::now();
+    let holder: bramleywind_types::InstanceId = "north-a-r000".parse()?;
+    let mut bytes = 0.0;
+    let processor = processor_us(|turn| {
+        let (key, attempt) = (request_key(turn), RequestId::random());
+        let body_hash = BodyHash::of(&[b"body"]);
+        let holder = holder.clone();
+        let claim = KeyClaimRequest { key: key.clone(), body_hash, holder, attempt };
+        black_box(home.claim(&claim, |_| true, now));
+        let outcome = RecordedOutcome {
+            status: 200,
+            content_type: Some("application/json".into()),
+            body: vec![b'x'; 512],
+        };
+        let finish = KeyFinishRequest { key, attempt, outcome: Some(outcome) };
+        black_box(home.finish(&finish, now));
+        if turn == 0 {
+            bytes = (wire_bytes(&claim) + wire_bytes(&finish)) as f64;
+        }
+    })?;
+    table.add("key_home", 512, "processor_us_per_request", processor);
+    table.add("key_home", 512, "bytes_per_request_and_home", bytes);
+    table.add("key_home", 512, "state_bytes_per_key", home.bytes() as f64 / home.len() as f64);
+    Ok(())
+}
+
+fn measure_strikes(table: &mut MeasurementTable) -> MeasureResult<()> {
+    let endpoint: EndpointId = "engine-1".parse()?;
+    let workspace: bramleywind_types::WorkspaceId = "workspace-0001".parse()?;
+    let now = Instant::now();
+    let mut book = StrikeBook::default();
+    let mut bytes = 0.0;
+    let processor = processor_us(|turn| {
+        let body_hash = BodyHash::of(&[&turn.to_le_bytes()]);
+        let fingerprint = RequestFingerprint { workspace: workspace.clone(), body_hash };
+        let id = StrikeId(turn as u64);
+        let report = StrikeReport::Strike { id, fingerprint, endpoint: endpoint.clone() };
+        book.apply(&report, now);
+        if turn == 0 {
+            bytes = wire_bytes(&report) as f64;
+        }
+    })?;
+    table.add("strike", 1, "processor_us_per_report", processor);
+    table.add("strike", 1, "bytes_per_report_and_peer", bytes);
+    Ok(())
+}
+
+fn request_key(turn: usize) -> RequestKey {
+    RequestKey {
+        workspace: "workspace-0001".parse().expect("the name is valid"),
+        key: format!("order-{turn:012}").parse().expect("the key is valid"),
+    }
+}
+
+/// The size of a message body as the peer connections encode it, without frame and envelope.
+fn wire_bytes(message: &impl serde::Serialize) -> usize {
+    let encoded = bincode::serde::encode_to_vec(message, bincode::config::standard());
+    encoded.map_or(0, |bytes| bytes.len())
+}
+
+/// The processor time of one turn of `work`, in microseconds, from turns that fill half a second.
+fn processor_us(mut work: impl FnMut(usize)) -> MeasureResult<f64> {
+    let before = ProcessSample::own()?;
+    let started = Instant::now();
+    let mut turns = 0;
+    while started.elapsed() < Duration::from_millis(500) {
+        work(turns);
+        turns += 1;
+    }
+    let after = ProcessSample::own()?;
+    let seconds = after.processor_seconds - before.processor_seconds;
+    Ok(1e6 * seconds / turns as f64)
+}
