bench: measure request costs by fleet size, and the choice of key homes

The serving router copies and ranks its view of all peers for each keyed request, so the cost of one request was expected to depend on the fleet's size, which six routers alone cannot show.

--- a/crates/bramleywind_bench/src/bin/capacity_slopes/idle_slopes.rs
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/idle_slopes.rs
@@ -18,6 +18,9 @@
 /// How long the fleet rests before a window, so that registrations and the first listings are over.
 const SETTLE: Duration = Duration::from_secs(4);
 
+/// How long the routers go on working on a configuration after it is in force, at most.
+const AFTERMATH: Duration = Duration::from_secs(3);
+
 /// How many configurations are applied, of which the slowest counts.
 const APPLIED: u64 = 3;
 
@@ -50,7 +53,8 @@
     add("store_waiting_watches", used.waiting_watches());
     add("live_peers_fewest", used.fewest_live as f64);
     add("peer_violations", used.violations as f64);
-    measure_in_force(table, &mut fleet).await
+    let idle_load = mean(&used.processor) / used.seconds;
+    measure_in_force(table, &mut fleet, idle_load).await
 }
 
 /// Measures six idle routers with the given number of engines, which each router polls.
@@ -91,9 +95,11 @@
 async fn measure_in_force(
     table: &mut MeasurementTable,
     fleet: &mut LocalFleet,
+    idle_load: f64,
 ) -> MeasureResult<()> {
     let routers = fleet.routers.len();
     let (mut from_start, mut from_end): (Vec<f64>, Vec<f64>) = (Vec::new(), Vec::new());
+    let begun = FleetWindow::begin(fleet).await?;
     for note in 1..=APPLIED {
         let document = fleet_shape::document(Some(fleet), 10, 10, note)?;
         let text = serde_json::to_string_pretty(&document)?;
@@ -106,7 +112,19 @@
         from_start.push(started.elapsed().as_secs_f64());
         from_end.push(accepted.elapsed().as_secs_f64());
     }
-    table.add("idle", routers, "in_force_s_from_tool_start_max", largest(&from_start));
-    table.add("idle", routers, "in_force_s_from_tool_end_max", largest(&from_end));
+    compio::time::sleep(AFTERMATH).await;
+    let used = begun.end(fleet).await?;
+    let milliseconds = |seconds: f64| 1e3 * (seconds - idle_load * used.seconds) / APPLIED as f64;
+    let mut add = |quantity, value| table.add("idle", routers, quantity, value);
+    add("in_force_s_from_tool_start_max", largest(&from_start));
+    add("in_force_s_from_tool_end_max", largest(&from_end));
+    add("change_processor_ms_mean", milliseconds(mean(&used.processor)));
+    // A peer that lives and is taken for dead costs it its incarnation.
+    let is_death = |line: &&str| line.contains("peer is dead");
+    let deaths = fleet
+        .routers
+        .iter()
+        .map(|router| router.process.output().lines().filter(is_death).count() as f64);
+    add("false_deaths", deaths.sum());
     Ok(())
 }
--- a/crates/bramleywind_bench/src/bin/capacity_slopes/main.rs
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/main.rs
@@ -56,7 +56,14 @@
                     budget_slopes::measure(&mut table).await?;
                     table.print_fits("budgets", TARGET_BUDGETS)?;
                 }
-                Part::Requests => request_costs::measure(&mut table, window).await?,
+                Part::Requests => {
+                    for routers in request_costs::ROUTER_COUNTS {
+                        request_costs::measure(&mut table, routers, window).await?;
+                    }
+                    for (_, name) in request_costs::KINDS {
+                        table.print_fits(name, TARGET_ROUTERS)?;
+                    }
+                }
                 Part::Reclaim => {
                     for budgets in reclaim_times::BUDGET_COUNTS {
                         reclaim_times::measure(&mut table, budgets, false).await?;
--- a/crates/bramleywind_bench/src/bin/capacity_slopes/measurement_table.rs
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/measurement_table.rs
@@ -41,22 +41,36 @@
         for quantity in quantities {
             let rows = self.rows.iter().filter(|row| row.part == part && row.quantity == quantity);
             let points: Vec<_> = rows.map(|row| (row.size as f64, row.value)).collect();
-            let Some(fit) = LinearFit::of(&points) else { continue };
-            let x = target as f64;
-            self.write_row(&[
-                format!("{part}-fit"),
-                target.to_string(),
-                quantity.to_owned(),
-                format!("{:.4}", fit.at(x)),
-                format!("{:.4}", fit.doubt_at(x)),
-                format!("{:.6}", fit.intercept),
-                format!("{:.6}", fit.slope),
-                format!("{:.4}", fit.r_squared),
-            ])?;
+            let without_last = points.split_last().map_or(&points[..], |(_, others)| others);
+            for (label, points) in [("fit", &points[..]), ("fit-short", without_last)] {
+                self.print_fit(&format!("{part}-{label}"), quantity, points, target)?;
+            }
         }
         Ok(())
     }
 
+    /// Prints one line. The short one leaves out the last size, at which the machine itself may be the limit.
+    fn print_fit(
+        &self,
+        part: &str,
+        quantity: &str,
+        points: &[(f64, f64)],
+        target: usize,
+    ) -> io::Result<()> {
+        let Some(fit) = LinearFit::of(points) else { return Ok(()) };
+        let x = target as f64;
+        self.write_row(&[
+            part.to_owned(),
+            target.to_string(),
+            quantity.to_owned(),
+            format!("{:.4}", fit.at(x)),
+            format!("{:.4}", fit.doubt_at(x)),
+            format!("{:.6}", fit.intercept),
+            format!("{:.6}", fit.slope),
+            format!("{:.4}", fit.r_squared),
+        ])
+    }
+
     pub fn print_head(&self) -> io::Result<()> {
         let head =
             ["part", "size", "quantity", "value", "doubt", "intercept", "slope", "r_squared"];
--- a/crates/bramleywind_bench/src/bin/capacity_slopes/request_costs.rs
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/request_costs.rs
@@ -11,7 +11,8 @@
     measurement_table::MeasurementTable,
 };
 
-const ROUTERS: usize = 6;
+/// Numbers of routers of the request part.
+pub const ROUTER_COUNTS: [usize; 3] = [6, 24, 48];
 
 /// Requests of each kind, all at the first router, and how many of them run at once.
 const REQUESTS: usize = 800;
@@ -19,7 +20,7 @@
 
 /// What makes one kind of request differ from the others.
 #[derive(Debug, Clone, Copy)]
-enum RequestKind {
+pub enum RequestKind {
     /// A model call without a key: reservation, journal and settlement.
     Unkeyed,
     /// A model call with a key: the key homes besides.
@@ -28,23 +29,30 @@
     Claimed,
 }
 
+/// The kinds, and the parts of the table in which they stand.
+pub const KINDS: [(RequestKind, &str); 3] = [
+    (RequestKind::Unkeyed, "unkeyed"),
+    (RequestKind::Keyed, "keyed"),
+    (RequestKind::Claimed, "claimed"),
+];
+
 /// Measures what one request costs the router that serves it and all others together, less what the routers
 /// use when idle.
-pub async fn measure(table: &mut MeasurementTable, window: Duration) -> MeasureResult<()> {
-    let mut fleet = LocalFleet::start(fleet_shape::plan(ROUTERS, 4, 2)?).await?;
+pub async fn measure(
+    table: &mut MeasurementTable,
+    routers: usize,
+    window: Duration,
+) -> MeasureResult<()> {
+    let mut fleet = LocalFleet::start(fleet_shape::plan(routers, 4, 2)?).await?;
     fleet.apply(&fleet_shape::document(Some(&fleet), 1, 1, 0)?).await?;
-    wait_for_mesh(&fleet, ROUTERS).await?;
+    wait_for_mesh(&fleet, routers).await?;
     // The first requests take a grant and register the witnesses.
     send_all(&fleet, RequestKind::Unkeyed, "warm", CONCURRENT).await?;
     compio::time::sleep(Duration::from_secs(4)).await;
     let begun = FleetWindow::begin(&fleet).await?;
     compio::time::sleep(window).await;
     let idle = begun.end(&fleet).await?;
-    for (kind, name) in [
-        (RequestKind::Unkeyed, "unkeyed"),
-        (RequestKind::Keyed, "keyed"),
-        (RequestKind::Claimed, "claimed"),
-    ] {
+    for (kind, name) in KINDS {
         let begun = FleetWindow::begin(&fleet).await?;
         send_all(&fleet, kind, name, REQUESTS).await?;
         let used = begun.end(&fleet).await?;
@@ -64,10 +72,11 @@
     let traffic_seconds = used.traffic_seconds;
     let sum = |rates: &[f64]| rates.iter().sum::<f64>() * traffic_seconds / 2.0;
     let extra = |of: fn(&FleetUse) -> &[f64]| (sum(of(used)) - sum(of(idle))) / requests;
-    let mut add = |quantity, value| table.add(name, REQUESTS, quantity, value);
+    let routers = used.processor.len();
+    let mut add = |quantity, value| table.add(name, routers, quantity, value);
     add("seconds", used.seconds);
     add("processor_us_of_serving_router", processor(0));
-    add("processor_us_of_all_others", (1..ROUTERS).map(processor).sum());
+    add("processor_us_of_all_others", (1..routers).map(processor).sum());
     add("peer_messages_per_request", extra(|used| &used.messages));
     add("peer_bytes_per_request", extra(|used| &used.bytes));
     let idle_writes = idle.store_calls("writes") / idle.seconds * used.seconds;
--- a/crates/bramleywind_bench/src/bin/capacity_slopes/structure_costs.rs
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/structure_costs.rs
@@ -5,8 +5,8 @@
 };
 
 use bramleywind_claims::{
-    KeyClaimRequest, KeyFinishRequest, KeyHome, RecordedOutcome, RequestFingerprint, StrikeBook,
-    StrikeId, StrikeReport,
+    HomeCandidate, KeyClaimRequest, KeyFinishRequest, KeyHome, RecordedOutcome, RequestFingerprint,
+    StrikeBook, StrikeId, StrikeReport, choose_homes,
 };
 use bramleywind_config::{OperatorSigningKey, SignedConfig};
 use bramleywind_ledger::{
@@ -30,6 +30,9 @@
 /// Budgets of a journal. A settlement looks for its budget.
 const JOURNAL_BUDGETS: [usize; 3] = [10, 500, 5_000];
 
+/// Routers among which the homes of a key are chosen.
+const HOME_CANDIDATES: [usize; 3] = [6, 96, 380];
+
 /// Measures sizes and processor times of single structures.
 pub fn measure(table: &mut MeasurementTable) -> MeasureResult<()> {
     measure_documents(table)?;
@@ -37,6 +40,9 @@
     for budgets in JOURNAL_BUDGETS {
         measure_journal(table, budgets)?;
     }
+    for routers in HOME_CANDIDATES {
+        measure_home_choice(table, routers)?;
+    }
     measure_key_home(table)?;
     measure_strikes(table)
 }
@@ -135,6 +141,21 @@
     Ok(())
 }
 
+fn measure_home_choice(table: &mut MeasurementTable, routers: usize) -> MeasureResult<()> {
+    let candidate = |index: usize| -> MeasureResult<HomeCandidate> {
+        Ok(HomeCandidate {
+            instance: format!("north-a-r{index:03}").parse()?,
+            data_centre: format!("north-{}", index % 5).parse()?,
+        })
+    };
+    let candidates: Vec<_> = (0..routers).map(candidate).collect::<Result<_, _>>()?;
+    let processor = processor_us(|turn| {
+        black_box(choose_homes(&request_key(turn), &candidates));
+    })?;
+    table.add("home_choice", routers, "processor_us_per_keyed_request", processor);
+    Ok(())
+}
+
 fn measure_key_home(table: &mut MeasurementTable) -> MeasureResult<()> {
     let mut home = KeyHome::default();
     let now = Instant::now();
