bench: measure reclaims of many pages and the loss of a rack and a data centre

Three routers and a store that takes 5 ms for a call show the part of the pages. The new part kills groups.

--- a/crates/bramleywind_bench/src/bin/capacity_slopes/args.rs
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/args.rs
@@ -32,6 +32,8 @@
     Requests,
     /// The time until a dead router's slices are closed, by the number of pages.
     Reclaim,
+    /// How much stays counted as spent after the loss of a router, a rack and a data centre.
+    Losses,
 }
 
 impl Part {
--- a/crates/bramleywind_bench/src/bin/capacity_slopes/main.rs
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/main.rs
@@ -6,6 +6,7 @@
 mod budget_slopes;
 mod fleet_shape;
 mod fleet_window;
+mod group_loss;
 mod idle_slopes;
 mod linear_fit;
 mod measurement_table;
@@ -52,6 +53,11 @@
                     }
                     table.print_fits("engines", TARGET_ENGINES)?;
                 }
+                Part::Losses => {
+                    for (part, group) in group_loss::GROUPS {
+                        group_loss::measure(&mut table, part, group).await?;
+                    }
+                }
                 Part::Budgets => {
                     budget_slopes::measure(&mut table).await?;
                     table.print_fits("budgets", TARGET_BUDGETS)?;
@@ -66,11 +72,13 @@
                 }
                 Part::Reclaim => {
                     for budgets in reclaim_times::BUDGET_COUNTS {
-                        reclaim_times::measure(&mut table, budgets, false).await?;
+                        reclaim_times::measure(&mut table, budgets, None).await?;
                     }
                     table.print_fits("reclaim", TARGET_PAGES)?;
-                    reclaim_times::measure(&mut table, reclaim_times::BUDGET_COUNTS[0], true)
-                        .await?;
+                    for slices in reclaim_times::FULL_SLICES {
+                        let budgets = reclaim_times::BUDGET_COUNTS[0];
+                        reclaim_times::measure(&mut table, budgets, Some(slices)).await?;
+                    }
                 }
             }
         }
--- a/crates/bramleywind_bench/src/bin/capacity_slopes/measurement_table.rs
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/measurement_table.rs
@@ -82,7 +82,7 @@
         if self.csv {
             return writeln!(output, "{}", cells.join(","));
         }
-        let widths = [15, 8, 38, 16, 14, 16, 16, 10];
+        let widths = [20, 8, 38, 16, 14, 16, 16, 10];
         for (cell, width) in cells.iter().zip(widths) {
             write!(output, "{cell:<width$}")?;
         }
--- a/crates/bramleywind_bench/src/bin/capacity_slopes/reclaim_times.rs
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/reclaim_times.rs
@@ -13,12 +13,21 @@
 use crate::{
     MeasureResult, TARGET_BUDGETS, fleet_shape, idle_slopes::wait_for_mesh,
     measurement_table::MeasurementTable, process_sample::ProcessSample,
+    structure_costs::budget_record,
 };
 
-/// Numbers of budgets that the killed router has slices of.
-pub const BUDGET_COUNTS: [usize; 4] = [8, 64, 192, 512];
+/// Numbers of budgets that the killed router has used.
+pub const BUDGET_COUNTS: [usize; 4] = [64, 256, 768, 2_048];
 
-const ROUTERS: usize = 6;
+/// Slices of each budget in the pages of the target size, with which the last reclaims run.
+pub const FULL_SLICES: [usize; 2] = [0, 2];
+
+/// The fewest that can have two witnesses each. A router takes grants only on the pages of which it is the home,
+/// so with fewer routers the one that is killed has slices on more pages.
+const ROUTERS: usize = 3;
+
+/// How long the store takes for each call from the death on, in milliseconds.
+const STORE_DELAY_MS: u64 = 5;
 
 /// How many requests run at once while the slices are granted.
 const CONCURRENT: usize = 16;
@@ -29,21 +38,28 @@
 /// How often the pages are looked at.
 const POLL: Duration = Duration::from_millis(100);
 
+/// The same for full pages, whose listing is work for the store.
+const FULL_POLL: Duration = Duration::from_secs(1);
+
 /// How long a reclaim may take: the target is 30 s.
 const RECLAIM_LIMIT: Duration = Duration::from_secs(45);
 
-/// Measures the time from the death of a router until no page shows a slice of it. With `full_pages`, the store
-/// holds the pages of all budgets of the target size.
+/// Measures the time from the death of a router until no page shows a slice of it. With `full_slices`, the
+/// store holds the pages of all budgets of the target size, each with so many slices.
 pub async fn measure(
     table: &mut MeasurementTable,
     budgets: usize,
-    full_pages: bool,
+    full_slices: Option<usize>,
 ) -> MeasureResult<()> {
-    let part = if full_pages { "reclaim-full" } else { "reclaim" };
+    let part = match full_slices {
+        None => "reclaim",
+        Some(0) => "reclaim-full-0",
+        Some(_) => "reclaim-full-2",
+    };
     let mut fleet = LocalFleet::start(fleet_shape::plan(ROUTERS, 4, 0)?).await?;
     let store = HttpStore::new(fleet.store_address, CALL_LIMIT)?;
-    if full_pages {
-        fill_pages(&store).await?;
+    if let Some(slices) = full_slices {
+        fill_pages(&store, slices).await?;
     }
     fleet.apply(&fleet_shape::document(Some(&fleet), 1, budgets, 0)?).await?;
     wait_for_mesh(&fleet, ROUTERS).await?;
@@ -56,11 +72,12 @@
     let grant_seconds = started.elapsed().as_secs_f64();
     let pages = pages_with_slice(&store, incarnation).await?;
     let before = fleet.store_counters().await?;
+    fleet.set_faults(fleet.store_address, &json!({ "delay_ms": STORE_DELAY_MS })).await?;
     fleet.routers[0].process.signal(ProcessSignal::Kill);
     let killed = Instant::now();
     let mut open = pages;
     while open > 0 && killed.elapsed() < RECLAIM_LIMIT {
-        compio::time::sleep(POLL).await;
+        compio::time::sleep(if full_slices.is_some() { FULL_POLL } else { POLL }).await;
         open = pages_with_slice(&store, incarnation).await?;
     }
     let seconds = killed.elapsed().as_secs_f64();
@@ -106,13 +123,13 @@
     Ok(count)
 }
 
-/// Writes the pages of all budgets of the target size. Their records are empty, as before their first use.
-async fn fill_pages(store: &HttpStore) -> MeasureResult<()> {
+/// Writes the pages of all budgets of the target size.
+async fn fill_pages(store: &HttpStore, slices: usize) -> MeasureResult<()> {
     let mut pages: BTreeMap<StoreKey, BudgetPage> = BTreeMap::new();
     for index in 0..TARGET_BUDGETS {
         let budget: BudgetId = fleet_shape::budget_name(index).parse()?;
         let page = pages.entry(StoreKey::budget_page(&budget)).or_default();
-        page.budgets.entry(budget).or_default();
+        page.budgets.insert(budget, budget_record(slices)?);
     }
     for (key, page) in pages {
         let outcome = store.write(&key, page.to_bytes(), StoreVersion::MISSING).await;
--- a/crates/bramleywind_bench/src/bin/capacity_slopes/structure_costs.rs
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/structure_costs.rs
@@ -98,7 +98,8 @@
     Ok(())
 }
 
-fn budget_record(slices: usize) -> MeasureResult<BudgetRecord> {
+/// A budget that was used, with the given number of slices of different routers.
+pub fn budget_record(slices: usize) -> MeasureResult<BudgetRecord> {
     let mut record = BudgetRecord::default();
     record.set_base(ConfigRevision(812), TokenCount(100_000_000));
     record.settled = TokenCount(41_234_567);
