bench: count the listings after a death, and measure requests longer

800 requests took 0.4 s; the idle share that is subtracted from 47 routers over such a window was as large as the cost (-69 to 143 us a request for the others). 4,000 requests give windows of seconds. The new part counts how often the survivors of one death list the store: 54 times in 240 s for 5 survivors.

--- a/crates/bramleywind_bench/src/bin/capacity_slopes/args.rs
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/args.rs
@@ -34,6 +34,8 @@
     Reclaim,
     /// How much stays counted as spent after the loss of a router, a rack and a data centre.
     Losses,
+    /// How often the survivors list the store's records after one death; takes four minutes.
+    Listings,
 }
 
 impl Part {
--- a/crates/bramleywind_bench/src/bin/capacity_slopes/main.rs
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/main.rs
@@ -4,6 +4,7 @@
 
 mod args;
 mod budget_slopes;
+mod death_listings;
 mod fleet_shape;
 mod fleet_window;
 mod group_loss;
@@ -58,6 +59,7 @@
                         group_loss::measure(&mut table, part, group).await?;
                     }
                 }
+                Part::Listings => death_listings::measure(&mut table).await?,
                 Part::Budgets => {
                     budget_slopes::measure(&mut table).await?;
                     table.print_fits("budgets", TARGET_BUDGETS)?;
--- a/crates/bramleywind_bench/src/bin/capacity_slopes/request_costs.rs
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/request_costs.rs
@@ -15,7 +15,7 @@
 pub const ROUTER_COUNTS: [usize; 3] = [6, 24, 48];
 
 /// Requests of each kind, all at the first router, and how many of them run at once.
-const REQUESTS: usize = 800;
+const REQUESTS: usize = 4_000;
 const CONCURRENT: usize = 16;
 
 /// What makes one kind of request differ from the others.
