--- a/crates/bramleywind_bench/src/bin/capacity_slopes/budget_slopes.rs
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/budget_slopes.rs
@@ -10,29 +10,45 @@
 /// The largest one is just below the largest store value.
 const SHAPES: [(usize, usize); 4] = [(10, 460), (20, 920), (40, 1_840), (60, 2_760)];
 
+/// Workspaces and budgets of configurations that differ in the number of workspaces only.
+const WORKSPACE_SHAPES: [(usize, usize); 3] = [(46, 920), (230, 920), (920, 920)];
+
 /// How long a router rests until memory that it needed only for the change is given back.
 const REST: Duration = Duration::from_secs(2);
 
-/// Measures one router without endpoints by the number of budgets in its configuration.
+/// Measures one router without endpoints by the number of budgets and by that of workspaces.
 pub async fn measure(table: &mut MeasurementTable) -> MeasureResult<()> {
     for (workspaces, budgets) in SHAPES {
-        let mut fleet = LocalFleet::start(fleet_shape::plan(1, 0, 0)?).await?;
-        let process = fleet.routers[0].process.id();
-        compio::time::sleep(REST).await;
-        let before = ProcessSample::of(process)?;
-        let document = fleet_shape::document(None, workspaces, budgets, 0)?;
-        let text = serde_json::to_string(&document)?;
-        let started = Instant::now();
-        fleet.apply_text(&text).await?;
-        let in_force = started.elapsed().as_secs_f64();
-        compio::time::sleep(REST).await;
-        let after = ProcessSample::of(process)?;
-        let mut add = |quantity, value| table.add("budgets", budgets, quantity, value);
-        add("document_bytes", text.len() as f64);
-        add("anonymous_bytes_added", after.anonymous_bytes - before.anonymous_bytes);
-        add("peak_bytes_added", after.peak_bytes - before.resident_bytes);
-        add("processor_s_to_in_force", after.processor_seconds - before.processor_seconds);
-        add("in_force_s_from_tool_start", in_force);
+        measure_shape(table, ("budgets", budgets), workspaces, budgets).await?;
+    }
+    for (workspaces, budgets) in WORKSPACE_SHAPES {
+        measure_shape(table, ("workspaces", workspaces), workspaces, budgets).await?;
     }
     Ok(())
 }
+
+async fn measure_shape(
+    table: &mut MeasurementTable,
+    (part, size): (&'static str, usize),
+    workspaces: usize,
+    budgets: usize,
+) -> MeasureResult<()> {
+    let mut fleet = LocalFleet::start(fleet_shape::plan(1, 0, 0)?).await?;
+    let process = fleet.routers[0].process.id();
+    compio::time::sleep(REST).await;
+    let before = ProcessSample::of(process)?;
+    let document = fleet_shape::document(None, workspaces, budgets, 0)?;
+    let text = serde_json::to_string(&document)?;
+    let started = Instant::now();
+    fleet.apply_text(&text).await?;
+    let in_force = started.elapsed().as_secs_f64();
+    compio::time::sleep(REST).await;
+    let after = ProcessSample::of(process)?;
+    let mut add = |quantity, value| table.add(part, size, quantity, value);
+    add("document_bytes", text.len() as f64);
+    add("anonymous_bytes_added", after.anonymous_bytes - before.anonymous_bytes);
+    add("peak_bytes_added", after.peak_bytes - before.resident_bytes);
+    add("processor_s_to_in_force", after.processor_seconds - before.processor_seconds);
+    add("in_force_s_from_tool_start", in_force);
+    Ok(())
+}
--- a/crates/bramleywind_bench/src/bin/capacity_slopes/main.rs
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/main.rs
@@ -27,10 +27,11 @@
 /// The error of a measurement, which ends the program with its message.
 type MeasureResult<T> = Result<T, Box<dyn Error>>;
 
-/// Nodes, engines and budgets of the target size, and the pages of all budgets.
+/// Nodes, engines, budgets and workspaces of the target size, and the pages of all budgets.
 const TARGET_ROUTERS: usize = 380;
 const TARGET_ENGINES: usize = 810;
 const TARGET_BUDGETS: usize = 190_000;
+const TARGET_WORKSPACES: usize = 4_100;
 const TARGET_PAGES: usize = 512;
 
 fn main() -> MeasureResult<()> {
@@ -63,6 +64,7 @@
                 Part::Budgets => {
                     budget_slopes::measure(&mut table).await?;
                     table.print_fits("budgets", TARGET_BUDGETS)?;
+                    table.print_fits("workspaces", TARGET_WORKSPACES)?;
                 }
                 Part::Requests => {
                     for routers in request_costs::ROUTER_COUNTS {
