--- a/crates/bramleywind_bench/src/bin/capacity_slopes/main.rs
+++ b/crates/bramleywind_bench/src/bin/capacity_slopes/main.rs
@@ -16,6 +16,8 @@
 mod reclaim_times;
 mod request_costs;
 mod structure_costs;
+#[cfg(test)]
+mod tests;
 
 use std::{error::Error, time::Duration};
 
