bench: add the shared parts of the benchmarks

Load generation from several threads, percentiles, process usage, seeded request lists, a fleet with its configuration, and tables that also go to CSV.

--- a/crates/bramleywind_bench/src/lib.rs
+++ b/crates/bramleywind_bench/src/lib.rs
@@ -1,1 +1,28 @@
-//! To be written.
+//! Shared parts of the experiments and benchmarks: load generation, percentiles, process usage and tables.
+//!
+//! The programs run the real daemon against the stand-ins on loopback, and print target and result side by
+//! side. The bounds are those of the design and never follow from the figures.
+
+mod bench_error;
+mod bench_fleet;
+mod call_record;
+mod call_summary;
+mod engine_totals;
+mod load_generator;
+mod planned_call;
+mod process_usage;
+mod prompt_source;
+mod result_table;
+mod target_check;
+
+pub use bench_error::BenchError;
+pub use bench_fleet::{BENCH_MODEL, BenchFleet, EngineProfile, bench_workspaces};
+pub use call_record::{CallEnd, CallRecord};
+pub use call_summary::{CallSummary, percentile};
+pub use engine_totals::EngineTotals;
+pub use load_generator::{LoadGenerator, LoadMode};
+pub use planned_call::PlannedCall;
+pub use process_usage::ProcessUsage;
+pub use prompt_source::{ArrivalPlan, PromptShape, PromptSource};
+pub use result_table::ResultTable;
+pub use target_check::TargetCheck;
