--- a/crates/bramleywind_bench/src/bench_fleet.rs
+++ b/crates/bramleywind_bench/src/bench_fleet.rs
@@ -1,15 +1,11 @@
 use bramleywind_harness::{FleetPlan, LocalFleet};
 use bramleywind_operator::{EndpointSpec, Fleet, ModelSpec, WorkspaceSpec};
-use serde_json::json;
 
 use crate::{BenchError, EngineTotals};
 
 /// The model that all engines of a benchmark serve.
 pub const BENCH_MODEL: &str = "bench-model";
 
-/// What each workspace has paid in, in tokens: more than any run can spend.
-const PREPAID_TOKENS: u64 = 1_000_000_000_000;
-
 /// The largest request, in tokens.
 const MAX_REQUEST_TOKENS: u32 = 65_536;
 
@@ -41,7 +37,8 @@
 }
 
 impl BenchFleet {
-    /// Adds the engines to the plan, starts all processes and applies a configuration.
+    /// Adds the engines to the plan, starts all processes and applies a configuration, in which each
+    /// workspace has paid in the given tokens.
     ///
     /// # Errors
     ///
@@ -49,6 +46,7 @@
     pub async fn start(
         mut plan: FleetPlan,
         engines: &[EngineProfile],
+        prepaid_tokens: u64,
     ) -> Result<Self, BenchError> {
         for (number, engine) in (1..).zip(engines) {
             let slots = engine.slots.to_string();
@@ -70,7 +68,7 @@
         let workspace = |name: &str| {
             let budget = format!("{name}-budget");
             WorkspaceSpec::new(name)
-                .budget(&budget, PREPAID_TOKENS)
+                .budget(&budget, prepaid_tokens)
                 .key(&format!("{name}-bench-key"), &budget)
                 .may_use_model(BENCH_MODEL)
         };
@@ -83,9 +81,14 @@
         Ok(Self { fleet })
     }
 
-    /// Settings of the routers that write no line for each request, as a benchmark's disk is not measured.
-    pub fn quiet_settings() -> serde_json::Value {
-        json!({ "log": { "level": "warning" } })
+    /// The writes and reads that the store has served.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError`] if the store does not answer.
+    pub async fn store_calls(&self) -> Result<[u64; 2], BenchError> {
+        let counters = self.fleet.store_counters().await?;
+        Ok(["writes", "reads"].map(|name| counters[name].as_u64().unwrap_or(0)))
     }
 
     /// The totals of each engine.
--- a/crates/bramleywind_bench/src/call_summary.rs
+++ b/crates/bramleywind_bench/src/call_summary.rs
@@ -41,7 +41,8 @@
     // Three significant figures always make a valid histogram, which grows as needed.
     let mut histogram = Histogram::new(3).expect("three significant figures are supported");
     for value in values {
-        histogram.saturating_record((value * MICROSECONDS).max(0.0) as u64);
+        // A histogram that grows refuses no value.
+        let _ = histogram.record((value * MICROSECONDS).max(0.0) as u64);
     }
     histogram
 }
--- a/crates/bramleywind_bench/src/target_check.rs
+++ b/crates/bramleywind_bench/src/target_check.rs
@@ -9,8 +9,8 @@
     pub target: Box<str>,
     /// The result, with its unit.
     pub result: Box<str>,
-    /// Whether the result keeps the bound.
-    pub is_met: bool,
+    /// Whether the result keeps the bound; nothing if there is none.
+    pub is_met: Option<bool>,
 }
 
 impl TargetCheck {
@@ -20,7 +20,7 @@
             figure: figure.into(),
             target: format!("at most {bound} {unit}").into(),
             result: format!("{result:.3} {unit}").into(),
-            is_met: result <= bound,
+            is_met: Some(result <= bound),
         }
     }
 
@@ -30,7 +30,17 @@
             figure: figure.into(),
             target: format!("at least {bound} {unit}").into(),
             result: format!("{result:.3} {unit}").into(),
-            is_met: result >= bound,
+            is_met: Some(result >= bound),
+        }
+    }
+
+    /// A figure for which there is no bound.
+    pub fn without_bound(figure: &str, result: f64, unit: &str) -> Self {
+        Self {
+            figure: figure.into(),
+            target: "-".into(),
+            result: format!("{result:.3} {unit}").into(),
+            is_met: None,
         }
     }
 
@@ -38,7 +48,11 @@
     pub fn table(checks: &[Self]) -> ResultTable {
         let mut table = ResultTable::new(["figure", "target", "result", "verdict"]);
         for check in checks {
-            let verdict = if check.is_met { "met" } else { "missed" };
+            let verdict = match check.is_met {
+                Some(true) => "met",
+                Some(false) => "missed",
+                None => "-",
+            };
             let cells = [&check.figure, &check.target, &check.result].map(|cell| cell.to_string());
             table.add(cells.into_iter().chain([verdict.to_owned()]));
         }
