--- /dev/null
+++ b/crates/bramleywind_bench/src/bin/policy_comparison/deployment.rs
@@ -0,0 +1,104 @@
+use std::time::Duration;
+
+use bramleywind_bench::{
+    BenchError, BenchFleet, CallSummary, EngineProfile, LoadGenerator, LoadMode, PromptShape,
+    PromptSource, bench_workspaces,
+};
+use bramleywind_harness::FleetPlan;
+
+/// The speeds of the engines in percent of the usual one, repeated in this order.
+const SPEED_PERCENT: [u32; 10] = [200, 150, 150, 100, 100, 100, 75, 75, 50, 50];
+
+/// What a usual engine does a second: tokens of one answer, and tokens of a prompt.
+const TOKENS_PER_SECOND: u32 = 60;
+const PREFILL_TOKENS_PER_SECOND: u32 = 2_000;
+
+/// The requests that an engine runs at once.
+const SLOTS: u32 = 8;
+
+/// How long the capacity is measured, and how much of it at the beginning is not counted.
+const CAPACITY_TIME: Duration = Duration::from_secs(12);
+const CAPACITY_WARM_UP: Duration = Duration::from_secs(4);
+
+/// What a workspace has paid in, in tokens: no run spends it.
+const PREPAID_TOKENS: u64 = 1_000_000_000;
+
+/// One of the two users' deployments, as far as it matters here.
+pub(crate) struct Deployment {
+    data_centres: [&'static str; 3],
+    engines: usize,
+}
+
+/// 64 histories of 512 words, which are read again and again with a question of 32 words. The most popular one
+/// is about a fifth of all requests. An engine's cache holds 16 of them.
+pub(crate) fn prompt_shape() -> PromptShape {
+    PromptShape {
+        prefixes: 64,
+        skew: 1.0,
+        prefix_words: 512,
+        own_words: 32,
+        answer_tokens: (20, 60),
+    }
+}
+
+impl Deployment {
+    pub(crate) fn new(engines: usize) -> Self {
+        let data_centres = if engines > 10 {
+            ["plateau", "almadies", "rufisque"]
+        } else {
+            ["akl-a", "akl-b", "akl-c"]
+        };
+        Self { data_centres, engines }
+    }
+
+    /// Load reports and cache events are half a second old, and every seventh event is missing.
+    fn engines(&self) -> Vec<EngineProfile> {
+        let arguments = [
+            "--cache-tokens", "8704", "--load-lag-ms", "500", "--cache-event-lag-ms", "500",
+            "--cache-event-gap", "7",
+        ];
+        let speeds = SPEED_PERCENT.iter().cycle().take(self.engines);
+        let profile = |(index, percent): (usize, &u32)| EngineProfile {
+            data_centre: self.data_centres[index % 3].into(),
+            slots: SLOTS,
+            tokens_per_second: TOKENS_PER_SECOND * percent / 100,
+            prefill_tokens_per_second: PREFILL_TOKENS_PER_SECOND * percent / 100,
+            arguments: arguments.map(Into::into).into(),
+        };
+        speeds.enumerate().map(profile).collect()
+    }
+
+    /// The share of each engine in the joint capacity, by its speed.
+    pub(crate) fn capacity_shares(&self) -> Vec<f64> {
+        let speeds: Vec<f64> = SPEED_PERCENT.iter().cycle().take(self.engines).map(|speed| f64::from(*speed)).collect();
+        let sum: f64 = speeds.iter().sum();
+        speeds.into_iter().map(|speed| speed / sum).collect()
+    }
+
+    pub(crate) async fn start(&self, policy: &str) -> Result<BenchFleet, BenchError> {
+        let mut plan = FleetPlan::six_routers(self.data_centres);
+        plan.endpoint_policy = policy.into();
+        BenchFleet::start(plan, &self.engines(), PREPAID_TOKENS).await
+    }
+
+    /// The requests a second that the engines finish when all their slots are always taken, called directly.
+    pub(crate) async fn joint_capacity(&self, seed: u64, threads: usize) -> Result<f64, BenchError> {
+        let bench = self.start("round_robin").await?;
+        let targets: Vec<_> = bench.fleet.endpoints.iter().map(|engine| engine.address).collect();
+        let mut source = PromptSource::new(prompt_shape(), seed);
+        let callers = targets.len() * SLOTS as usize;
+        let calls: Vec<_> = (0..callers * 40)
+            .map(|index| {
+                source.call(Duration::ZERO, index % targets.len(), bench_workspaces()[0])
+            })
+            .collect();
+        let load = LoadGenerator { threads, targets };
+        let records = load.run(&calls, LoadMode::Closed { callers, duration: CAPACITY_TIME })?;
+        let ended = |record: &&bramleywind_bench::CallRecord| {
+            let end = record.offset + Duration::from_secs_f64(record.total_ms / 1_000.0);
+            end >= CAPACITY_WARM_UP && end < CAPACITY_TIME
+        };
+        let finished = CallSummary::of(records.iter().filter(ended)).whole;
+        Ok(finished as f64 / (CAPACITY_TIME - CAPACITY_WARM_UP).as_secs_f64())
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_bench/src/bin/policy_comparison/policy_result.rs
@@ -0,0 +1,45 @@
+use bramleywind_bench::{CallSummary, EngineTotals};
+use bramleywind_routing::PolicyKind;
+
+/// What one policy came to.
+pub(crate) struct PolicyResult {
+    pub(crate) policy: PolicyKind,
+    pub(crate) summary: CallSummary,
+    /// The share of requests whose prompt began with a cached block.
+    pub(crate) hit_rate: f64,
+    /// The largest and the smallest share of an engine in the requests, each over its share in the capacity.
+    pub(crate) spread: (f64, f64),
+}
+
+impl PolicyResult {
+    pub(crate) fn new(
+        policy: PolicyKind,
+        summary: CallSummary,
+        (before, after): (&[EngineTotals], &[EngineTotals]),
+        shares: &[f64],
+    ) -> Self {
+        let difference = |field: fn(&EngineTotals) -> u64| -> Vec<f64> {
+            let pairs = before.iter().zip(after);
+            pairs.map(|(before, after)| (field(after) - field(before)) as f64).collect()
+        };
+        let started = difference(|totals| totals.started);
+        let hits: f64 = difference(|totals| totals.prefix_hits).iter().sum();
+        let sum = started.iter().sum::<f64>().max(1.0);
+        let relative = || started.iter().zip(shares).map(|(started, share)| started / sum / share);
+        let spread = (relative().fold(0.0, f64::max), relative().fold(f64::INFINITY, f64::min));
+        Self { policy, summary, hit_rate: hits / sum, spread }
+    }
+
+    pub(crate) fn cells(&self, engines: usize) -> Vec<String> {
+        let summary = &self.summary;
+        let counts = [summary.calls, summary.whole, summary.refused];
+        let times = summary.first_token_ms.into_iter().chain(summary.total_ms);
+        let mut cells = vec![engines.to_string(), self.policy.to_string()];
+        cells.extend(counts.map(|count| count.to_string()));
+        cells.extend(times.map(|time| format!("{time:.0}")));
+        cells.push(format!("{:.3}", self.hit_rate));
+        cells.push(format!("{:.2} / {:.2}", self.spread.0, self.spread.1));
+        cells.push(format!("{:.1}", summary.client_lag_ms));
+        cells
+    }
+}
