bench: add overload

The admission queue lets requests wait for half of their time, and a router that sees full engines in each lagged report never gets a slot.

--- /dev/null
+++ b/crates/bramleywind_bench/src/bin/overload/load_result.rs
@@ -0,0 +1,92 @@
+use std::time::Duration;
+
+use bramleywind_bench::{CallEnd, CallRecord, CallSummary, bench_workspaces, percentile};
+
+/// What the calls of one load came to.
+pub(crate) struct LoadResult {
+    pub(crate) percent: u32,
+    pub(crate) summary: CallSummary,
+    /// Tokens a second of whole answers within their deadline.
+    pub(crate) useful_rate: f64,
+    /// Whole answers that came after the deadline.
+    pub(crate) overdue: usize,
+    /// Calls that ended neither with a whole answer nor with a refusal.
+    pub(crate) broken: usize,
+    /// Median, 95th and 100th percentile of the time until a refusal, in milliseconds.
+    pub(crate) refusal_ms: [f64; 3],
+    /// The 5th and the 95th percentile of the times after which refused callers may come back.
+    pub(crate) return_ms: [f64; 2],
+    /// Refusals that name no time to come back.
+    pub(crate) without_return: usize,
+    /// The 95th percentile of the small workspace's first token, in milliseconds.
+    pub(crate) small_first_token_ms: f64,
+    /// Refused calls of the small workspace.
+    pub(crate) small_refused: usize,
+    /// Calls of the small workspace.
+    pub(crate) small_calls: usize,
+}
+
+impl LoadResult {
+    /// Counts the calls that were sent in the window of `duration` after the warm-up.
+    pub(crate) fn new(
+        percent: u32,
+        records: &[&CallRecord],
+        deadline_ms: u64,
+        duration: Duration,
+    ) -> Self {
+        let in_time = |record: &&&CallRecord| record.total_ms <= deadline_ms as f64;
+        let whole = || records.iter().filter(|record| record.is_whole());
+        let useful: u64 = whole().filter(in_time).map(|record| u64::from(record.tokens)).sum();
+        let refused = || records.iter().filter(|record| record.is_refused());
+        let returns: Vec<f64> = refused()
+            .filter_map(|record| match &record.end {
+                CallEnd::Refused { retry_after_ms, .. } => retry_after_ms.map(|delay| delay as f64),
+                _ => None,
+            })
+            .collect();
+        let small: Vec<&CallRecord> = records
+            .iter()
+            .copied()
+            .filter(|record| &*record.workspace == bench_workspaces()[1])
+            .collect();
+        let small_summary = CallSummary::of(small.iter().copied());
+        let summary = CallSummary::of(records.iter().copied());
+        let refusal =
+            |percent| percentile(refused().map(|record| record.total_ms), percent);
+        Self {
+            percent,
+            useful_rate: useful as f64 / duration.as_secs_f64(),
+            overdue: whole().filter(|record| !in_time(record)).count(),
+            broken: records.len() - summary.whole - summary.refused,
+            refusal_ms: [50.0, 95.0, 100.0].map(refusal),
+            return_ms: [5.0, 95.0].map(|percent| percentile(returns.iter().copied(), percent)),
+            without_return: summary.refused - returns.len(),
+            small_first_token_ms: small_summary.first_token_ms[1],
+            small_refused: small_summary.refused,
+            small_calls: small_summary.calls,
+            summary,
+        }
+    }
+
+    pub(crate) fn cells(&self) -> Vec<String> {
+        let summary = &self.summary;
+        let counts =
+            [summary.calls, summary.whole, self.overdue, summary.refused, self.broken];
+        let mut cells = vec![self.percent.to_string()];
+        cells.extend(counts.map(|count| count.to_string()));
+        let times = [
+            self.useful_rate,
+            summary.first_token_ms[0],
+            summary.first_token_ms[1],
+            summary.total_ms[1],
+            self.refusal_ms[0],
+            self.refusal_ms[1],
+            self.refusal_ms[2],
+            self.small_first_token_ms,
+        ];
+        cells.extend(times.map(|value| format!("{value:.0}")));
+        cells.push(format!("{} of {}", self.small_refused, self.small_calls));
+        cells.push(format!("{:.0} to {:.0}", self.return_ms[0], self.return_ms[1]));
+        cells
+    }
+}
