--- a/crates/bramleywind_ledger/src/funds_keeper/loan_work.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper/loan_work.rs
@@ -22,25 +22,38 @@
     pub(super) async fn give_loan(&self, request: &LoanRequest) -> LoanOutcome {
         let (borrower, number) = (request.borrower, request.number);
         let mut shares = PendingShares::new(&self.core, &request.budget);
-        let (deadline, tokens) = {
+        let (deadline, takes_grant) = {
             let mut state = self.state();
             match state.loans.given(borrower, number) {
                 None => {}
                 Some(GivenLoan::Pending) => return LoanOutcome::Unreachable,
                 Some(GivenLoan::Nothing) => return LoanOutcome::Nothing,
                 Some(GivenLoan::Lent { loan, budget, tokens, .. }) => {
-                    let is_open = state.journal.open_tokens(budget, loan.reservation).is_some();
+                    // A loan of an incarnation that was sealed meanwhile is counted by its reclaim. Its
+                    // borrower must learn its name, to settle it in the store.
+                    let is_open = loan.incarnation != state.incarnation
+                        || state.journal.open_tokens(budget, loan.reservation).is_some();
                     let lent = LoanOutcome::Lent { loan: *loan, tokens: *tokens };
                     return if is_open { lent } else { LoanOutcome::Nothing };
                 }
             }
+            let is_home = state.page_home(&request.budget) == state.settings.instance;
+            let is_short = state.available(&request.budget) < request.tokens;
+            state.answer_loan(request, GivenLoan::Pending);
+            (state.now() + LOAN_COVER_TIME, is_home && is_short && !state.stopping)
+        };
+        if takes_grant {
+            // The home takes grants for its borrowers. Whatever comes of it, the slice decides.
+            let _answer = self.await_grant(&request.budget, request.tokens, deadline).await;
+        }
+        let tokens = {
+            let mut state = self.state();
             let tokens = state.available(&request.budget).min(request.tokens);
             if tokens == TokenCount(0) || state.stopping {
                 state.answer_loan(request, GivenLoan::Nothing);
                 return LoanOutcome::Nothing;
             }
-            state.answer_loan(request, GivenLoan::Pending);
-            (state.now() + LOAN_COVER_TIME, tokens)
+            tokens
         };
         // If this future is dropped, the share is handed back and the answer stays pending: the borrower
         // goes on asking until it learns that the loan does not exist.
@@ -74,9 +87,15 @@
                     continue;
                 }
                 message.retry.failed(now, jitter);
-                if message.is_hopeless() {
-                    state.give_up_message(message);
-                } else {
+                // A lender that can't be reached may be dead, and its slice be reclaimed with the loan in
+                // it. Only one of the two ways finds the loan open.
+                if message.needs_store()
+                    && let LoanMessageContent::Settle(settlement) = &message.content
+                {
+                    state.settle_late(late_loan(&message, settlement));
+                    message.settles_late = true;
+                }
+                if !message.is_hopeless() {
                     state.loans.messages.push(message);
                 }
             }
@@ -99,9 +118,16 @@
             }
         };
         match self.shared.link.settle_loan(&message.lender, &settlement).await {
-            SettlementOutcome::Settled => true,
+            SettlementOutcome::Settled => {
+                if message.settles_late {
+                    self.state().withdraw_late(&late_loan(message, &settlement));
+                }
+                true
+            }
             SettlementOutcome::Unknown => {
-                self.state().settle_late(late_loan(message, &settlement));
+                if !message.settles_late {
+                    self.state().settle_late(late_loan(message, &settlement));
+                }
                 true
             }
             SettlementOutcome::Unreachable => false,
@@ -140,13 +166,6 @@
             self.bill_in_full(&budget, loan);
         }
     }
-
-    /// A lender that can't be reached for long is dead, and its slice is reclaimed with the loan in it.
-    fn give_up_message(&mut self, message: LoanMessage) {
-        if let LoanMessageContent::Settle(settlement) = &message.content {
-            self.settle_late(late_loan(&message, settlement));
-        }
-    }
 }
 
 fn late_loan(message: &LoanMessage, settlement: &LoanSettlement) -> LateSettlement {
--- a/crates/bramleywind_router/src/background/peer_watch.rs
+++ b/crates/bramleywind_router/src/background/peer_watch.rs
@@ -89,10 +89,10 @@
             ended.entry(earlier).or_insert_with(end);
         }
         if record.state == PeerState::Dead {
-            if !ended.contains_key(&incarnation) {
+            ended.entry(incarnation).or_insert_with(|| {
                 warn!(state.log, "peer is dead"; "peer" => %instance, "incarnation" => %incarnation);
-                ended.insert(incarnation, end());
-            }
+                end()
+            });
         } else {
             ended.remove(&incarnation);
         }
@@ -100,7 +100,7 @@
 }
 
 /// How many live routers reclaim before this one: those with smaller names.
-fn reclaim_rank(state: &RouterState, view: &MembershipView) -> u32 {
+pub(super) fn reclaim_rank(state: &RouterState, view: &MembershipView) -> u32 {
     let own = &state.identity.instance;
     let before = view.live().filter(|record| record.heartbeat.instance < *own).count();
     u32::try_from(before).unwrap_or(u32::MAX)
--- a/crates/bramleywind_router/src/caller_port.rs
+++ b/crates/bramleywind_router/src/caller_port.rs
@@ -16,10 +16,10 @@
 use slog::info;
 
 use crate::{
-    AnswerBody, AttemptRunner, CallerLink, ChatAttempts, ChatRequest, CodeLabel, DrainPhase,
-    KeyOwner, LEAVING_HEADER, OutcomeLabel, RequestContext, RequestOutcome, RequestTask,
-    RouteTarget, RouterState, ServiceAttempts, ServiceRequest, bearer_key, entry_list,
-    json_response, refusal_response,
+    AnswerBody, AttemptRunner, CallerLink, ChatAttempts, ChatRequest, DrainPhase, KeyOwner,
+    LEAVING_HEADER, RequestContext, RequestOutcome, RequestTask, RouteTarget, RouterState,
+    ServiceAttempts, ServiceRequest, bearer_key, entry_list, has_one_reading, json_response,
+    refusal_response,
 };
 
 /// Carries the key under which a request may be repeated.
@@ -59,12 +59,9 @@
 }
 
 fn refuse(state: &RouterState, id: RequestId, refusal: Refusal) -> Response<AnswerBody> {
-    let code = serde_json::to_value(refusal.code).unwrap_or_default();
-    let label = CodeLabel { code: code.as_str().unwrap_or_default().to_owned() };
-    let outcome = RequestOutcome::Refused;
-    state.metrics.requests.get_or_create(&OutcomeLabel { outcome }).inc();
-    state.metrics.refusals.get_or_create(&label).inc();
-    info!(state.log, "request refused"; "request" => %id, "code" => label.code,
+    state.metrics.record_request(RequestOutcome::Refused);
+    let code = state.metrics.record_refusal(&refusal);
+    info!(state.log, "request refused"; "request" => %id, "code" => code,
         "message" => &*refusal.message);
     let mut response = refusal_response(&refusal, id);
     let is_unread = matches!(
@@ -216,6 +213,14 @@
         name.parse().map_err(|error| not_found(format!("the path names no service: {error}")))?;
     let uri: http::Uri =
         rest.parse().map_err(|_| not_found(format!("`{rest}` is no path of a service")))?;
+    if !has_one_reading(uri.path()) {
+        let message = format!(
+            "`{}` can be read in more than one way; send it without dot segments, empty segments \
+             and needless escapes",
+            uri.path()
+        );
+        return Err(not_found(message));
+    }
     let (config, route) = routes.service(&owner.workspace, &service, &head.method, uri.path())?;
     if !route.idempotent && key.is_none() {
         let message = "this call may not run twice; send an `Idempotency-Key` header";
--- a/crates/bramleywind_router/src/lib.rs
+++ b/crates/bramleywind_router/src/lib.rs
@@ -42,6 +42,7 @@
 mod router_metrics;
 mod router_state;
 mod service_attempts;
+mod service_path;
 mod state_dump;
 
 pub use admission::{Admission, AdmissionRequest, EndpointSlot};
@@ -63,12 +64,12 @@
 pub use entry_weights::entry_weight;
 pub use event_scan::{EventFields, EventScanner, MAX_EVENT_BYTES};
 pub use funds_refusal::funds_refusal;
-pub use http_listener::{BoundListener, HttpListener, PortConnections};
+pub use http_listener::{BoundListener, HeadLimits, HttpListener};
 pub use key_check::{bearer_key, find_key, secrets_match};
 pub use key_desk::KeyDesk;
 pub use key_start::{KeyEnd, KeyStart, KeyTicket};
 pub use logger::new_logger;
-pub use operator_port::{RouterStatusAnswer, answer_operator};
+pub use operator_port::{OperatorAccess, RouterStatusAnswer, answer_operator};
 pub use peer_answers::PeerAnswers;
 pub use refusal_answer::{
     LEAVING_HEADER, REQUEST_ID_HEADER, insert_request_id, json_response, refusal_event,
@@ -86,8 +87,9 @@
 pub use router_metrics::{
     CodeLabel, OutcomeLabel, PeerLabel, RequestOutcome, RouterMetrics, StoreLabel,
 };
-pub use router_state::{RouterIdentity, RouterState, RunningGuard};
+pub use router_state::{RouterIdentity, RouterParts, RouterState, RunningGuard};
 pub use service_attempts::{ServiceAttempts, ServiceRequest, end_to_end_headers};
+pub use service_path::has_one_reading;
 pub use state_dump::StateDump;
 
 /// The store as the router uses it.
--- a/crates/bramleywind_router/src/router.rs
+++ b/crates/bramleywind_router/src/router.rs
@@ -16,9 +16,10 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::{
-    Admission, CountedStore, DrainPhase, HttpListener, KeyDesk, PeerAnswers, RequestLimits,
-    RouterIdentity, RouterLink, RouterMetrics, RouterState, answer_caller, answer_operator,
-    background::{keep_funds, poll_instances, poll_loads, watch_config, watch_peers},
+    Admission, CountedStore, DrainPhase, HeadLimits, HttpListener, KeyDesk, OperatorAccess,
+    PeerAnswers, RequestLimits, RouterIdentity, RouterLink, RouterMetrics, RouterParts,
+    RouterState, answer_caller, answer_operator,
+    background::{keep_funds, poll_instances, poll_loads, scan_members, watch_config, watch_peers},
 };
 
 /// How long one call of the store may take. The store answers within milliseconds when it is well.
@@ -30,6 +31,9 @@
 /// How often a drain looks whether it is over.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
+/// How long connections may take at least to send the ends of their answers when the time for requests is over.
+const FLUSH_TIME: Duration = Duration::from_secs(2);
+
 /// How long a stopping router waits for the store to take its slices back and to close its claims.
 const HAND_BACK_TIME: Duration = Duration::from_secs(10);
 
@@ -40,6 +44,8 @@
     pub settings: DaemonSettings,
     /// The limits, from the settings by default.
     pub limits: RequestLimits,
+    /// Whether the operator port takes orders to cut links to peers, for tests.
+    pub allow_test_faults: bool,
     /// The log.
     pub log: Logger,
 }
@@ -48,7 +54,7 @@
     /// The options that follow from the settings.
     pub fn new(settings: DaemonSettings, log: Logger) -> Self {
         let limits = RequestLimits::from_settings(&settings.limits);
-        Self { settings, limits, log }
+        Self { settings, limits, allow_test_faults: false, log }
     }
 }
 
@@ -118,7 +124,7 @@
     ///
     /// If a port cannot be opened.
     pub async fn start(options: RouterOptions) -> Result<Self, StartError> {
-        let RouterOptions { settings, limits, log } = options;
+        let RouterOptions { settings, limits, allow_test_faults, log } = options;
         let metrics = RouterMetrics::default();
         let client =
             HttpStore::new(settings.store_address, STORE_CALL_TIME).context(ClientSnafu)?;
@@ -152,17 +158,25 @@
             capacity: settings.capacity,
         };
         let keys = KeyDesk { claims: claims.clone() };
-        let read_time = limits.read_time;
-        let state =
-            RouterState::new(identity, limits, admission, funds.clone(), link, keys, metrics, log);
+        let head = HeadLimits { read_time: limits.read_time, header_bytes: limits.header_bytes };
+        let state = RouterState::new(RouterParts {
+            identity,
+            limits,
+            admission,
+            funds: funds.clone(),
+            link,
+            keys,
+            metrics,
+            log,
+        });
         let answers = state.clone();
-        let caller = bound.serve(read_time, move |request| answer_caller(answers.clone(), request));
+        let caller = bound.serve(head, move |request| answer_caller(answers.clone(), request));
         let listen = settings.operator_listen;
         let bound = HttpListener::bind(listen).await.context(ListenSnafu { address: listen })?;
-        let (answers, token) = (state.clone(), settings.operator_token.clone());
-        let operator = bound.serve(read_time, move |request| {
-            answer_operator(answers.clone(), token.clone(), request)
-        });
+        let answers = state.clone();
+        let access = OperatorAccess { token: settings.operator_token.clone(), allow_test_faults };
+        let operator = bound
+            .serve(head, move |request| answer_operator(answers.clone(), access.clone(), request));
         let key = settings.operator_public_key;
         let client = mesh.client();
         let answers = Rc::new(PeerAnswers::new(state.clone()));
@@ -171,6 +185,7 @@
             compio::runtime::spawn(mesh.run(answers, log)),
             compio::runtime::spawn(async move { funds.run().await }),
             compio::runtime::spawn(keep_funds(state.clone(), settings.peers.len())),
+            compio::runtime::spawn(scan_members(state.clone(), store.clone(), client.clone())),
             compio::runtime::spawn(watch_peers(state.clone(), client, key)),
             compio::runtime::spawn(watch_config(state.clone(), store, key)),
             compio::runtime::spawn(poll_instances(state.clone(), directory)),
@@ -205,6 +220,10 @@
         while self.state.phase() != DrainPhase::Finished {
             compio::time::sleep(DRAIN_POLL).await;
         }
+        // A request has ended once its answer is handed to the connection, which may still be sending it.
+        let finish = self.state.drain.borrow().finish_deadline();
+        let flush = (Instant::now() + FLUSH_TIME).max(finish.unwrap_or_else(Instant::now));
+        self.caller.close(flush).await;
         let deadline = Instant::now() + HAND_BACK_TIME;
         let outcome = self.state.funds.hand_back_all(deadline).await;
         info!(self.state.log, "slices handed back"; "outcome" => ?outcome);
