routing: give each router a share of every endpoint's slots

A router admitted a request only where the latest report showed a free slot. Reports are 1 to 1.5 s old, and under overload every one shows a full engine, so a router with few requests in flight waited while the others refilled each slot at once. Its callers, a small workspace's included, waited for half of the deadline.

Each router may now hold floor(slots / live routers) whatever the reports show. The parts fit together; a lone router and a fleet with more routers than slots go by the reports as before. Two sides of a partition may both exceed their part, which queues at the engine. Ruled out: a minimum of one slot each (380 routers on 8 slots).

--- a/crates/bramleywind_router/src/admission.rs
+++ b/crates/bramleywind_router/src/admission.rs
@@ -124,6 +124,12 @@
         !is_down && !self.is_leaving(endpoint)
     }
 
+    /// Takes in how many routers share the endpoints, this one included.
+    pub fn set_routers(&self, routers: u32) {
+        self.inner.borrow_mut().table.set_routers(routers);
+        self.start_all();
+    }
+
     /// Takes in an endpoint's load report.
     pub fn record_report(&self, endpoint: &EndpointId, report: LoadReport) {
         self.inner.borrow_mut().table.record_report(endpoint, report);
--- a/crates/bramleywind_router/tests/admission.rs
+++ b/crates/bramleywind_router/tests/admission.rs
@@ -10,7 +10,7 @@
 
 use bramleywind_operator::{EndpointSpec, Fleet, ModelSpec, WorkspaceSpec};
 use bramleywind_router::{Admission, AdmissionRequest, EndpointSlot, RouteTable, RouteTarget};
-use bramleywind_routing::{PolicyKind, RouteRequest};
+use bramleywind_routing::{LoadReport, PolicyKind, RouteRequest};
 use bramleywind_types::{ConfigRevision, Refusal, RefusalCode};
 use futures_channel::oneshot::Receiver;
 
@@ -18,10 +18,15 @@
 
 /// A router's admission with one engine of one slot.
 fn one_slot() -> Rc<Admission> {
+    one_engine(1)
+}
+
+/// A router's admission with one engine.
+fn one_engine(slots: u32) -> Rc<Admission> {
     let fleet = Fleet::new()
         .model(ModelSpec::new("m", 100))
         .workspace(WorkspaceSpec::new("w").budget("b", 1).key("k", "b").may_use_model("m"))
-        .endpoint(EndpointSpec::engine(ENGINE, ["m"]).placed_in("dc").at("127.0.0.1:9").slots(1));
+        .endpoint(EndpointSpec::engine(ENGINE, ["m"]).placed_in("dc").at("127.0.0.1:9").slots(slots));
     let table = RouteTable::new(ConfigRevision(1), fleet.build().unwrap());
     let admission = Admission::new(PolicyKind::RoundRobin, 1, 3);
     admission.set_routes(Rc::new(table));
@@ -111,3 +116,15 @@
     drop(abandoned);
     assert!(slot(&mut admission.request(request("w")).unwrap()).is_some());
 }
+
+/// Guards against a router that never gets a slot, because the others fill each slot before the next report.
+#[test]
+fn a_router_keeps_its_share_while_reports_show_a_full_engine() {
+    let admission = one_engine(6);
+    admission.set_routers(3);
+    admission.record_report(&ENGINE.parse().unwrap(), LoadReport { running: 6, queued: 0 });
+    let mut waiting: Vec<_> = (0..3).map(|_| admission.request(request("w")).unwrap()).collect();
+    let slots: Vec<_> = waiting.iter_mut().map(slot).collect();
+    assert!(slots[0].is_some() && slots[1].is_some(), "a third of six slots is this router's");
+    assert!(slots[2].is_none(), "beyond its share the report counts");
+}
--- a/crates/bramleywind_routing/src/endpoint_state.rs
+++ b/crates/bramleywind_routing/src/endpoint_state.rs
@@ -18,6 +18,8 @@
     pub report: Option<LoadReport>,
     /// Requests of other routers, by the latest report.
     pub others_in_flight: u32,
+    /// How many slots this router may take whatever the reports show: its equal part among the routers.
+    pub own_share: u32,
     /// The in-flight count at the time of the poll before this one: what the latest report, which lags, is
     /// likely to contain of this router's own work.
     in_flight_at_poll: u32,
@@ -38,6 +40,7 @@
             in_flight: 0,
             report: None,
             others_in_flight: 0,
+            own_share: 0,
             in_flight_at_poll: 0,
             prefill_ms_per_token: SmoothedValue::new(SPEED_WEIGHT),
             ms_per_token: SmoothedValue::new(SPEED_WEIGHT),
@@ -59,9 +62,20 @@
         self.others_in_flight.saturating_add(self.in_flight)
     }
 
-    /// Whether a further request would likely start at once.
+    /// Whether a further request may be sent: it would likely start at once, or this router holds less than
+    /// its share.
+    ///
+    /// Without the share, a router that finds the slots taken in each report never gets one under overload,
+    /// because the other routers fill every slot that they free long before the next report.
     pub fn has_free_slot(&self) -> bool {
-        self.estimated_in_flight() < self.slots
+        self.in_flight < self.own_share || self.estimated_in_flight() < self.slots
+    }
+
+    /// Divides the slots among the routers. The part is rounded down, so that all parts together fit; with
+    /// more routers than slots only the reports count. They also do for a router that sees no other one: it
+    /// may be cut off from routers that still use the endpoint.
+    pub fn divide_slots(&mut self, routers: u32) {
+        self.own_share = if routers > 1 { self.slots / routers } else { 0 };
     }
 
     /// The share of slots in use; above 1 where requests wait.
--- a/crates/bramleywind_routing/src/endpoint_table.rs
+++ b/crates/bramleywind_routing/src/endpoint_table.rs
@@ -19,6 +19,7 @@
 #[derive(Debug)]
 pub struct EndpointTable<P> {
     states: BTreeMap<EndpointId, EndpointState>,
+    routers: u32,
     policy: P,
 }
 
@@ -32,16 +33,22 @@
 impl<P: EndpointPolicy> EndpointTable<P> {
     /// An empty table.
     pub fn new(policy: P) -> Self {
-        Self { states: BTreeMap::new(), policy }
+        Self { states: BTreeMap::new(), routers: 1, policy }
     }
 
     /// Adds an endpoint, or changes its size. Keeps what was measured of it.
     pub fn upsert(&mut self, id: EndpointId, slots: u32) {
-        match self.states.get_mut(&id) {
-            Some(state) => state.slots = slots.max(1),
-            None => {
-                self.states.insert(id.clone(), EndpointState::new(id, slots));
-            }
+        let state =
+            self.states.entry(id.clone()).or_insert_with(|| EndpointState::new(id, slots));
+        state.slots = slots.max(1);
+        state.divide_slots(self.routers);
+    }
+
+    /// Takes in how many routers send to the endpoints, this one included.
+    pub fn set_routers(&mut self, routers: u32) {
+        self.routers = routers.max(1);
+        for state in self.states.values_mut() {
+            state.divide_slots(self.routers);
         }
     }
 
