router: refuse requests at once that would wait too long

The queue took every request up to its length and refused it after half of its deadline. At twice the capacity refusals came after 3.0 s, and requests that got a slot late were cut at their deadline, which wasted engine time.

A request is now refused on arrival if the wait that follows from the requests before it, in fair order, and from the measured service times exceeds half of its waiting time. The delay that the refusal names follows from this wait.

--- a/crates/bramleywind_router/src/admission.rs
+++ b/crates/bramleywind_router/src/admission.rs
@@ -19,6 +19,10 @@
 /// The delay that callers of a full queue are told at least, in milliseconds: about half of a short answer.
 const EXPECTED_ROOM_MS: u64 = 500;
 
+/// The part of the time that a request may wait which its expected wait may take: one half, because the
+/// estimate is rough and a refusal after a long wait is worth less to a caller than one at once.
+const EXPECTED_WAIT_SHARE: f64 = 0.5;
+
 /// A request that asks for an endpoint.
 #[derive(Debug, Clone)]
 pub struct AdmissionRequest {
@@ -173,6 +177,10 @@
             drop(state);
             return Err(self.no_endpoint());
         }
+        if let Some(wait_ms) = state.excessive_wait_ms(&request) {
+            drop(state);
+            return Err(self.overloaded_for(wait_ms));
+        }
         let queued = QueuedRequest {
             workspace: request.workspace.clone(),
             cost: request.cost,
@@ -205,7 +213,12 @@
 
     /// The refusal of a request for which there is no room.
     pub fn overloaded(&self) -> Refusal {
-        let delay_ms = self.inner.borrow_mut().delay.after_expected(EXPECTED_ROOM_MS);
+        self.overloaded_for(EXPECTED_ROOM_MS)
+    }
+
+    fn overloaded_for(&self, expected_ms: u64) -> Refusal {
+        let expected_ms = expected_ms.max(EXPECTED_ROOM_MS);
+        let delay_ms = self.inner.borrow_mut().delay.after_expected(expected_ms);
         let message = "all endpoints are busy and the queue is full";
         Refusal::not_run(RefusalCode::Overloaded, message, RepeatAdvice::AfterDelay)
             .after_ms(delay_ms)
@@ -298,6 +311,22 @@
         })
     }
 
+    /// The expected wait of a new request, in milliseconds, if it is too long for the request's deadline.
+    ///
+    /// A request that was sent before is not turned away, since part of its answer may be with its caller.
+    fn excessive_wait_ms(&self, request: &AdmissionRequest) -> Option<u64> {
+        let queue = self.queues.get(&request.target)?;
+        if queue.is_empty() || !request.excluded.is_empty() {
+            return None;
+        }
+        let now = Instant::now();
+        let routes = self.routes.as_ref()?;
+        let rate = self.table.finish_rate(|state| routes.serves(&state.id, &request.target))?;
+        let wait_ms = (queue.ahead_of(&request.workspace) + 1) as f64 / rate;
+        let left_ms = request.deadline.saturating_duration_since(now).as_secs_f64() * 1_000.0;
+        (wait_ms > left_ms * EXPECTED_WAIT_SHARE).then_some(wait_ms as u64)
+    }
+
     fn has_candidate(&self, request: &AdmissionRequest) -> bool {
         let now = Instant::now();
         let Some(routes) = &self.routes else { return false };
--- a/crates/bramleywind_router/tests/admission.rs
+++ b/crates/bramleywind_router/tests/admission.rs
@@ -128,3 +128,19 @@
     assert!(slots[0].is_some() && slots[1].is_some(), "a third of six slots is this router's");
     assert!(slots[2].is_none(), "beyond its share the report counts");
 }
+
+/// Guards against requests that wait for most of their time only to be refused, and against a flooding
+/// workspace that turns a small one away.
+#[test]
+fn requests_that_would_wait_too_long_are_refused_at_once() {
+    let admission = one_slot();
+    admission.record_answer(&ENGINE.parse().unwrap(), 1, 2_000.0);
+    let mut running = admission.request(request("w")).unwrap();
+    let _running = slot(&mut running).unwrap();
+    let _waiting: Vec<_> = (0..2).map(|_| admission.request(request("w")).unwrap()).collect();
+    let refusal = admission.request(request("w")).unwrap_err();
+    assert_eq!(refusal.code, RefusalCode::Overloaded);
+    let delay_ms = refusal.retry_after_ms.unwrap();
+    assert!(delay_ms >= 6_000, "two others and one running take 6 s, not {delay_ms} ms");
+    assert!(admission.request(request("other")).is_ok(), "only one request goes before this one");
+}
--- a/crates/bramleywind_routing/src/endpoint_table.rs
+++ b/crates/bramleywind_routing/src/endpoint_table.rs
@@ -80,6 +80,15 @@
         Some(id)
     }
 
+    /// How many of this router's requests the eligible endpoints finish in a millisecond, by the measured
+    /// service times; nothing before the first measurement.
+    pub fn finish_rate(&self, is_eligible: impl Fn(&EndpointState) -> bool) -> Option<f64> {
+        let rate = |state: &EndpointState| Some(f64::from(state.in_flight) / state.service_ms.current()?);
+        let eligible = self.states.values().filter(|state| is_eligible(state));
+        let rate: f64 = eligible.filter_map(rate).sum();
+        (rate > 0.0).then_some(rate)
+    }
+
     /// Counts a request as no longer in flight.
     pub fn finish(&mut self, endpoint: &EndpointId) {
         if let Some(state) = self.states.get_mut(endpoint) {
--- a/crates/bramleywind_routing/src/fair_queue.rs
+++ b/crates/bramleywind_routing/src/fair_queue.rs
@@ -86,6 +86,13 @@
         Ok(displaced)
     }
 
+    /// How many waiting requests would go before a new one of the workspace, if all cost the same.
+    pub fn ahead_of(&self, workspace: &WorkspaceId) -> usize {
+        let own = self.lanes.get(workspace).map_or(0, |lane| lane.requests.len());
+        let others = self.lanes.iter().filter(|(name, _)| *name != workspace);
+        others.map(|(_, lane)| lane.requests.len().min(own + 1)).sum::<usize>() + own
+    }
+
     /// Takes the request that goes next.
     pub fn pop(&mut self) -> Option<QueuedRequest<T>> {
         let by_time = |left: &(&WorkspaceId, &mut QueueLane<T>),
