routing: learn from first tokens which prefixes engines still cache

prefix_affinity remembered 512 prefixes for each endpoint, far more than an engine holds, so that after a while it believed every prefix cached everywhere; and it measured one prefill speed over cached and uncached prompts, which hid what a miss costs. A first token now shows whether the prefix was cached. Hits and misses have speeds of their own, and the number of remembered prefixes follows from how far back the engines still had one.

The signature of EndpointTable::record_first_token takes the request instead of its prompt tokens; the test that calls it passes the same 400 tokens.

--- a/crates/bramleywind_bench/src/bin/overload/load_result.rs
+++ b/crates/bramleywind_bench/src/bin/overload/load_result.rs
@@ -51,8 +51,7 @@
             .collect();
         let small_summary = CallSummary::of(small.iter().copied());
         let summary = CallSummary::of(records.iter().copied());
-        let refusal =
-            |percent| percentile(refused().map(|record| record.total_ms), percent);
+        let refusal = |percent| percentile(refused().map(|record| record.total_ms), percent);
         Self {
             percent,
             useful_rate: useful as f64 / duration.as_secs_f64(),
@@ -70,8 +69,7 @@
 
     pub(crate) fn cells(&self) -> Vec<String> {
         let summary = &self.summary;
-        let counts =
-            [summary.calls, summary.whole, self.overdue, summary.refused, self.broken];
+        let counts = [summary.calls, summary.whole, self.overdue, summary.refused, self.broken];
         let mut cells = vec![self.percent.to_string()];
         cells.extend(counts.map(|count| count.to_string()));
         let times = [
--- a/crates/bramleywind_bench/src/bin/overload/overload_run.rs
+++ b/crates/bramleywind_bench/src/bin/overload/overload_run.rs
@@ -39,9 +39,22 @@
     };
     println!("capacity {capacity:.1} requests/s, deadline {} ms\n", args.deadline_ms);
     let mut table = ResultTable::new([
-        "load %", "calls", "whole", "overdue", "refused", "broken", "useful tokens/s",
-        "first p50 ms", "first p95 ms", "total p95 ms", "refusal p50 ms", "refusal p95 ms",
-        "refusal max ms", "small first p95 ms", "small refused", "return ms",
+        "load %",
+        "calls",
+        "whole",
+        "overdue",
+        "refused",
+        "broken",
+        "useful tokens/s",
+        "first p50 ms",
+        "first p95 ms",
+        "total p95 ms",
+        "refusal p50 ms",
+        "refusal p95 ms",
+        "refusal max ms",
+        "small first p95 ms",
+        "small refused",
+        "return ms",
     ]);
     let mut results = Vec::new();
     for &percent in &args.load_percents {
--- a/crates/bramleywind_bench/src/bin/policy_comparison/comparison_run.rs
+++ b/crates/bramleywind_bench/src/bin/policy_comparison/comparison_run.rs
@@ -1,8 +1,8 @@
 use std::time::Duration;
 
 use bramleywind_bench::{
-    ArrivalPlan, BenchError, CallSummary, LoadGenerator, LoadMode, PromptSource,
-    ResultTable, TargetCheck, bench_workspaces, print_command,
+    ArrivalPlan, BenchError, CallSummary, LoadGenerator, LoadMode, PromptSource, ResultTable,
+    TargetCheck, bench_workspaces, print_command,
 };
 use bramleywind_routing::PolicyKind;
 
@@ -22,9 +22,20 @@
 pub(crate) async fn run(args: &ComparisonArgs) -> Result<(), BenchError> {
     print_command();
     let mut table = ResultTable::new([
-        "engines", "policy", "calls", "whole", "refused", "first p50 ms", "first p95 ms",
-        "first p99 ms", "total p50 ms", "total p95 ms", "total p99 ms", "hit rate",
-        "share max / min", "client lag p99 ms",
+        "engines",
+        "policy",
+        "calls",
+        "whole",
+        "refused",
+        "first p50 ms",
+        "first p95 ms",
+        "first p99 ms",
+        "total p50 ms",
+        "total p95 ms",
+        "total p99 ms",
+        "hit rate",
+        "share max / min",
+        "client lag p99 ms",
     ]);
     let mut checks = Vec::new();
     for &engines in &args.engines {
--- a/crates/bramleywind_bench/src/bin/policy_comparison/deployment.rs
+++ b/crates/bramleywind_bench/src/bin/policy_comparison/deployment.rs
@@ -54,8 +54,14 @@
     /// Load reports and cache events are half a second old, and every seventh event is missing.
     fn engines(&self) -> Vec<EngineProfile> {
         let arguments = [
-            "--cache-tokens", "8704", "--load-lag-ms", "500", "--cache-event-lag-ms", "500",
-            "--cache-event-gap", "7",
+            "--cache-tokens",
+            "8704",
+            "--load-lag-ms",
+            "500",
+            "--cache-event-lag-ms",
+            "500",
+            "--cache-event-gap",
+            "7",
         ];
         let speeds = SPEED_PERCENT.iter().cycle().take(self.engines);
         let profile = |(index, percent): (usize, &u32)| EngineProfile {
@@ -70,7 +76,12 @@
 
     /// The share of each engine in the joint capacity, by its speed.
     pub(crate) fn capacity_shares(&self) -> Vec<f64> {
-        let speeds: Vec<f64> = SPEED_PERCENT.iter().cycle().take(self.engines).map(|speed| f64::from(*speed)).collect();
+        let speeds: Vec<f64> = SPEED_PERCENT
+            .iter()
+            .cycle()
+            .take(self.engines)
+            .map(|speed| f64::from(*speed))
+            .collect();
         let sum: f64 = speeds.iter().sum();
         speeds.into_iter().map(|speed| speed / sum).collect()
     }
@@ -82,15 +93,17 @@
     }
 
     /// The requests a second that the engines finish when all their slots are always taken, called directly.
-    pub(crate) async fn joint_capacity(&self, seed: u64, threads: usize) -> Result<f64, BenchError> {
+    pub(crate) async fn joint_capacity(
+        &self,
+        seed: u64,
+        threads: usize,
+    ) -> Result<f64, BenchError> {
         let bench = self.start("round_robin").await?;
         let targets: Vec<_> = bench.fleet.endpoints.iter().map(|engine| engine.address).collect();
         let mut source = PromptSource::new(prompt_shape(), seed);
         let callers = targets.len() * SLOTS as usize;
         let calls: Vec<_> = (0..callers * 40)
-            .map(|index| {
-                source.call(Duration::ZERO, index % targets.len(), bench_workspaces()[0])
-            })
+            .map(|index| source.call(Duration::ZERO, index % targets.len(), bench_workspaces()[0]))
             .collect();
         let load = LoadGenerator { threads, targets };
         let records = load.run(&calls, LoadMode::Closed { callers, duration: CAPACITY_TIME })?;
--- a/crates/bramleywind_bench/src/bin/router_overhead/overhead_run.rs
+++ b/crates/bramleywind_bench/src/bin/router_overhead/overhead_run.rs
@@ -60,8 +60,19 @@
         "MB",
     )];
     let mut table = ResultTable::new([
-        "load", "calls", "whole", "lost", "late", "first p50 ms", "first p95 ms", "total p50 ms",
-        "total p95 ms", "client lag p99 ms", "router cores", "client cores", "engine cores",
+        "load",
+        "calls",
+        "whole",
+        "lost",
+        "late",
+        "first p50 ms",
+        "first p95 ms",
+        "total p50 ms",
+        "total p95 ms",
+        "client lag p99 ms",
+        "router cores",
+        "client cores",
+        "engine cores",
     ]);
     compare_streams(args, &bench, &mut table, &mut checks)?;
     sustain(args, &bench, &mut table, &mut checks).await?;
@@ -131,10 +142,8 @@
     let calls: Vec<_> = (0..args.streams * 20)
         .map(|number| source.call(Duration::ZERO, number % engines.len(), bench_workspaces()[0]))
         .collect();
-    let mode = LoadMode::Closed {
-        callers: args.streams,
-        duration: Duration::from_secs(args.round_s),
-    };
+    let mode =
+        LoadMode::Closed { callers: args.streams, duration: Duration::from_secs(args.round_s) };
     // Rounds alternate, so that a change of the machine's other load falls on both.
     let mut records: [Vec<CallRecord>; 2] = [Vec::new(), Vec::new()];
     let mut cores = [[0.0; 3]; 2];
--- a/crates/bramleywind_bench/src/load_generator.rs
+++ b/crates/bramleywind_bench/src/load_generator.rs
@@ -73,11 +73,13 @@
             let caller = Rc::new(HttpCaller::new()?);
             let own = |step: usize| calls.iter().skip(index).step_by(step);
             let lists = match mode {
-                LoadMode::Open => join_all(own(self.threads).map(|call| async {
-                    compio::time::sleep_until(started + call.offset).await;
-                    vec![self.send(&caller, call, started + call.offset).await]
-                }))
-                .await,
+                LoadMode::Open => {
+                    join_all(own(self.threads).map(|call| async {
+                        compio::time::sleep_until(started + call.offset).await;
+                        vec![self.send(&caller, call, started + call.offset).await]
+                    }))
+                    .await
+                }
                 LoadMode::Closed { callers, duration } => {
                     let own_callers = (index..callers).step_by(self.threads);
                     join_all(own_callers.map(|first| {
--- a/crates/bramleywind_bench/src/prompt_source.rs
+++ b/crates/bramleywind_bench/src/prompt_source.rs
@@ -80,7 +80,9 @@
         let prefix = self.popularity.sample(&mut self.random);
         let own = self.random.random::<u32>();
         let mut words = Vec::new();
-        words.extend((0..self.shape.prefix_words).map(|word| format!("p{}x{prefix}w{word}", self.seed)));
+        words.extend(
+            (0..self.shape.prefix_words).map(|word| format!("p{}x{prefix}w{word}", self.seed)),
+        );
         words.extend((0..self.shape.own_words).map(|word| format!("o{own}w{word}")));
         PlannedCall {
             offset,
--- a/crates/bramleywind_router/src/admission.rs
+++ b/crates/bramleywind_router/src/admission.rs
@@ -141,8 +141,13 @@
     }
 
     /// Takes in the time to the first token.
-    pub fn record_first_token(&self, endpoint: &EndpointId, prompt_tokens: u32, elapsed_ms: f64) {
-        self.inner.borrow_mut().table.record_first_token(endpoint, prompt_tokens, elapsed_ms);
+    pub fn record_first_token(
+        &self,
+        endpoint: &EndpointId,
+        request: &RouteRequest,
+        elapsed_ms: f64,
+    ) {
+        self.inner.borrow_mut().table.record_first_token(endpoint, request, elapsed_ms);
     }
 
     /// Takes in the time of a whole answer.
--- a/crates/bramleywind_router/src/caller_port.rs
+++ b/crates/bramleywind_router/src/caller_port.rs
@@ -2,7 +2,7 @@
 
 use std::{convert::Infallible, rc::Rc, time::Instant};
 
-use bramleywind_routing::{PrefixHash, RouteRequest};
+use bramleywind_routing::RouteRequest;
 use bramleywind_types::{
     BodyHash, IdempotencyKey, Refusal, RefusalCode, RepeatAdvice, RequestId, RequestKey, RunState,
     ServiceId,
@@ -181,11 +181,7 @@
         .filter(|tokens| tokens.0 <= u64::from(model.max_request_tokens))
         .ok_or_else(too_large)?;
     let hash = BodyHash::of(&[head.method.as_str().as_bytes(), head.uri.path().as_bytes(), &body]);
-    let route = RouteRequest {
-        prefix: Some(PrefixHash::of(chat.prompt_text.as_bytes())),
-        prompt_tokens: u32::try_from(chat.prompt_estimate.0).unwrap_or(u32::MAX),
-        answer_tokens: chat.max_tokens,
-    };
+    let route = chat.route();
     let idempotent = model.idempotent;
     let target = RouteTarget::Model(model.id.clone());
     let context = context(state, id, owner, key, hash);
--- a/crates/bramleywind_router/src/chat_attempts.rs
+++ b/crates/bramleywind_router/src/chat_attempts.rs
@@ -225,9 +225,8 @@
     request: &ChatRequest,
 ) {
     state.metrics.first_token.observe(context.arrived.elapsed().as_secs_f64());
-    let prompt_tokens = u32::try_from(request.prompt_estimate.0).unwrap_or(u32::MAX);
     let elapsed_ms = sent.elapsed().as_secs_f64() * 1_000.0;
-    state.admission.record_first_token(&target.endpoint, prompt_tokens, elapsed_ms);
+    state.admission.record_first_token(&target.endpoint, &request.route(), elapsed_ms);
 }
 
 impl AttemptRunner for ChatAttempts {
--- a/crates/bramleywind_router/src/chat_request.rs
+++ b/crates/bramleywind_router/src/chat_request.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 
+use bramleywind_routing::{PrefixHash, RouteRequest};
 use bramleywind_types::{ModelId, Refusal, RefusalCode, RepeatAdvice, TokenCount};
 use bytes::Bytes;
 use serde::Deserialize;
@@ -87,6 +88,15 @@
         })
     }
 
+    /// What the choice of an endpoint depends on.
+    pub fn route(&self) -> RouteRequest {
+        RouteRequest {
+            prefix: Some(PrefixHash::of(self.prompt_text.as_bytes())),
+            prompt_tokens: u32::try_from(self.prompt_estimate.0).unwrap_or(u32::MAX),
+            answer_tokens: self.max_tokens,
+        }
+    }
+
     /// What the request may cost at most; nothing if that is no number.
     pub fn reservation(&self) -> Option<TokenCount> {
         self.prompt_estimate.checked_add(TokenCount(u64::from(self.max_tokens)))
--- a/crates/bramleywind_router/tests/admission.rs
+++ b/crates/bramleywind_router/tests/admission.rs
@@ -26,7 +26,9 @@
     let fleet = Fleet::new()
         .model(ModelSpec::new("m", 100))
         .workspace(WorkspaceSpec::new("w").budget("b", 1).key("k", "b").may_use_model("m"))
-        .endpoint(EndpointSpec::engine(ENGINE, ["m"]).placed_in("dc").at("127.0.0.1:9").slots(slots));
+        .endpoint(
+            EndpointSpec::engine(ENGINE, ["m"]).placed_in("dc").at("127.0.0.1:9").slots(slots),
+        );
     let table = RouteTable::new(ConfigRevision(1), fleet.build().unwrap());
     let admission = Admission::new(PolicyKind::RoundRobin, 1, 3);
     admission.set_routes(Rc::new(table));
--- a/crates/bramleywind_routing/src/endpoint_state.rs
+++ b/crates/bramleywind_routing/src/endpoint_state.rs
@@ -5,6 +5,9 @@
 /// How much one finished request changes the measured speeds.
 const SPEED_WEIGHT: f64 = 0.1;
 
+/// How much a prompt that looks cached changes the speed for uncached ones.
+const CORRECTION_WEIGHT: f64 = 0.002;
+
 /// What this router knows of one endpoint.
 #[derive(Debug, Clone, PartialEq, serde::Serialize)]
 pub struct EndpointState {
@@ -23,8 +26,11 @@
     /// The in-flight count at the time of the poll before this one: what the latest report, which lags, is
     /// likely to contain of this router's own work.
     in_flight_at_poll: u32,
-    /// Milliseconds from sending to the first token, for each prompt token, while the endpoint had a free slot.
+    /// Milliseconds from sending to the first token, for each prompt token that was not cached, while the
+    /// endpoint had a free slot.
     pub prefill_ms_per_token: SmoothedValue,
+    /// The same where the prompt's prefix was cached.
+    pub cached_ms_per_token: SmoothedValue,
     /// Milliseconds between tokens.
     pub ms_per_token: SmoothedValue,
     /// Milliseconds that a request occupies a slot.
@@ -43,6 +49,7 @@
             own_share: 0,
             in_flight_at_poll: 0,
             prefill_ms_per_token: SmoothedValue::new(SPEED_WEIGHT),
+            cached_ms_per_token: SmoothedValue::new(SPEED_WEIGHT),
             ms_per_token: SmoothedValue::new(SPEED_WEIGHT),
             service_ms: SmoothedValue::new(SPEED_WEIGHT),
         }
@@ -56,6 +63,21 @@
         self.report = Some(report);
     }
 
+    /// Takes in a first token's time for each prompt token, and returns whether the prefix was cached: whether
+    /// it took less than half of the time that uncached prompts take.
+    pub(crate) fn record_prefill(&mut self, ms_per_token: f64) -> bool {
+        let uncached = self.prefill_ms_per_token.current();
+        let was_cached = uncached.is_some_and(|uncached| ms_per_token < uncached / 2.0);
+        if was_cached {
+            self.cached_ms_per_token.add(ms_per_token);
+            // Corrects a speed that was measured too low: else all later prompts would look cached for ever.
+            self.prefill_ms_per_token.add_weighted(ms_per_token, CORRECTION_WEIGHT);
+        } else {
+            self.prefill_ms_per_token.add(ms_per_token);
+        }
+        was_cached
+    }
+
     /// All requests that the endpoint holds by the best estimate: other routers' by report, this one's by
     /// its own count.
     pub fn estimated_in_flight(&self) -> u32 {
--- a/crates/bramleywind_routing/src/endpoint_table.rs
+++ b/crates/bramleywind_routing/src/endpoint_table.rs
@@ -38,8 +38,7 @@
 
     /// Adds an endpoint, or changes its size. Keeps what was measured of it.
     pub fn upsert(&mut self, id: EndpointId, slots: u32) {
-        let state =
-            self.states.entry(id.clone()).or_insert_with(|| EndpointState::new(id, slots));
+        let state = self.states.entry(id.clone()).or_insert_with(|| EndpointState::new(id, slots));
         state.slots = slots.max(1);
         state.divide_slots(self.routers);
     }
@@ -83,7 +82,8 @@
     /// How many of this router's requests the eligible endpoints finish in a millisecond, by the measured
     /// service times; nothing before the first measurement.
     pub fn finish_rate(&self, is_eligible: impl Fn(&EndpointState) -> bool) -> Option<f64> {
-        let rate = |state: &EndpointState| Some(f64::from(state.in_flight) / state.service_ms.current()?);
+        let rate =
+            |state: &EndpointState| Some(f64::from(state.in_flight) / state.service_ms.current()?);
         let eligible = self.states.values().filter(|state| is_eligible(state));
         let rate: f64 = eligible.filter_map(rate).sum();
         (rate > 0.0).then_some(rate)
@@ -102,13 +102,15 @@
     pub fn record_first_token(
         &mut self,
         endpoint: &EndpointId,
-        prompt_tokens: u32,
+        request: &RouteRequest,
         elapsed_ms: f64,
     ) {
         if let Some(state) = self.states.get_mut(endpoint)
             && state.estimated_in_flight() <= state.slots
         {
-            state.prefill_ms_per_token.add(elapsed_ms / f64::from(prompt_tokens.max(1)));
+            let prompt_tokens = f64::from(request.prompt_tokens.max(1));
+            let was_cached = state.record_prefill(elapsed_ms / prompt_tokens);
+            self.policy.record_cached(request, state, was_cached);
         }
     }
 
--- a/crates/bramleywind_routing/src/policies/prefix_affinity.rs
+++ b/crates/bramleywind_routing/src/policies/prefix_affinity.rs
@@ -2,7 +2,7 @@
 
 use crate::{EndpointPolicy, EndpointState, PrefixHash, RouteRequest, prefix_table::PrefixTable};
 
-/// The share of prefill time that remains when the prefix is cached.
+/// Assumed share of prefill time that remains when the prefix is cached, until it is measured.
 const CACHED_PREFILL_SHARE: f64 = 0.2;
 
 /// Assumed prefill time of an endpoint that has not been measured, in milliseconds a prompt token.
@@ -47,11 +47,12 @@
     }
 
     fn prefill_ms(&self, request: &RouteRequest, state: &EndpointState, home: bool) -> f64 {
-        let speed = state.prefill_ms_per_token.current().unwrap_or(DEFAULT_PREFILL_MS_PER_TOKEN);
+        let uncached = state.prefill_ms_per_token.current().unwrap_or(DEFAULT_PREFILL_MS_PER_TOKEN);
         let was_sent = |prefix| self.sent.contains(&state.id, prefix);
         let is_cached = home || request.prefix.is_some_and(was_sent);
-        let share = if is_cached { CACHED_PREFILL_SHARE } else { 1.0 };
-        f64::from(request.prompt_tokens) * speed * share
+        let cached =
+            || state.cached_ms_per_token.current().unwrap_or(uncached * CACHED_PREFILL_SHARE);
+        f64::from(request.prompt_tokens) * if is_cached { cached() } else { uncached }
     }
 }
 
@@ -74,6 +75,17 @@
             self.sent.record(&endpoint.id, prefix);
         }
     }
+
+    fn record_cached(
+        &mut self,
+        request: &RouteRequest,
+        endpoint: &EndpointState,
+        was_cached: bool,
+    ) {
+        if let Some(prefix) = request.prefix {
+            self.sent.learn(&endpoint.id, prefix, was_cached);
+        }
+    }
 }
 
 /// The expected wait until a slot is free, in milliseconds: the requests ahead of this one beyond the slots,
--- a/crates/bramleywind_routing/src/smoothed_value.rs
+++ b/crates/bramleywind_routing/src/smoothed_value.rs
@@ -22,9 +22,14 @@
 
     /// Adds a sample.
     pub fn add(&mut self, sample: f64) {
+        self.add_weighted(sample, self.weight);
+    }
+
+    /// Adds a sample that counts with a weight of its own, between 0 and 1.
+    pub fn add_weighted(&mut self, sample: f64, weight: f64) {
         self.current = Some(match self.current {
             None => sample,
-            Some(current) => current + self.weight * (sample - current),
+            Some(current) => current + weight * (sample - current),
         });
     }
 
--- a/crates/bramleywind_routing/tests/policies.rs
+++ b/crates/bramleywind_routing/tests/policies.rs
@@ -75,8 +75,8 @@
 fn slow_endpoint_gets_less_work_than_fast_one() {
     let mut table = table(PolicyKind::PrefixAffinity, &[4, 4]);
     for _ in 0..20 {
-        table.record_first_token(&id(0), 400, 40.0);
-        table.record_first_token(&id(1), 400, 800.0);
+        table.record_first_token(&id(0), &request("a"), 40.0);
+        table.record_first_token(&id(1), &request("a"), 800.0);
         table.record_answer(&id(0), 100, 1_000.0);
         table.record_answer(&id(1), 100, 9_000.0);
     }
@@ -106,3 +106,30 @@
          `prefix_affinity`"
     );
 }
+
+/// Guards against a policy that believes a prefix is cached long after the endpoint has evicted it, and so
+/// sends it past the faster endpoint. First tokens show that none of the prefixes was still cached.
+#[test]
+fn evicted_prefixes_are_forgotten() {
+    let mut table = table(PolicyKind::PrefixAffinity, &[8; 2]);
+    let prompt = |number: usize| request(&format!("history {number}"));
+    // Engine 1 takes 20 prefixes in turn, none of which it still holds when it comes again.
+    for number in (0..20).cycle().take(200) {
+        let request = prompt(number);
+        table.begin(&request, |state| state.id == id(1)).unwrap();
+        table.record_first_token(&id(1), &request, 500.0);
+        table.finish(&id(1));
+    }
+    // Engine 0 is a little faster, so that only a belief in cached prefixes speaks for engine 1.
+    table.begin(&prompt(99), |state| state.id == id(0)).unwrap();
+    table.record_first_token(&id(0), &prompt(99), 400.0);
+    table.finish(&id(0));
+    let mut at_faster = 0;
+    for number in 0..10 {
+        let chosen = table.begin(&prompt(number), |_| true).unwrap();
+        table.finish(&chosen);
+        at_faster += usize::from(chosen == id(0));
+    }
+    // Engine 1 is home to about half of them.
+    assert!(at_faster >= 2, "{at_faster} of 10 forgotten prefixes went to the faster engine");
+}
