routing: average the load reports, and keep homes of busy endpoints

A report is 1 to 1.5 s old, about as old as a request takes, so the single one says little of the present: engines with free slots looked full and the others were chosen together. The estimate of other routers' requests is now an average over the reports. And the home of a prefix was taken among the endpoints with a free slot, so it moved to an endpoint without the prefix whenever the real one looked full. It is now taken among all endpoints seen lately, and nothing is assumed cached while the home is no candidate.

--- a/crates/bramleywind_routing/src/endpoint_state.rs
+++ b/crates/bramleywind_routing/src/endpoint_state.rs
@@ -5,6 +5,10 @@
 /// How much one finished request changes the measured speeds.
 const SPEED_WEIGHT: f64 = 0.1;
 
+/// How much one report changes the estimate of other routers' requests. A report is about as old as a request
+/// takes, so that the single report says little of the present and the average over several says more.
+const OTHERS_WEIGHT: f64 = 0.3;
+
 /// How much a prompt that looks cached changes the speed for uncached ones.
 const CORRECTION_WEIGHT: f64 = 0.002;
 
@@ -19,8 +23,8 @@
     pub in_flight: u32,
     /// The latest report, if there was one.
     pub report: Option<LoadReport>,
-    /// Requests of other routers, by the latest report.
-    pub others_in_flight: u32,
+    /// Requests of other routers, as an average over the reports.
+    pub others_in_flight: SmoothedValue,
     /// How many slots this router may take whatever the reports show: its equal part among the routers.
     pub own_share: u32,
     /// The in-flight count at the time of the poll before this one: what the latest report, which lags, is
@@ -45,7 +49,7 @@
             slots: slots.max(1),
             in_flight: 0,
             report: None,
-            others_in_flight: 0,
+            others_in_flight: SmoothedValue::new(OTHERS_WEIGHT),
             own_share: 0,
             in_flight_at_poll: 0,
             prefill_ms_per_token: SmoothedValue::new(SPEED_WEIGHT),
@@ -58,7 +62,8 @@
     /// Takes in a load report. Reports lag by about one poll, so this router's work of the previous poll is
     /// subtracted rather than that of now.
     pub fn apply_report(&mut self, report: LoadReport) {
-        self.others_in_flight = report.accepted().saturating_sub(self.in_flight_at_poll);
+        let others = report.accepted().saturating_sub(self.in_flight_at_poll);
+        self.others_in_flight.add(f64::from(others));
         self.in_flight_at_poll = self.in_flight;
         self.report = Some(report);
     }
@@ -81,7 +86,8 @@
     /// All requests that the endpoint holds by the best estimate: other routers' by report, this one's by
     /// its own count.
     pub fn estimated_in_flight(&self) -> u32 {
-        self.others_in_flight.saturating_add(self.in_flight)
+        let others = self.others_in_flight.current().unwrap_or_default().round() as u32;
+        others.saturating_add(self.in_flight)
     }
 
     /// Whether a further request may be sent: it would likely start at once, or this router holds less than
--- a/crates/bramleywind_routing/src/policies/prefix_affinity.rs
+++ b/crates/bramleywind_routing/src/policies/prefix_affinity.rs
@@ -1,3 +1,6 @@
+use std::collections::BTreeMap;
+
+use bramleywind_types::EndpointId;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::{EndpointPolicy, EndpointState, PrefixHash, RouteRequest, prefix_table::PrefixTable};
@@ -18,6 +21,9 @@
 /// Random part of a prediction. Keeps routers that see the same reports from all choosing one endpoint.
 const JITTER_SHARE: f64 = 0.05;
 
+/// After how many choices an endpoint that was no candidate in any of them is no longer a home.
+const FORGET_AFTER_CHOICES: u64 = 1_000;
+
 /// Sends a request to the endpoint with the shortest predicted time to its first token.
 ///
 /// The prediction adds the wait for a slot, the prefill time at the endpoint's measured speed, less where the
@@ -26,13 +32,53 @@
 #[derive(Debug)]
 pub struct PrefixAffinity {
     sent: PrefixTable,
+    /// All endpoints that were candidates lately, with their slots and the number of the latest choice that they
+    /// were part of. An endpoint that is busy for the moment remains the home of its prefixes.
+    known: BTreeMap<EndpointId, KnownEndpoint>,
+    choices: u64,
     random: SmallRng,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct KnownEndpoint {
+    slots: u32,
+    latest_choice: u64,
+}
+
 impl PrefixAffinity {
     /// A policy whose draws follow from `seed`.
     pub fn new(seed: u64) -> Self {
-        Self { sent: PrefixTable::default(), random: SmallRng::seed_from_u64(seed) }
+        Self {
+            sent: PrefixTable::default(),
+            known: BTreeMap::new(),
+            choices: 0,
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    fn remember(&mut self, candidates: &[&EndpointState]) {
+        self.choices += 1;
+        let latest_choice = self.choices;
+        for state in candidates {
+            let known = KnownEndpoint { slots: state.slots, latest_choice };
+            match self.known.get_mut(&state.id) {
+                Some(entry) => *entry = known,
+                None => drop(self.known.insert(state.id.clone(), known)),
+            }
+        }
+        self.known.retain(|_, known| latest_choice - known.latest_choice <= FORGET_AFTER_CHOICES);
+    }
+
+    /// The candidate that all routers regard as having the prefix, by rendezvous hash, so that they agree without
+    /// messages. Each endpoint's chance grows with its slots. Nothing if that endpoint is no candidate now.
+    fn home_of(&self, prefix: PrefixHash, candidates: &[&EndpointState]) -> Option<usize> {
+        let score = |id: &EndpointId, slots: u32| {
+            let uniform = (prefix.rank(id.as_str()) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+            -f64::from(slots) / uniform.ln()
+        };
+        let scores = self.known.iter().map(|(id, known)| (id, score(id, known.slots)));
+        let (home, _) = scores.max_by(|left, right| left.1.total_cmp(&right.1))?;
+        candidates.iter().position(|state| state.id == *home)
     }
 
     fn predicted_first_token_ms(
@@ -58,7 +104,8 @@
 
 impl EndpointPolicy for PrefixAffinity {
     fn choose(&mut self, request: &RouteRequest, candidates: &[&EndpointState]) -> Option<usize> {
-        let home = request.prefix.and_then(|prefix| home_of(prefix, candidates));
+        self.remember(candidates);
+        let home = request.prefix.and_then(|prefix| self.home_of(prefix, candidates));
         let mut best = None;
         for (index, state) in candidates.iter().enumerate() {
             let predicted = self.predicted_first_token_ms(request, state, home == Some(index));
@@ -97,16 +144,3 @@
     let service_ms = state.service_ms.current().unwrap_or(default_service_ms);
     ahead.max(0.0) * service_ms / f64::from(state.slots)
 }
-
-/// The endpoint that all routers regard as having the prefix, by rendezvous hash, so that they agree without
-/// messages. Each endpoint's chance grows with its slots.
-fn home_of(prefix: PrefixHash, candidates: &[&EndpointState]) -> Option<usize> {
-    let score = |state: &EndpointState| {
-        let uniform = (prefix.rank(state.id.as_str()) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-        -f64::from(state.slots) / uniform.ln()
-    };
-    let by_score = |left: &(usize, &&EndpointState), right: &(usize, &&EndpointState)| {
-        score(left.1).total_cmp(&score(right.1))
-    };
-    candidates.iter().enumerate().max_by(by_score).map(|(index, _)| index)
-}
