--- a/crates/bramleywind_routing/src/policies/prefix_affinity.rs
+++ b/crates/bramleywind_routing/src/policies/prefix_affinity.rs
@@ -32,7 +32,7 @@
 #[derive(Debug)]
 pub struct PrefixAffinity {
     sent: PrefixTable,
-    /// All endpoints that were candidates lately, with their speed and the number of the latest choice that they
+    /// All endpoints that were candidates lately, with their slots and the number of the latest choice that they
     /// were part of. An endpoint that is busy for the moment remains the home of its prefixes.
     known: BTreeMap<EndpointId, KnownEndpoint>,
     choices: u64,
@@ -41,8 +41,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct KnownEndpoint {
-    /// Tokens a millisecond that it generates with all slots taken, by this router's measurement.
-    speed: f64,
+    slots: u32,
     latest_choice: u64,
 }
 
@@ -61,9 +60,7 @@
         self.choices += 1;
         let latest_choice = self.choices;
         for state in candidates {
-            let token_ms = state.ms_per_token.current().unwrap_or(DEFAULT_MS_PER_TOKEN).max(0.001);
-            let speed = f64::from(state.slots) / token_ms;
-            let known = KnownEndpoint { speed, latest_choice };
+            let known = KnownEndpoint { slots: state.slots, latest_choice };
             match self.known.get_mut(&state.id) {
                 Some(entry) => *entry = known,
                 None => drop(self.known.insert(state.id.clone(), known)),
@@ -73,14 +70,13 @@
     }
 
     /// The candidate that all routers regard as having the prefix, by rendezvous hash, so that they agree without
-    /// messages. Each endpoint's chance grows with its speed, of
-    /// which routers measure nearly the same, so that they differ about few prefixes. Nothing if that endpoint is no candidate now.
+    /// messages. Each endpoint's chance grows with its slots. Nothing if that endpoint is no candidate now.
     fn home_of(&self, prefix: PrefixHash, candidates: &[&EndpointState]) -> Option<usize> {
-        let score = |id: &EndpointId, speed: f64| {
+        let score = |id: &EndpointId, slots: u32| {
             let uniform = (prefix.rank(id.as_str()) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-            -speed / uniform.ln()
+            -f64::from(slots) / uniform.ln()
         };
-        let scores = self.known.iter().map(|(id, known)| (id, score(id, known.speed)));
+        let scores = self.known.iter().map(|(id, known)| (id, score(id, known.slots)));
         let (home, _) = scores.max_by(|left, right| left.1.total_cmp(&right.1))?;
         candidates.iter().position(|state| state.id == *home)
     }
