--- a/crates/bramleywind_routing/src/policies/prefix_affinity.rs
+++ b/crates/bramleywind_routing/src/policies/prefix_affinity.rs
@@ -69,65 +69,46 @@
         self.known.retain(|_, known| latest_choice - known.latest_choice <= FORGET_AFTER_CHOICES);
     }
 
-    /// The two endpoints that all routers regard as having the prefix, the first one before the second, by
-    /// rendezvous hash, so that they agree without messages. Each endpoint's chance grows with its slots.
-    fn homes_of(&self, prefix: PrefixHash) -> [Option<EndpointId>; 2] {
+    /// The candidate that all routers regard as having the prefix, by rendezvous hash, so that they agree without
+    /// messages. Each endpoint's chance grows with its slots. Nothing if that endpoint is no candidate now.
+    fn home_of(&self, prefix: PrefixHash, candidates: &[&EndpointState]) -> Option<usize> {
         let score = |id: &EndpointId, slots: u32| {
             let uniform = (prefix.rank(id.as_str()) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
             -f64::from(slots) / uniform.ln()
         };
-        let mut best: [Option<(f64, &EndpointId)>; 2] = [None, None];
-        for (id, known) in &self.known {
-            let scored = (score(id, known.slots), id);
-            if best[0].is_none_or(|(first, _)| scored.0 > first) {
-                best = [Some(scored), best[0]];
-            } else if best[1].is_none_or(|(second, _)| scored.0 > second) {
-                best[1] = Some(scored);
-            }
-        }
-        best.map(|found| found.map(|(_, id)| id.clone()))
+        let scores = self.known.iter().map(|(id, known)| (id, score(id, known.slots)));
+        let (home, _) = scores.max_by(|left, right| left.1.total_cmp(&right.1))?;
+        candidates.iter().position(|state| state.id == *home)
     }
 
     fn predicted_first_token_ms(
         &self,
         request: &RouteRequest,
         state: &EndpointState,
-        homes: &[Option<EndpointId>; 2],
+        home: bool,
     ) -> f64 {
         slot_wait_ms(request, state)
-            + self.prefill_ms(request, state, homes)
+            + self.prefill_ms(request, state, home)
             + OCCUPANCY_MS * state.occupancy().min(1.0)
     }
 
-    fn prefill_ms(
-        &self,
-        request: &RouteRequest,
-        state: &EndpointState,
-        homes: &[Option<EndpointId>; 2],
-    ) -> f64 {
+    fn prefill_ms(&self, request: &RouteRequest, state: &EndpointState, home: bool) -> f64 {
         let uncached = state.prefill_ms_per_token.current().unwrap_or(DEFAULT_PREFILL_MS_PER_TOKEN);
-        let cached = state.cached_ms_per_token.current().unwrap_or(uncached * CACHED_PREFILL_SHARE);
         let was_sent = |prefix| self.sent.contains(&state.id, prefix);
-        let is_home = |home: &Option<EndpointId>| home.as_ref() == Some(&state.id);
-        let ms_per_token = if is_home(&homes[0]) || request.prefix.is_some_and(was_sent) {
-            cached
-        } else if is_home(&homes[1]) {
-            // The others may have sent the prefix there when its first home was full, or not.
-            f64::midpoint(cached, uncached)
-        } else {
-            uncached
-        };
-        f64::from(request.prompt_tokens) * ms_per_token
+        let is_cached = home || request.prefix.is_some_and(was_sent);
+        let cached =
+            || state.cached_ms_per_token.current().unwrap_or(uncached * CACHED_PREFILL_SHARE);
+        f64::from(request.prompt_tokens) * if is_cached { cached() } else { uncached }
     }
 }
 
 impl EndpointPolicy for PrefixAffinity {
     fn choose(&mut self, request: &RouteRequest, candidates: &[&EndpointState]) -> Option<usize> {
         self.remember(candidates);
-        let homes = request.prefix.map_or([None, None], |prefix| self.homes_of(prefix));
+        let home = request.prefix.and_then(|prefix| self.home_of(prefix, candidates));
         let mut best = None;
         for (index, state) in candidates.iter().enumerate() {
-            let predicted = self.predicted_first_token_ms(request, state, &homes);
+            let predicted = self.predicted_first_token_ms(request, state, home == Some(index));
             let predicted = predicted * (1.0 + self.random.random_range(0.0..JITTER_SHARE));
             if best.is_none_or(|(_, least)| predicted < least) {
                 best = Some((index, predicted));
