--- a/crates/bramleywind_routing/src/endpoint_table.rs
+++ b/crates/bramleywind_routing/src/endpoint_table.rs
@@ -19,6 +19,7 @@
 #[derive(Debug)]
 pub struct EndpointTable<P> {
     states: BTreeMap<EndpointId, EndpointState>,
+    routers: u32,
     policy: P,
 }
 
@@ -32,16 +33,21 @@
 impl<P: EndpointPolicy> EndpointTable<P> {
     /// An empty table.
     pub fn new(policy: P) -> Self {
-        Self { states: BTreeMap::new(), policy }
+        Self { states: BTreeMap::new(), routers: 1, policy }
     }
 
     /// Adds an endpoint, or changes its size. Keeps what was measured of it.
     pub fn upsert(&mut self, id: EndpointId, slots: u32) {
-        match self.states.get_mut(&id) {
-            Some(state) => state.slots = slots.max(1),
-            None => {
-                self.states.insert(id.clone(), EndpointState::new(id, slots));
-            }
+        let state = self.states.entry(id.clone()).or_insert_with(|| EndpointState::new(id, slots));
+        state.slots = slots.max(1);
+        state.divide_slots(self.routers);
+    }
+
+    /// Takes in how many routers send to the endpoints, this one included.
+    pub fn set_routers(&mut self, routers: u32) {
+        self.routers = routers.max(1);
+        for state in self.states.values_mut() {
+            state.divide_slots(self.routers);
         }
     }
 
@@ -73,6 +79,16 @@
         Some(id)
     }
 
+    /// How many of this router's requests the eligible endpoints finish in a millisecond, by the measured
+    /// service times; nothing before the first measurement.
+    pub fn finish_rate(&self, is_eligible: impl Fn(&EndpointState) -> bool) -> Option<f64> {
+        let rate =
+            |state: &EndpointState| Some(f64::from(state.in_flight) / state.service_ms.current()?);
+        let eligible = self.states.values().filter(|state| is_eligible(state));
+        let rate: f64 = eligible.filter_map(rate).sum();
+        (rate > 0.0).then_some(rate)
+    }
+
     /// Counts a request as no longer in flight.
     pub fn finish(&mut self, endpoint: &EndpointId) {
         if let Some(state) = self.states.get_mut(endpoint) {
@@ -86,13 +102,15 @@
     pub fn record_first_token(
         &mut self,
         endpoint: &EndpointId,
-        prompt_tokens: u32,
+        request: &RouteRequest,
         elapsed_ms: f64,
     ) {
         if let Some(state) = self.states.get_mut(endpoint)
             && state.estimated_in_flight() <= state.slots
         {
-            state.prefill_ms_per_token.add(elapsed_ms / f64::from(prompt_tokens.max(1)));
+            let prompt_tokens = f64::from(request.prompt_tokens.max(1));
+            let was_cached = state.record_prefill(elapsed_ms / prompt_tokens);
+            self.policy.record_cached(request, state, was_cached);
         }
     }
 
