Show the bills of a slice that was spent to its end

Cause: a holder wrote a page only to take or hand back tokens, so a slice that was spent exactly stayed in the account as not spent for as long as its holder lived. The test of a small budget that is spent through six routers showed 264 to 1,264 tokens in slices after 60 s.

Ruled out: closing such a slice, because the witnesses' journals count its incarnation from the beginning and a reclaim would count it twice.

Change: an idle slice whose bills the page does not show yet is written once.

--- a/crates/bramleywind_ledger/src/funds_keeper/keeper_state.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper/keeper_state.rs
@@ -342,7 +342,9 @@
         let idle_time = if self.uses_page_homes() { HOME_IDLE_TIME } else { IDLE_TIME };
         for (budget, slice) in &mut self.slices {
             let is_idle = now.duration_since(slice.last_used) >= idle_time;
-            if (is_idle && slice.available() > TokenCount(0)) || stopping {
+            // A slice that is spent to its end is written too, so that the account shows its bills.
+            let has_rest = slice.available() > TokenCount(0) || slice.settled > slice.noted;
+            if (is_idle && has_rest) || stopping {
                 slice.gives_back = true;
                 self.page_queue.insert(StoreKey::budget_page(budget));
             }
--- a/crates/bramleywind_ledger/src/funds_keeper/page_work.rs
+++ b/crates/bramleywind_ledger/src/funds_keeper/page_work.rs
@@ -301,6 +301,7 @@
             .filter(|(budget, slice)| slice.gives_back && StoreKey::budget_page(budget) == *key);
         for (budget, slice) in covered {
             let Some(record) = plan.page.budgets.get_mut(budget) else { continue };
+            plan.changed |= slice.settled > slice.noted;
             let settles = self.stopping && slice.open == TokenCount(0);
             plan.changed |= if settles {
                 record.settle_slice(self.incarnation, slice.settled)
@@ -402,9 +403,16 @@
         let stopping = self.stopping;
         let slices = &mut self.slices;
         for (budget, slice) in slices.iter_mut() {
-            if StoreKey::budget_page(budget) == *key && slice.available() == TokenCount(0) {
+            if StoreKey::budget_page(budget) != *key {
+                continue;
+            }
+            if slice.available() == TokenCount(0) {
                 slice.gives_back = false;
             }
+            let record = plan.page.budgets.get(budget);
+            if let Some(record) = record.and_then(|record| record.slices.get(&incarnation)) {
+                slice.noted = record.settled;
+            }
         }
         if stopping {
             slices.retain(|budget, _| {
--- a/crates/bramleywind_ledger/src/holder_slice.rs
+++ b/crates/bramleywind_ledger/src/holder_slice.rs
@@ -10,6 +10,8 @@
     pub(crate) usable: TokenCount,
     pub(crate) settled: TokenCount,
     pub(crate) open: TokenCount,
+    /// What the page shows as settled.
+    pub(crate) noted: TokenCount,
     pub(crate) last_used: Instant,
     /// The unused part shall go back to the pool.
     pub(crate) gives_back: bool,
@@ -21,6 +23,7 @@
             usable: TokenCount(0),
             settled: TokenCount(0),
             open: TokenCount(0),
+            noted: TokenCount(0),
             last_used: now,
             gives_back: false,
         }
