--- a/crates/bramleywind_routing/src/policies/selected_policy.rs
+++ b/crates/bramleywind_routing/src/policies/selected_policy.rs
@@ -38,20 +38,6 @@
         }
     }
 
-    fn record_cached(
-        &mut self,
-        request: &RouteRequest,
-        endpoint: &EndpointState,
-        was_cached: bool,
-    ) {
-        match self {
-            Self::RoundRobin(policy) => policy.record_cached(request, endpoint, was_cached),
-            Self::LeastReportedLoad(policy) => policy.record_cached(request, endpoint, was_cached),
-            Self::TwoChoices(policy) => policy.record_cached(request, endpoint, was_cached),
-            Self::PrefixAffinity(policy) => policy.record_cached(request, endpoint, was_cached),
-        }
-    }
-
     fn record_sent(&mut self, request: &RouteRequest, endpoint: &EndpointState) {
         match self {
             Self::RoundRobin(policy) => policy.record_sent(request, endpoint),
