--- a/crates/bramleywind_routing/src/endpoint_policy.rs
+++ b/crates/bramleywind_routing/src/endpoint_policy.rs
@@ -12,15 +12,6 @@
 
     /// Called when the request was sent to the endpoint.
     fn record_sent(&mut self, _request: &RouteRequest, _endpoint: &EndpointState) {}
-
-    /// Called when the first token showed whether the endpoint had cached the prompt's prefix.
-    fn record_cached(
-        &mut self,
-        _request: &RouteRequest,
-        _endpoint: &EndpointState,
-        _was_cached: bool,
-    ) {
-    }
 }
 
 /// The name of a policy in settings.
--- a/crates/bramleywind_routing/src/endpoint_state.rs
+++ b/crates/bramleywind_routing/src/endpoint_state.rs
@@ -68,9 +68,9 @@
         self.report = Some(report);
     }
 
-    /// Takes in a first token's time for each prompt token, and returns whether the prefix was cached: whether
-    /// it took less than half of the time that uncached prompts take.
-    pub(crate) fn record_prefill(&mut self, ms_per_token: f64) -> bool {
+    /// Takes in a first token's time for each prompt token. The prefix counts as cached if it took less than
+    /// half of the time that uncached prompts take.
+    pub(crate) fn record_prefill(&mut self, ms_per_token: f64) {
         let uncached = self.prefill_ms_per_token.current();
         let was_cached = uncached.is_some_and(|uncached| ms_per_token < uncached / 2.0);
         if was_cached {
@@ -80,7 +80,6 @@
         } else {
             self.prefill_ms_per_token.add(ms_per_token);
         }
-        was_cached
     }
 
     /// All requests that the endpoint holds by the best estimate: other routers' by report, this one's by
--- a/crates/bramleywind_routing/src/endpoint_table.rs
+++ b/crates/bramleywind_routing/src/endpoint_table.rs
@@ -109,8 +109,7 @@
             && state.estimated_in_flight() <= state.slots
         {
             let prompt_tokens = f64::from(request.prompt_tokens.max(1));
-            let was_cached = state.record_prefill(elapsed_ms / prompt_tokens);
-            self.policy.record_cached(request, state, was_cached);
+            state.record_prefill(elapsed_ms / prompt_tokens);
         }
     }
 
--- a/crates/bramleywind_routing/src/policies/prefix_affinity.rs
+++ b/crates/bramleywind_routing/src/policies/prefix_affinity.rs
@@ -122,17 +122,6 @@
             self.sent.record(&endpoint.id, prefix);
         }
     }
-
-    fn record_cached(
-        &mut self,
-        request: &RouteRequest,
-        endpoint: &EndpointState,
-        was_cached: bool,
-    ) {
-        if let Some(prefix) = request.prefix {
-            self.sent.learn(&endpoint.id, prefix, was_cached);
-        }
-    }
 }
 
 /// The expected wait until a slot is free, in milliseconds: the requests ahead of this one beyond the slots,
