--- a/crates/bramleywind_router/src/lib.rs
+++ b/crates/bramleywind_router/src/lib.rs
@@ -26,6 +26,7 @@
 mod event_scan;
 mod funds_refusal;
 mod http_listener;
+mod isolated_turn;
 mod key_check;
 mod key_desk;
 mod key_start;
--- a/crates/bramleywind_router/src/request_task.rs
+++ b/crates/bramleywind_router/src/request_task.rs
@@ -29,10 +29,6 @@
 /// after it says that nothing ran.
 const RESERVE_TIME: Duration = Duration::from_secs(10);
 
-/// How long the strikes of one crash take to reach all routers: they are sent at once, and regions are at
-/// most 100 ms apart.
-const STRIKE_SETTLE_TIME: Duration = Duration::from_millis(150);
-
 /// A request with all that its path needs.
 #[derive(Debug)]
 pub struct RequestTask<R> {
@@ -58,7 +54,7 @@
 
 /// How a request ended.
 #[derive(Debug)]
-enum TaskEnd {
+pub(crate) enum TaskEnd {
     Complete,
     CallerGone,
     Refused(Refusal),
@@ -78,8 +74,8 @@
 
 /// What the attempts of one request have come to so far.
 #[derive(Debug)]
-struct AttemptHistory {
-    excluded: BTreeSet<EndpointId>,
+pub(crate) struct AttemptHistory {
+    pub(crate) excluded: BTreeSet<EndpointId>,
     attempts: u32,
     /// Whether every failed attempt certainly did not run.
     never_ran: bool,
@@ -88,7 +84,7 @@
 
 impl AttemptHistory {
     /// What a refusal to queue the next attempt means for the whole request.
-    fn refusal(&self, refusal: Refusal, idempotent: bool) -> Refusal {
+    pub(crate) fn refusal(&self, refusal: Refusal, idempotent: bool) -> Refusal {
         match self.last_failure {
             None => refusal,
             // All endpoints were tried: the reason is how they failed.
@@ -297,59 +293,12 @@
         }
     }
 
-    /// Waits until a request that was in flight at a crash has an endpoint to itself among the requests from
-    /// that crash.
-    async fn await_isolated_turn(
-        &mut self,
-        fingerprint: &RequestFingerprint,
-        history: &AttemptHistory,
-    ) -> Result<EndpointId, TaskEnd> {
-        loop {
-            // The other routers' strikes of the same crash arrive meanwhile.
-            self.caller.unless_gone(compio::time::sleep(STRIKE_SETTLE_TIME)).await?;
-            let now = Instant::now();
-            let endpoints = self.isolation_candidates(history)?;
-            if endpoints.is_empty() || now + STRIKE_SETTLE_TIME >= self.context.deadline {
-                let refusal = self.state.admission.overloaded();
-                return Err(history.refusal(refusal, self.idempotent).into());
-            }
-            let turn = self.state.strikes.borrow().next_turn(fingerprint, &endpoints, now);
-            if let Some(endpoint) = turn {
-                return Ok(endpoint);
-            }
-        }
-    }
-
-    fn isolation_candidates(
-        &self,
-        history: &AttemptHistory,
-    ) -> Result<BTreeSet<EndpointId>, Refusal> {
-        let routes = self.state.current_routes()?;
-        let is_candidate = |id: &&EndpointId| {
-            routes.serves(id, &self.target)
-                && !history.excluded.contains(*id)
-                && self.state.admission.is_available(id)
-        };
-        Ok(routes.endpoints.keys().filter(is_candidate).cloned().collect())
-    }
-
     fn attempt_target(&self, slot: &EndpointSlot) -> Option<AttemptTarget> {
         let routes = self.state.current_routes().ok()?;
         let config = routes.endpoints.get(&slot.endpoint)?;
         Some(AttemptTarget { endpoint: slot.endpoint.clone(), address: config.address })
     }
 
-    /// Lets the next request from the same crash use an endpoint, or its turn, if this one had it to itself.
-    fn free_isolated_endpoint(&self, endpoint: &EndpointId) {
-        let fingerprint = self.fingerprint();
-        let report = self.state.strikes.borrow_mut().record_retry_end(
-            &fingerprint,
-            endpoint,
-            Instant::now(),
-        );
-        self.state.share_strikes(report.into_iter().collect());
-    }
-
     /// Takes note of what a failure says about the endpoint and about the request.
     fn record_failure(&self, target: &AttemptTarget, failed: &FailedCall) {
         let now = Instant::now();
@@ -458,7 +407,7 @@
             "elapsed_ms" => elapsed.as_millis() as u64);
     }
 
-    fn fingerprint(&self) -> RequestFingerprint {
+    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
         let workspace = self.context.workspace.clone();
         RequestFingerprint { workspace, body_hash: self.context.hash }
     }
