--- a/crates/bramleywind_harness/tests/failures/budget_failures.rs
+++ b/crates/bramleywind_harness/tests/failures/budget_failures.rs
@@ -1,9 +1,6 @@
 //! Guards G1 and G2: no overspend and one bill, when routers are killed or paused.
 
-use std::{
-    cell::{Cell, RefCell},
-    time::Duration,
-};
+use std::time::Duration;
 
 use bramleywind_harness::{HttpCaller, ProcessSignal, SseEnd, wait_until};
 use futures_util::future::join_all;
@@ -11,8 +8,8 @@
 use crate::{
     account::{account, wait_for_spent},
     test_fleet::{
-        BUDGET, PREPAID, RECLAIM_LIMIT, SHORT, SMALL_BUDGET, SMALL_PREPAID, TestFleet, chat_body,
-        headers, run, usage,
+        BUDGET, PREPAID, RECLAIM_LIMIT, SHORT, SMALL_BUDGET, SMALL_PREPAID, TestFleet, as_refs,
+        chat_body, headers, run, stream_until_killed, usage,
     },
 };
 
@@ -23,19 +20,14 @@
 fn killed_router_strands_nothing_and_its_request_is_billed_once() {
     run(async {
         let mut test = TestFleet::start().await;
-        let url = test.chat_url(1);
-        let headers = headers("guides-key", Some("tour-script"));
-        let refs: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (*n, v.as_str())).collect();
-        let body = chat_body("write the tour of the ferry", 300, true);
-        let is_killed = Cell::new(false);
-        let caller = test.fleet.caller.clone();
-        let process = RefCell::new(&mut test.fleet.routers[1].process);
-        let kill = |chunks: usize| {
-            if chunks >= 10 && !is_killed.replace(true) {
-                process.borrow_mut().signal(ProcessSignal::Kill);
-            }
-        };
-        let (_, cut) = caller.stream(&url, &refs, &body, kill).await.unwrap();
+        let cut = stream_until_killed(
+            &mut test,
+            1,
+            Some("tour-script"),
+            "write the tour of the ferry",
+            300,
+        )
+        .await;
         assert_eq!(cut.end, SseEnd::Cut);
 
         let (_, whole) =
@@ -52,19 +44,7 @@
 fn killed_router_without_repeat_is_billed_its_reservation_only() {
     run(async {
         let mut test = TestFleet::start().await;
-        let url = test.chat_url(0);
-        let headers = headers("guides-key", None);
-        let refs: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (*n, v.as_str())).collect();
-        let body = chat_body("write it", 200, true);
-        let is_killed = Cell::new(false);
-        let caller = test.fleet.caller.clone();
-        let process = RefCell::new(&mut test.fleet.routers[0].process);
-        let kill = |chunks: usize| {
-            if chunks >= 10 && !is_killed.replace(true) {
-                process.borrow_mut().signal(ProcessSignal::Kill);
-            }
-        };
-        let (_, cut) = caller.stream(&url, &refs, &body, kill).await.unwrap();
+        let cut = stream_until_killed(&mut test, 0, None, "write it", 200).await;
         assert_eq!(cut.end, SseEnd::Cut);
         let settled = wait_until("the slice is reclaimed", RECLAIM_LIMIT, || async {
             let found = account(&test.fleet, BUDGET);
@@ -109,7 +89,7 @@
     run(async {
         let test = TestFleet::start().await;
         let headers = headers("guides-trial-key", None);
-        let refs: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (*n, v.as_str())).collect();
+        let refs = as_refs(&headers);
         let body = chat_body("read it", 80, false);
         let mut billed = 0;
         let mut refused_at = Vec::new();
--- a/crates/bramleywind_harness/tests/failures/double_failures.rs
+++ b/crates/bramleywind_harness/tests/failures/double_failures.rs
@@ -1,50 +1,26 @@
 //! Two failures at once, and the same one twice.
 
-use std::{
-    cell::{Cell, RefCell},
-    time::Duration,
-};
+use std::time::Duration;
 
-use bramleywind_harness::{ProcessSignal, SseAnswer, SseEnd, wait_until};
+use bramleywind_harness::{SseEnd, wait_until};
 use serde_json::json;
 
 use crate::{
     account::{account, wait_for_spent},
     test_fleet::{
-        BUDGET, PREPAID, RECLAIM_LIMIT, SHORT, TestFleet, chat_body, headers, run, usage,
+        BUDGET, PREPAID, RECLAIM_LIMIT, SHORT, TestFleet, run, stream_until_killed, usage,
     },
 };
 
 const SOON: Duration = Duration::from_secs(20);
 
-/// Streams an answer through a router and kills the router when some of it has arrived.
-async fn stream_until_killed(
-    test: &mut TestFleet,
-    index: usize,
-    key: &str,
-    content: &str,
-) -> SseAnswer {
-    let url = test.chat_url(index);
-    let headers = headers("guides-key", Some(key));
-    let refs: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (*n, v.as_str())).collect();
-    let body = chat_body(content, 300, true);
-    let caller = test.fleet.caller.clone();
-    let is_killed = Cell::new(false);
-    let process = RefCell::new(&mut test.fleet.routers[index].process);
-    let kill = |chunks: usize| {
-        if chunks >= 10 && !is_killed.replace(true) {
-            process.borrow_mut().signal(ProcessSignal::Kill);
-        }
-    };
-    caller.stream(&url, &refs, &body, kill).await.unwrap().1
-}
-
 #[test]
 fn request_whose_routers_are_killed_twice_is_billed_once() {
     run(async {
         let mut test = TestFleet::start().await;
         for index in [1, 3] {
-            let cut = stream_until_killed(&mut test, index, "script", "write the tour").await;
+            let cut =
+                stream_until_killed(&mut test, index, Some("script"), "write the tour", 300).await;
             assert_eq!(cut.end, SseEnd::Cut);
         }
         let (_, whole) = test.stream(5, Some("script"), "write the tour", 300, |_| ()).await;
@@ -63,7 +39,7 @@
             billed += usage(&test.chat(index, None, "before", SHORT).await.json()["usage"]);
         }
         test.set_store_faults(json!({ "outage": true })).await;
-        let cut = stream_until_killed(&mut test, 2, "script", "write the tour").await;
+        let cut = stream_until_killed(&mut test, 2, Some("script"), "write the tour", 300).await;
         let (_, whole) = test.stream(4, Some("script"), "write the tour", 300, |_| ()).await;
         test.set_store_faults(json!({})).await;
         match (cut.end, whole.end) {
--- a/crates/bramleywind_harness/tests/failures/leaving.rs
+++ b/crates/bramleywind_harness/tests/failures/leaving.rs
@@ -11,7 +11,9 @@
 
 use crate::{
     account::wait_for_spent,
-    test_fleet::{BUDGET, RECLAIM_LIMIT, SHORT, TestFleet, chat_body, headers, run, usage},
+    test_fleet::{
+        BUDGET, RECLAIM_LIMIT, SHORT, TestFleet, as_refs, chat_body, headers, run, usage,
+    },
 };
 
 /// From the mark in the instance list to the last new work.
@@ -143,7 +145,7 @@
     ) {
         let url = format!("http://{entry}/v1/chat/completions");
         let headers = headers("guides-key", None);
-        let refs: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (*n, v.as_str())).collect();
+        let refs = as_refs(&headers);
         let body = chat_body(&format!("client {} turn {turn}", self.client), SHORT, true);
         match caller.stream(&url, &refs, &body, |_| ()).await {
             Ok((status, answer)) if answer.end == SseEnd::Done => {
--- a/crates/bramleywind_harness/tests/failures/test_fleet.rs
+++ b/crates/bramleywind_harness/tests/failures/test_fleet.rs
@@ -1,9 +1,13 @@
 //! The fleet that the tests share the shape of, and the calls that they make.
 
-use std::{future::Future, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    time::Duration,
+};
 
 use bramleywind_config::ConfigDocument;
-use bramleywind_harness::{CallAnswer, FleetPlan, LocalFleet, SseAnswer};
+use bramleywind_harness::{CallAnswer, FleetPlan, LocalFleet, ProcessSignal, SseAnswer};
 use bramleywind_operator::{EndpointSpec, Fleet, ModelSpec, ServiceSpec, WorkspaceSpec};
 use http::StatusCode;
 use serde_json::{Value, json};
@@ -72,7 +76,7 @@
     ) -> CallAnswer {
         let body = chat_body(content, tokens, false);
         let headers = headers("guides-key", key);
-        let refs: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (*n, v.as_str())).collect();
+        let refs = as_refs(&headers);
         self.fleet.caller.post_json(&self.chat_url(index), &refs, &body).await.unwrap()
     }
 
@@ -87,7 +91,7 @@
     ) -> (StatusCode, SseAnswer) {
         let body = chat_body(content, tokens, true);
         let headers = headers("guides-key", key);
-        let refs: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (*n, v.as_str())).collect();
+        let refs = as_refs(&headers);
         let url = self.chat_url(index);
         self.fleet.caller.stream(&url, &refs, &body, on_chunk).await.unwrap()
     }
@@ -95,7 +99,7 @@
     /// An unlock call, which must not run twice.
     pub async fn unlock(&self, index: usize, key: &str, bay: u32) -> CallAnswer {
         let headers = headers("guides-key", Some(key));
-        let refs: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (*n, v.as_str())).collect();
+        let refs = as_refs(&headers);
         let body = json!({ "bay": bay });
         self.fleet.caller.post_json(&self.unlock_url(index), &refs, &body).await.unwrap()
     }
@@ -169,6 +173,36 @@
     headers
 }
 
+/// The headers in the form that calls take.
+pub fn as_refs<'headers>(
+    headers: &'headers [(&'static str, String)],
+) -> Vec<(&'headers str, &'headers str)> {
+    headers.iter().map(|(name, value)| (*name, value.as_str())).collect()
+}
+
+/// Streams an answer through a router and kills the router when some of it has arrived.
+pub async fn stream_until_killed(
+    test: &mut TestFleet,
+    index: usize,
+    key: Option<&str>,
+    content: &str,
+    tokens: u32,
+) -> SseAnswer {
+    let url = test.chat_url(index);
+    let headers = headers("guides-key", key);
+    let refs = as_refs(&headers);
+    let body = chat_body(content, tokens, true);
+    let caller = test.fleet.caller.clone();
+    let is_killed = Cell::new(false);
+    let process = RefCell::new(&mut test.fleet.routers[index].process);
+    let kill = |chunks: usize| {
+        if chunks >= 10 && !is_killed.replace(true) {
+            process.borrow_mut().signal(ProcessSignal::Kill);
+        }
+    };
+    caller.stream(&url, &refs, &body, kill).await.unwrap().1
+}
+
 /// What an answer's usage says that it cost.
 pub fn usage(answer: &Value) -> u64 {
     let field = |name| answer[name].as_u64().unwrap_or(0);
