--- /dev/null
+++ b/crates/bramleywind_gateway/src/background/follow_config.rs
@@ -0,0 +1,73 @@
+use std::{rc::Rc, time::Duration};
+
+use bramleywind_store::{StoreVersion, UnavailableReason};
+use slog::{info, warn};
+
+use super::StoreContact;
+use crate::{
+    gateway::Gateway,
+    link::{FleetStore, LoadedConfig, Platform, StoreChanges},
+};
+
+/// How long one watch waits. A connection that is silently dead is noticed by the kernel's probes within three
+/// seconds; this bounds the time if the probes are answered all the same.
+const WATCH_TIME: Duration = Duration::from_secs(5);
+
+/// Keeps the configuration up to date.
+pub(crate) async fn follow_config<P: Platform>(gateway: Rc<Gateway<P>>) {
+    let mut contact = StoreContact::new("configuration", gateway.log());
+    let mut version = None;
+    loop {
+        match next_version(&gateway, version).await {
+            Ok(next) => {
+                contact.note_answer();
+                version = next;
+            }
+            Err(reason) => contact.pause_after(reason).await,
+        }
+    }
+}
+
+/// Reads the configuration, or waits for a newer one. Returns the version to watch from.
+async fn next_version<P: Platform>(
+    gateway: &Gateway<P>,
+    version: Option<StoreVersion>,
+) -> Result<Option<StoreVersion>, UnavailableReason> {
+    let Some(after) = version else {
+        let (loaded, version) = gateway.store().read_config().await?;
+        take(gateway, loaded);
+        return Ok(Some(version));
+    };
+    match gateway.store().watch_config(after, WATCH_TIME).await? {
+        StoreChanges::Changed { changes, version } => {
+            for loaded in changes {
+                take(gateway, loaded);
+            }
+            Ok(Some(version))
+        }
+        StoreChanges::HistoryLost => {
+            info!(gateway.log(), "configuration history lost; reading it again"; "after" => %after);
+            Ok(None)
+        }
+    }
+}
+
+fn take<P: Platform>(gateway: &Gateway<P>, loaded: LoadedConfig) {
+    match loaded {
+        LoadedConfig::Found { config, skipped } => {
+            for reason in &skipped {
+                warn!(gateway.log(), "part of the configuration unreadable; it is left out";
+                    "revision" => %config.revision, "reason" => &**reason);
+            }
+            let revision = config.revision;
+            let (routes, workspaces) = (config.routes.len(), config.workspaces.len());
+            let is_accepted = gateway.accept_config(*config);
+            info!(gateway.log(), "configuration read"; "revision" => %revision, "routes" => routes,
+                "workspaces" => workspaces, "accepted" => is_accepted);
+        }
+        LoadedConfig::Unreadable { reason } => {
+            warn!(gateway.log(), "configuration unreadable; the one in force stays"; "reason" => &*reason);
+        }
+        LoadedConfig::Missing => info!(gateway.log(), "no configuration in the store yet"),
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_gateway/src/forward.rs
@@ -0,0 +1,26 @@
+//! The path of a request: reading it, sending it to an endpoint, and passing the answer on.
+
+mod answer_body;
+mod attempt_loop;
+mod body_reader;
+mod call_failure;
+mod event_scanner;
+mod exchange;
+mod intake;
+mod outcome;
+mod refusal;
+mod request_context;
+mod request_trace;
+mod retry_rule;
+mod stream_relay;
+mod stream_source;
+
+pub use answer_body::{AnswerBody, TruncatedAnswer};
+pub use call_failure::{CallFailure, FailureKind};
+pub use event_scanner::{EventScanner, ScannedEvents};
+pub use intake::answer_request;
+pub use outcome::RequestOutcome;
+pub use refusal::{Refusal, RefusalReason};
+pub use request_context::RequestContext;
+pub use request_trace::RequestTrace;
+pub use retry_rule::{AttemptCounts, RetryRule};
--- /dev/null
+++ b/crates/bramleywind_gateway/src/forward/attempt_loop.rs
@@ -0,0 +1,285 @@
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bramleywind_types::{EndpointId, TokenCount};
+use bytes::{Bytes, BytesMut};
+use compio::time::timeout;
+use http::{Response, response};
+use http_body_util::BodyExt;
+
+use super::{
+    AnswerBody, CallFailure, FailureKind, Refusal, RefusalReason, RequestContext, RequestOutcome,
+    RequestTrace, ScannedEvents,
+    exchange::{Exchange, exchange},
+    retry_rule::{AttemptCounts, RetryRule},
+    stream_relay::StreamRelay,
+    stream_source::StreamSource,
+};
+use crate::{
+    endpoints::Endpoint,
+    funds::Reservation,
+    gateway::Gateway,
+    link::{EventId, Platform, WireDialect},
+};
+
+/// The largest answer of a plain service, in bytes. Answers are held until they are whole, so that a broken one can be
+/// asked for again.
+const MOST_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// How long an endpoint may take, in multiples of the route's target, before an idempotent request is sent to
+/// another one.
+const PATIENCE_FACTOR: u32 = 2;
+
+/// The shortest time after which a request that found no room should come back.
+const RETURN_DELAY: Duration = Duration::from_millis(300);
+
+/// Sends one request to endpoints until one answers or no other may be tried.
+#[derive(Debug, Default)]
+pub(super) struct AttemptLoop {
+    counts: AttemptCounts,
+    tried: Vec<EndpointId>,
+}
+
+/// An answer that was read to its end.
+struct WholeAnswer {
+    head: response::Parts,
+    body: Bytes,
+}
+
+/// What one call brought.
+enum CallEnd {
+    Whole(WholeAnswer),
+    Stream(StreamSource, ScannedEvents),
+}
+
+impl AttemptLoop {
+    /// Serves a request: the answer of an endpoint, or a refusal.
+    pub(super) async fn serve<P: Platform>(
+        mut self,
+        gateway: Rc<Gateway<P>>,
+        context: RequestContext,
+        mut trace: RequestTrace,
+        mut reservation: Option<Reservation>,
+    ) -> Response<AnswerBody> {
+        let mut failed_answer = None;
+        let mut last_failure = None;
+        loop {
+            let Some(endpoint) = gateway.choose_endpoint(&context, &self.tried) else { break };
+            let (kind, failure) = match self.call::<P>(&context, &mut trace, &endpoint, None).await
+            {
+                Ok(CallEnd::Stream(source, first)) => {
+                    let last_id = None;
+                    charge_prompt(&mut reservation, &context);
+                    let attempts = self;
+                    return StreamRelay {
+                        gateway,
+                        context,
+                        trace,
+                        reservation,
+                        attempts,
+                        source,
+                        last_id,
+                    }
+                    .into_response(first);
+                }
+                Ok(CallEnd::Whole(answer)) if !answer.head.status.is_server_error() => {
+                    charge_all(&mut reservation);
+                    return finish::<P>(answer, trace);
+                }
+                Ok(CallEnd::Whole(answer)) => {
+                    let reason = format!("answered with {}", answer.head.status);
+                    failed_answer = Some(answer);
+                    (FailureKind::MayHaveRun, CallFailure::new(FailureKind::MayHaveRun, reason))
+                }
+                Err(failure) => {
+                    if !matches!(failure.kind, FailureKind::Declined) {
+                        endpoint.health().borrow_mut().record_failure(Instant::now());
+                    }
+                    (failure.kind, failure)
+                }
+            };
+            if !kind.is_not_run() {
+                charge_prompt(&mut reservation, &context);
+            }
+            let may_repeat = self.may_repeat(&gateway, &context, kind);
+            trace.log_failure(&failure, may_repeat);
+            last_failure = Some(kind);
+            if !may_repeat {
+                break;
+            }
+        }
+        if let Some(answer) = failed_answer {
+            return finish::<P>(answer, trace);
+        }
+        let refusal = self.refusal(last_failure);
+        trace.refuse::<P::Wire>(refusal)
+    }
+
+    /// One call, up to the whole answer or the first events of a stream.
+    async fn call<P: Platform>(
+        &mut self,
+        context: &RequestContext,
+        trace: &mut RequestTrace,
+        endpoint: &Rc<Endpoint>,
+        resume_after: Option<EventId>,
+    ) -> Result<CallEnd, CallFailure> {
+        self.counts.calls += 1;
+        self.tried.push(endpoint.record().id.clone());
+        trace.endpoints.push(endpoint.record().id.clone());
+        let patience = self.patience(context);
+        let result = async {
+            let resume_after = resume_after.or(context.resume_after);
+            let exchange = exchange::<P::Wire>(context, endpoint, resume_after, patience).await?;
+            if context.route.kind.is_stream() && exchange.head.status.is_success() {
+                let mut source = StreamSource::new(exchange);
+                let first = source.next_events(patience).await?;
+                return Ok(CallEnd::Stream(source, first.unwrap_or_default()));
+            }
+            collect(exchange, patience).await.map(CallEnd::Whole)
+        }
+        .await;
+        let ran = match &result {
+            Ok(_) => true,
+            Err(failure) => !failure.kind.is_not_run(),
+        };
+        self.counts.runs += u32::from(ran);
+        result
+    }
+
+    /// Until when one call may take.
+    fn patience(&self, context: &RequestContext) -> Instant {
+        let is_last = self.counts.runs + 1 >= context.route.attempt_limit;
+        if !context.route.kind.is_repeatable() || is_last {
+            return context.deadline;
+        }
+        let patience = Instant::now() + context.route.target_latency * PATIENCE_FACTOR;
+        patience.min(context.deadline)
+    }
+
+    /// Whether the request may run at one more endpoint.
+    pub(super) fn has_runs_left(&self, context: &RequestContext) -> bool {
+        self.counts.runs < context.route.attempt_limit
+    }
+
+    fn may_repeat<P: Platform>(
+        &self,
+        gateway: &Gateway<P>,
+        context: &RequestContext,
+        failure: FailureKind,
+    ) -> bool {
+        let now = Instant::now();
+        let route = &context.route;
+        let rule = RetryRule::decide(
+            route.kind,
+            failure,
+            self.counts,
+            route.attempt_limit,
+            context.deadline,
+            now,
+        );
+        match rule {
+            RetryRule::Never => false,
+            RetryRule::Free => true,
+            RetryRule::Budgeted => gateway.try_retry(&context.service, now),
+        }
+    }
+
+    /// Goes on with a stream at another endpoint, after the last event that was passed on.
+    pub(super) async fn resume<P: Platform>(
+        &mut self,
+        gateway: &Rc<Gateway<P>>,
+        context: &RequestContext,
+        trace: &mut RequestTrace,
+        mut failure: CallFailure,
+        resume_after: Option<EventId>,
+    ) -> Result<StreamSource, CallFailure> {
+        loop {
+            if !self.may_repeat(gateway, context, failure.kind) {
+                return Err(failure);
+            }
+            trace.log_failure(&failure, true);
+            let Some(endpoint) = gateway.choose_endpoint(context, &self.tried) else {
+                return Err(failure);
+            };
+            self.counts.calls += 1;
+            self.tried.push(endpoint.record().id.clone());
+            trace.endpoints.push(endpoint.record().id.clone());
+            let patience = self.patience(context);
+            failure = match exchange::<P::Wire>(context, &endpoint, resume_after, patience).await {
+                Ok(exchange) if exchange.head.status.is_success() => {
+                    self.counts.runs += 1;
+                    return Ok(StreamSource::new(exchange));
+                }
+                Ok(exchange) => {
+                    let reason = format!("answered with {}", exchange.head.status);
+                    CallFailure::new(FailureKind::MayHaveRun, reason)
+                }
+                Err(failure) => failure,
+            };
+            self.counts.runs += u32::from(!failure.kind.is_not_run());
+        }
+    }
+
+    fn refusal(&self, last_failure: Option<FailureKind>) -> Refusal {
+        match last_failure {
+            None => Refusal::after(RefusalReason::NoEndpoint, RETURN_DELAY),
+            Some(_) if self.counts.runs == 0 => {
+                Refusal::after(RefusalReason::NotPlaced, RETURN_DELAY)
+            }
+            Some(FailureKind::TimedOut) => Refusal::new(RefusalReason::TimedOut),
+            Some(_) => Refusal::new(RefusalReason::MayHaveRun),
+        }
+    }
+}
+
+fn charge_prompt(reservation: &mut Option<Reservation>, context: &RequestContext) {
+    if let (Some(reservation), Some(prompt)) = (reservation, &context.prompt) {
+        reservation.charge(prompt.prompt_tokens);
+    }
+}
+
+/// An answer that is no stream does not tell how many tokens it holds.
+fn charge_all(reservation: &mut Option<Reservation>) {
+    if let Some(reservation) = reservation {
+        reservation.charge(TokenCount(u64::MAX));
+    }
+}
+
+async fn collect(mut exchange: Exchange, patience: Instant) -> Result<WholeAnswer, CallFailure> {
+    let failed = |reason: &dyn std::fmt::Display| CallFailure::new(FailureKind::MayHaveRun, reason);
+    let mut body = BytesMut::new();
+    loop {
+        let left = patience.saturating_duration_since(Instant::now());
+        let frame = match timeout(left, exchange.body.frame()).await {
+            Ok(None) => break,
+            Ok(Some(frame)) => frame.map_err(|error| failed(&error))?,
+            Err(_) => {
+                return Err(CallFailure::new(
+                    FailureKind::TimedOut,
+                    "the answer did not end in time",
+                ));
+            }
+        };
+        // Trailers carry nothing that is passed on.
+        let Ok(data) = frame.into_data() else { continue };
+        if body.len() + data.len() > MOST_ANSWER_BYTES {
+            return Err(failed(&"the answer is larger than 4 MiB"));
+        }
+        body.extend_from_slice(&data);
+    }
+    let head = exchange.head.clone();
+    exchange.recycle();
+    Ok(WholeAnswer { head, body: body.freeze() })
+}
+
+fn finish<P: Platform>(answer: WholeAnswer, mut trace: RequestTrace) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::from(answer.body));
+    *response.status_mut() = answer.head.status;
+    *response.headers_mut() = P::Wire::answer_headers(&answer.head);
+    trace.status = Some(answer.head.status.as_u16());
+    trace.note_first_piece();
+    trace.outcome = RequestOutcome::Answered;
+    response
+}
--- /dev/null
+++ b/crates/bramleywind_gateway/src/forward/body_reader.rs
@@ -0,0 +1,33 @@
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+/// What reading a body came to.
+#[derive(Debug)]
+pub enum ReadBody {
+    /// The whole body.
+    Whole(Bytes),
+    /// It is larger than the limit.
+    TooLarge,
+    /// The connection broke before its end.
+    Broken,
+}
+
+/// Reads a body of at most `limit` bytes. The caller bounds the time.
+pub async fn read_body(mut body: Incoming, limit: usize) -> ReadBody {
+    let mut whole = BytesMut::new();
+    loop {
+        match body.frame().await {
+            None => return ReadBody::Whole(whole.freeze()),
+            Some(Err(_)) => return ReadBody::Broken,
+            Some(Ok(frame)) => {
+                // Trailers carry nothing that is passed on.
+                let Ok(data) = frame.into_data() else { continue };
+                if whole.len() + data.len() > limit {
+                    return ReadBody::TooLarge;
+                }
+                whole.extend_from_slice(&data);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_gateway/src/forward/intake.rs
@@ -0,0 +1,155 @@
+use std::{rc::Rc, time::Instant};
+
+use bramleywind_types::ServiceId;
+use bytes::Bytes;
+use compio::time::timeout;
+use http::{Request, Response, Uri, request::Parts};
+use hyper::body::Incoming;
+use rand::Rng;
+
+use super::{
+    AnswerBody, Refusal, RefusalReason, RequestContext, RequestTrace,
+    attempt_loop::AttemptLoop,
+    body_reader::{ReadBody, read_body},
+};
+use crate::{
+    config::{RouteConfig, RouteTable},
+    funds::{Reservation, ReserveOutcome},
+    gateway::{Gateway, StopPhase},
+    link::{Platform, RequestHead, WireDialect},
+};
+
+/// When to come back to a gateway that has no configuration or no funds yet. The store answers within
+/// milliseconds when it is well.
+const SHORT_DELAY: std::time::Duration = std::time::Duration::from_millis(500);
+
+/// Answers one request of a caller.
+pub async fn answer_request<P: Platform>(
+    gateway: Rc<Gateway<P>>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrival = Instant::now();
+    let mut trace = gateway.new_trace(arrival);
+    let (parts, body) = request.into_parts();
+    let head = P::Wire::read_request(&parts, arrival);
+    trace.request_id = head.request_id.clone().unwrap_or_default();
+    let admitted = match admit(&gateway, &parts, head, body, &mut trace).await {
+        Ok(admitted) => admitted,
+        Err(refusal) => return trace.refuse::<P::Wire>(refusal),
+    };
+    let (context, reservation) = admitted;
+    gateway.count_request(&context.service, arrival);
+    AttemptLoop::default().serve(gateway, context, trace, reservation).await
+}
+
+/// Routes and authorizes a request, reads its body and sets its tokens aside.
+async fn admit<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    parts: &Parts,
+    head: RequestHead,
+    body: Incoming,
+    trace: &mut RequestTrace,
+) -> Result<(RequestContext, Option<Reservation>), Refusal> {
+    let arrival = trace.arrival();
+    let Some(table) = gateway.route_table() else {
+        return Err(Refusal::after(RefusalReason::NoConfiguration, SHORT_DELAY));
+    };
+    trace.revision = Some(table.revision());
+    let Some(request_id) = head.request_id.clone() else {
+        return Err(Refusal::new(RefusalReason::BadRequest));
+    };
+    let Some(route) = table.find_route(&head.host, parts.uri.path()) else {
+        return Err(Refusal::new(RefusalReason::NoRoute));
+    };
+    let route = Rc::clone(route);
+    trace.route = Some(route.name.clone());
+    let workspace = head.key.as_ref().and_then(|key| table.find_key(key)).cloned();
+    if workspace.is_none() && !route.is_open {
+        return Err(Refusal::new(RefusalReason::UnknownKey));
+    }
+    trace.workspace = workspace.as_ref().map(|workspace| workspace.id.clone());
+    if gateway.stop_phase() == StopPhase::Refusing {
+        return Err(Refusal::after(RefusalReason::Stopping, std::time::Duration::ZERO));
+    }
+    let deadline = head.deadline_within(arrival, route.timeout);
+    let body = read_whole_body(body, table.limits().body_bytes, deadline).await?;
+    let Some(service) = pick_service(&route) else {
+        return Err(Refusal::after(RefusalReason::NoEndpoint, SHORT_DELAY));
+    };
+    let reservation = match (&workspace, &head.prompt) {
+        (Some(workspace), Some(prompt)) => match workspace.prepaid {
+            Some(prepaid) => {
+                let need = prompt.most_tokens();
+                let result = gateway.funds().reserve(&workspace.id, prepaid, need).await;
+                let reservation = result.map_err(|outcome| match outcome {
+                    ReserveOutcome::Exhausted => Refusal::new(RefusalReason::BudgetExhausted),
+                    ReserveOutcome::Unavailable | ReserveOutcome::Reserved => {
+                        Refusal::after(RefusalReason::FundsUnavailable, SHORT_DELAY)
+                    }
+                })?;
+                trace.tokens = Some((need.0, 0));
+                Some(reservation)
+            }
+            None => None,
+        },
+        _ => None,
+    };
+    let context = RequestContext {
+        request_id,
+        method: parts.method.clone(),
+        target: origin_form(&parts.uri),
+        headers: parts.headers.clone(),
+        body,
+        tokens_per_event: tokens_per_event(&table, &service),
+        endpoint_limit: gateway.endpoint_limit(&table, &service),
+        service,
+        rank: workspace.as_ref().and_then(|workspace| workspace.rank).unwrap_or(route.rank),
+        workspace: workspace.map(|workspace| workspace.id.clone()),
+        route,
+        prompt: head.prompt,
+        resume_after: head.resume_after,
+        deadline,
+    };
+    Ok((context, reservation))
+}
+
+async fn read_whole_body(
+    body: Incoming,
+    limit: usize,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    let left = deadline.saturating_duration_since(Instant::now());
+    match timeout(left, read_body(body, limit)).await {
+        Ok(ReadBody::Whole(bytes)) => Ok(bytes),
+        Ok(ReadBody::TooLarge) => Err(Refusal::new(RefusalReason::BodyTooLarge)),
+        Ok(ReadBody::Broken) => Err(Refusal::new(RefusalReason::BodyBroken)),
+        Err(_) => Err(Refusal::new(RefusalReason::TimedOut)),
+    }
+}
+
+/// Path and query alone: a caller may name scheme and host too, and an endpoint expects neither.
+fn origin_form(uri: &Uri) -> Uri {
+    uri.path_and_query().map_or_else(|| uri.clone(), |target| Uri::from(target.clone()))
+}
+
+/// Draws a service by the weights of the route.
+fn pick_service(route: &RouteConfig) -> Option<ServiceId> {
+    let total: u64 = route.shares.iter().map(|share| u64::from(share.weight)).sum();
+    if total == 0 {
+        return route.shares.first().map(|share| share.service.clone());
+    }
+    let mut drawn = rand::rng().random_range(0..total);
+    for share in &route.shares {
+        let weight = u64::from(share.weight);
+        if drawn < weight {
+            return Some(share.service.clone());
+        }
+        drawn -= weight;
+    }
+    None
+}
+
+fn tokens_per_event(table: &RouteTable, service: &ServiceId) -> u64 {
+    let engine = table.service(service).and_then(|service| service.engine);
+    engine.map_or(1, |engine| u64::from(engine.tokens_per_event))
+}
--- /dev/null
+++ b/crates/bramleywind_gateway/src/funds.rs
@@ -0,0 +1,23 @@
+//! Prepaid tokens: what this process may spend, and how it gets more.
+//!
+//! Only tokens that the store already counts as granted are spent, and no process ever takes back a grant of
+//! another one. So a process that freezes, dies or writes late can't lead to overspend.
+
+mod budget_account;
+mod budget_record;
+mod commit_plan;
+mod funds_desk;
+mod grant_book;
+mod grant_sizing;
+mod pending_reservation;
+mod reservation;
+mod use_rate;
+
+pub use budget_account::BudgetAccount;
+pub use budget_record::BudgetRecord;
+pub use commit_plan::CommitPlan;
+pub use funds_desk::{FundsDesk, ReserveOutcome};
+pub use grant_book::GrantBook;
+pub use grant_sizing::{GrantInput, GrantSizing};
+pub use reservation::Reservation;
+pub use use_rate::UseRate;
--- /dev/null
+++ b/crates/bramleywind_gateway/src/funds/budget_account.rs
@@ -0,0 +1,162 @@
+use std::{collections::VecDeque, time::Instant};
+
+use bramleywind_store::StoreVersion;
+use bramleywind_types::{IncarnationId, TokenCount};
+use futures_channel::oneshot;
+
+use super::{BudgetRecord, GrantInput, GrantSizing, ReserveOutcome, UseRate};
+
+/// What this process knows of one budget, and what it has spent of it.
+#[derive(Debug)]
+pub struct BudgetAccount {
+    /// All tokens that the workspace may use, by the newest configuration.
+    pub(super) prepaid: TokenCount,
+    /// Granted tokens that may be used. While a write is in doubt, the smaller of both possible values.
+    granted: TokenCount,
+    spent: TokenCount,
+    reserved: TokenCount,
+    record: BudgetRecord,
+    version: StoreVersion,
+    /// Whether a write has an unknown outcome.
+    is_in_doubt: bool,
+    /// When the record was last read from the store; never, if nothing.
+    read_at: Option<Instant>,
+    pub(super) rate: UseRate,
+    pub(super) waiting: VecDeque<WaitingReservation>,
+}
+
+/// A request that waits for tokens.
+#[derive(Debug)]
+pub(super) struct WaitingReservation {
+    pub(super) need: TokenCount,
+    pub(super) since: Instant,
+    pub(super) reply: oneshot::Sender<ReserveOutcome>,
+}
+
+impl BudgetAccount {
+    pub(super) fn new(prepaid: TokenCount, now: Instant) -> Self {
+        Self {
+            prepaid,
+            granted: TokenCount(0),
+            spent: TokenCount(0),
+            reserved: TokenCount(0),
+            record: BudgetRecord::default(),
+            version: StoreVersion::MISSING,
+            is_in_doubt: false,
+            read_at: None,
+            rate: UseRate::new(now),
+            waiting: VecDeque::new(),
+        }
+    }
+
+    /// Tokens that may be reserved now.
+    pub fn available(&self) -> TokenCount {
+        self.granted.saturating_sub(self.spent).saturating_sub(self.reserved)
+    }
+
+    /// Tokens that no process holds, by the last known record.
+    pub fn pool(&self) -> TokenCount {
+        self.record.pool(self.prepaid)
+    }
+
+    /// When the record was last read.
+    pub fn read_at(&self) -> Option<Instant> {
+        self.read_at
+    }
+
+    /// The version of the record that the next write expects.
+    pub fn version(&self) -> StoreVersion {
+        self.version
+    }
+
+    /// Reserves tokens, if enough are available.
+    pub(super) fn try_reserve(&mut self, need: TokenCount) -> bool {
+        if self.available() < need {
+            return false;
+        }
+        self.reserved = self.reserved.saturating_add(need);
+        true
+    }
+
+    /// Ends a reservation of `need` tokens, of which `spent` were used.
+    pub(super) fn settle(&mut self, need: TokenCount, spent: TokenCount) {
+        self.reserved = self.reserved.saturating_sub(need);
+        self.spent = self.spent.saturating_add(spent);
+    }
+
+    /// Tokens that requests of this process wait for.
+    pub(super) fn waiting_tokens(&self) -> TokenCount {
+        self.waiting.iter().map(|entry| entry.need).sum()
+    }
+
+    /// The grant to ask for, if it should change.
+    pub(super) fn wanted_grant(&self, members: usize, now: Instant) -> Option<TokenCount> {
+        let input = GrantInput {
+            prepaid: self.prepaid,
+            pool: self.pool(),
+            available: self.available(),
+            waiting: self.waiting_tokens(),
+            rate: self.rate.at(now),
+            members,
+        };
+        match GrantSizing::decide(&input) {
+            GrantSizing::Keep => None,
+            GrantSizing::Hold(unspent) => Some(self.used().saturating_add(unspent)),
+        }
+    }
+
+    /// The grant to ask for when the process stops: what is used and no more.
+    pub(super) fn final_grant(&self) -> Option<TokenCount> {
+        (self.available() > TokenCount(0)).then(|| self.used())
+    }
+
+    fn used(&self) -> TokenCount {
+        self.spent.saturating_add(self.reserved)
+    }
+
+    /// The record to write for a new grant. From now on no more than the smaller grant is used.
+    pub(super) fn begin_change(
+        &mut self,
+        holder: IncarnationId,
+        granted: TokenCount,
+    ) -> BudgetRecord {
+        let mut record = self.record.clone();
+        record.set_grant(holder, granted);
+        self.granted = self.granted.min(granted);
+        record
+    }
+
+    /// Takes a record as the store has it. If it is newer than the last one, it decides every earlier write with
+    /// an unknown outcome: that write is in it, or expected an older version and can no longer take effect.
+    /// A record that is not newer decides nothing, since such a write may still come.
+    pub(super) fn take_record(
+        &mut self,
+        holder: IncarnationId,
+        record: BudgetRecord,
+        version: StoreVersion,
+    ) {
+        if version > self.version {
+            self.granted = record.grant(holder);
+            self.record = record;
+            self.version = version;
+            self.is_in_doubt = false;
+        }
+    }
+
+    /// Notes that the record was as known at `now`.
+    pub(super) fn mark_read(&mut self, now: Instant) {
+        self.read_at = Some(now);
+    }
+
+    /// Notes that a write may or may not have been applied.
+    pub(super) fn doubt_change(&mut self) {
+        self.is_in_doubt = true;
+    }
+
+    /// Notes that a write was not applied.
+    pub(super) fn revert_change(&mut self, holder: IncarnationId) {
+        if !self.is_in_doubt {
+            self.granted = self.record.grant(holder);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_gateway/src/funds/funds_desk.rs
@@ -0,0 +1,188 @@
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use async_channel::{Receiver, Sender};
+use bramleywind_types::{IncarnationId, TokenCount, WorkspaceId};
+use compio::time::timeout;
+use slog::{Logger, debug, info, warn};
+
+use super::{CommitPlan, GrantBook, Reservation, pending_reservation::PendingReservation};
+use crate::link::{CommitOutcome, FleetStore};
+
+/// How often surpluses are looked at while no request needs tokens.
+const REVIEW_TIME: Duration = Duration::from_millis(250);
+
+/// How often the others' grants are read while the own ones are idle, as a cheap read that may be stale.
+const REFRESH_TIME: Duration = Duration::from_secs(2);
+
+/// The pause after a call that the store did not answer or refused.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// The most calls in a row without a pause. Conflicts beyond that wait for the others to finish.
+const MOST_ROUNDS: usize = 8;
+
+/// What a reservation came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReserveOutcome {
+    /// The tokens are set aside.
+    Reserved,
+    /// The budget does not cover them; the store's record says so.
+    Exhausted,
+    /// More tokens are needed, and the store does not answer.
+    Unavailable,
+}
+
+/// Hands out reservations, and draws grants from the store in the background.
+#[derive(Debug)]
+pub struct FundsDesk {
+    book: Rc<RefCell<GrantBook>>,
+    wake: Sender<()>,
+    woken: Receiver<()>,
+    is_reached: Cell<bool>,
+}
+
+impl FundsDesk {
+    /// A desk of the process run `holder`.
+    pub fn new(holder: IncarnationId) -> Self {
+        let (wake, woken) = async_channel::bounded(1);
+        let book = Rc::new(RefCell::new(GrantBook::new(holder)));
+        Self { book, wake, woken, is_reached: Cell::new(true) }
+    }
+
+    /// The book, for its figures.
+    pub fn book(&self) -> &Rc<RefCell<GrantBook>> {
+        &self.book
+    }
+
+    /// Sets `need` tokens of a workspace aside, waiting for a grant if the process holds too few.
+    ///
+    /// # Errors
+    ///
+    /// [`ReserveOutcome::Exhausted`] or [`ReserveOutcome::Unavailable`].
+    pub async fn reserve(
+        &self,
+        workspace: &WorkspaceId,
+        prepaid: TokenCount,
+        need: TokenCount,
+    ) -> Result<Reservation, ReserveOutcome> {
+        let now = Instant::now();
+        let reply = {
+            let mut book = self.book.borrow_mut();
+            book.set_prepaid(workspace, prepaid, now);
+            if book.try_reserve(workspace, need, now) {
+                drop(book);
+                return Ok(GrantBook::reservation(&self.book, workspace, need));
+            }
+            book.wait(workspace, need, now)
+        };
+        // A full channel means that the desk is already woken.
+        let _ = self.wake.try_send(());
+        PendingReservation::new(&self.book, workspace, need, reply).await
+    }
+
+    /// Draws and returns grants until it is stopped and all is returned.
+    pub async fn run(&self, store: &impl FleetStore, log: &Logger) {
+        let mut refresh_at = Instant::now();
+        loop {
+            // The time-out is the review; it needs no handling of its own.
+            let _ = timeout(REVIEW_TIME, self.woken.recv()).await;
+            let mut is_idle = false;
+            for _ in 0..MOST_ROUNDS {
+                if !self.round(store, log).await {
+                    is_idle = true;
+                    break;
+                }
+            }
+            if is_idle && self.book.borrow().is_stopping() {
+                return;
+            }
+            if Instant::now() >= refresh_at {
+                self.refresh(store).await;
+                refresh_at = Instant::now() + REFRESH_TIME;
+            }
+        }
+    }
+
+    /// From now on returns what is not used. [`Self::run`] then ends.
+    pub fn stop(&self) {
+        self.book.borrow_mut().stop();
+        // A full channel means that the desk is already woken.
+        let _ = self.wake.try_send(());
+    }
+
+    /// One call of the store, if one is due. True if another round may be.
+    async fn round<S: FleetStore>(&self, store: &S, log: &Logger) -> bool {
+        let plan = self.book.borrow_mut().plan(S::MOST_CHANGES, Instant::now());
+        let is_reached = match plan {
+            CommitPlan::Idle => {
+                self.book.borrow_mut().answer_waiting(Instant::now());
+                return false;
+            }
+            CommitPlan::Read => match store.read_budgets(true).await {
+                Ok(entries) => {
+                    let mut book = self.book.borrow_mut();
+                    let now = Instant::now();
+                    book.take_entries(entries, Some(now));
+                    book.mark_all_read(now);
+                    true
+                }
+                Err(reason) => {
+                    debug!(log, "budgets not read"; "reason" => ?reason);
+                    false
+                }
+            },
+            CommitPlan::Write(changes) => {
+                let outcome = store.commit_budgets(&changes).await;
+                debug!(log, "grants changed"; "budgets" => changes.len(), "outcome" => outcome_name(&outcome));
+                let is_reached =
+                    !matches!(outcome, CommitOutcome::NotApplied | CommitOutcome::Unknown);
+                self.book.borrow_mut().apply(changes, outcome, Instant::now());
+                is_reached
+            }
+        };
+        self.book.borrow_mut().answer_waiting(Instant::now());
+        self.note_reached(is_reached, log);
+        if !is_reached {
+            compio::time::sleep(RETRY_PAUSE).await;
+        }
+        true
+    }
+
+    /// Reads how much the others hold, so that a surplus shrinks with the pool.
+    async fn refresh(&self, store: &impl FleetStore) {
+        let holds_any = {
+            let book = self.book.borrow();
+            book.accounts().any(|(_, account)| account.available() > TokenCount(0))
+        };
+        if !holds_any {
+            return;
+        }
+        // A failure needs no note: the next write shows whether the store answers.
+        if let Ok(entries) = store.read_budgets(false).await {
+            self.book.borrow_mut().take_entries(entries, None);
+        }
+    }
+
+    fn note_reached(&self, is_reached: bool, log: &Logger) {
+        if self.is_reached.replace(is_reached) == is_reached {
+            return;
+        }
+        if is_reached {
+            info!(log, "dependency regained"; "dependency" => "budget records");
+        } else {
+            warn!(log, "dependency lost"; "dependency" => "budget records");
+        }
+    }
+}
+
+fn outcome_name(outcome: &CommitOutcome) -> &'static str {
+    match outcome {
+        CommitOutcome::Applied(_) => "applied",
+        CommitOutcome::Conflict(_) => "conflict",
+        CommitOutcome::NotApplied => "not applied",
+        CommitOutcome::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_gateway/src/funds/grant_book.rs
@@ -0,0 +1,237 @@
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use bramleywind_store::StoreVersion;
+use bramleywind_types::{IncarnationId, TokenCount, WorkspaceId};
+use futures_channel::oneshot;
+
+use super::{
+    BudgetAccount, CommitPlan, Reservation, ReserveOutcome, budget_account::WaitingReservation,
+};
+use crate::link::{BudgetChange, BudgetEntry, CommitOutcome};
+
+/// How old a record may be when a request is refused for want of funds.
+const REFUSAL_RECORD_AGE: Duration = Duration::from_millis(100);
+
+/// How long a request waits for funds while the store does not answer. Many times what a store that is well needs.
+const WAIT_TIME: Duration = Duration::from_millis(400);
+
+/// The budgets of all workspaces as this process sees them: decisions only, no calls.
+#[derive(Debug)]
+pub struct GrantBook {
+    holder: IncarnationId,
+    accounts: BTreeMap<WorkspaceId, BudgetAccount>,
+    members: usize,
+    is_stopping: bool,
+}
+
+impl GrantBook {
+    /// A book of the process run `holder`, which has no grants yet.
+    pub fn new(holder: IncarnationId) -> Self {
+        Self { holder, accounts: BTreeMap::new(), members: 1, is_stopping: false }
+    }
+
+    /// The account of a workspace, if it was used.
+    pub fn account(&self, workspace: &WorkspaceId) -> Option<&BudgetAccount> {
+        self.accounts.get(workspace)
+    }
+
+    /// All accounts.
+    pub fn accounts(&self) -> impl Iterator<Item = (&WorkspaceId, &BudgetAccount)> {
+        self.accounts.iter()
+    }
+
+    /// Takes the number of processes that may hold grants.
+    pub fn set_members(&mut self, members: usize) {
+        self.members = members;
+    }
+
+    /// Takes the prepaid total of a workspace.
+    pub fn set_prepaid(&mut self, workspace: &WorkspaceId, prepaid: TokenCount, now: Instant) {
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.prepaid = prepaid;
+        } else {
+            self.accounts.insert(workspace.clone(), BudgetAccount::new(prepaid, now));
+        }
+    }
+
+    /// From now on only returns tokens.
+    pub fn stop(&mut self) {
+        self.is_stopping = true;
+    }
+
+    /// Whether only returns are made.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping
+    }
+
+    /// Reserves tokens at once, if they are available.
+    pub fn try_reserve(&mut self, workspace: &WorkspaceId, need: TokenCount, now: Instant) -> bool {
+        let Some(account) = self.accounts.get_mut(workspace) else { return false };
+        account.rate.add(need.0, now);
+        // Who came first is served first.
+        account.waiting.is_empty() && account.try_reserve(need)
+    }
+
+    /// Queues a request that needs more than is available.
+    pub(super) fn wait(
+        &mut self,
+        workspace: &WorkspaceId,
+        need: TokenCount,
+        now: Instant,
+    ) -> oneshot::Receiver<ReserveOutcome> {
+        let (reply, outcome) = oneshot::channel();
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.waiting.push_back(WaitingReservation { need, since: now, reply });
+        }
+        outcome
+    }
+
+    pub(super) fn settle(&mut self, workspace: &WorkspaceId, need: TokenCount, spent: TokenCount) {
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.settle(need, spent);
+        }
+    }
+
+    /// What to ask of the store next: at most `most` records.
+    pub fn plan(&mut self, most: usize, now: Instant) -> CommitPlan {
+        let needs_read = |account: &BudgetAccount| {
+            let is_old = account.read_at().is_none_or(|at| now >= at + REFUSAL_RECORD_AGE);
+            let reachable = account.available().saturating_add(account.pool());
+            is_old && account.waiting.iter().any(|entry| entry.need > reachable)
+        };
+        if self.accounts.values().any(needs_read) {
+            return CommitPlan::Read;
+        }
+        let mut changes = Vec::new();
+        for (workspace, account) in &mut self.accounts {
+            if changes.len() == most {
+                break;
+            }
+            let wanted = if self.is_stopping && account.waiting.is_empty() {
+                account.final_grant()
+            } else {
+                account.wanted_grant(self.members, now)
+            };
+            if let Some(granted) = wanted {
+                let expected = account.version();
+                let record = account.begin_change(self.holder, granted);
+                changes.push(BudgetChange { workspace: workspace.clone(), expected, record });
+            }
+        }
+        if changes.is_empty() { CommitPlan::Idle } else { CommitPlan::Write(changes) }
+    }
+
+    /// Takes what a write came to.
+    pub fn apply(&mut self, changes: Vec<BudgetChange>, outcome: CommitOutcome, now: Instant) {
+        match outcome {
+            CommitOutcome::Applied(version) => {
+                for change in changes {
+                    self.take(&change.workspace, change.record, version, Some(now));
+                }
+            }
+            CommitOutcome::Conflict(entries) => {
+                for change in &changes {
+                    if let Some(account) = self.accounts.get_mut(&change.workspace) {
+                        account.revert_change(self.holder);
+                    }
+                }
+                self.take_entries(entries, Some(now));
+            }
+            CommitOutcome::NotApplied => {
+                for change in &changes {
+                    if let Some(account) = self.accounts.get_mut(&change.workspace) {
+                        account.revert_change(self.holder);
+                    }
+                }
+            }
+            CommitOutcome::Unknown => {
+                for change in &changes {
+                    if let Some(account) = self.accounts.get_mut(&change.workspace) {
+                        account.doubt_change();
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes records that were read. `fresh_at` is when, if they are not stale.
+    pub fn take_entries(&mut self, entries: Vec<BudgetEntry>, fresh_at: Option<Instant>) {
+        for entry in entries {
+            self.take(&entry.workspace, entry.record, entry.version, fresh_at);
+        }
+    }
+
+    /// Notes that all records were read at `now`, also those that do not exist.
+    pub fn mark_all_read(&mut self, now: Instant) {
+        for account in self.accounts.values_mut() {
+            account.mark_read(now);
+        }
+    }
+
+    fn take(
+        &mut self,
+        workspace: &WorkspaceId,
+        record: super::BudgetRecord,
+        version: StoreVersion,
+        fresh_at: Option<Instant>,
+    ) {
+        let Some(account) = self.accounts.get_mut(workspace) else { return };
+        account.take_record(self.holder, record, version);
+        if let Some(at) = fresh_at {
+            account.mark_read(at);
+        }
+    }
+
+    /// Answers the requests that wait: those that fit are served in order, those that can't fit are refused, and
+    /// those that waited too long for the store are told so. Returns how many were answered.
+    pub fn answer_waiting(&mut self, now: Instant) -> usize {
+        let mut answered = 0;
+        for account in self.accounts.values_mut() {
+            for entry in std::mem::take(&mut account.waiting) {
+                let outcome = decide_waiting(account, &entry, now);
+                let Some(outcome) = outcome else {
+                    account.waiting.push_back(entry);
+                    continue;
+                };
+                answered += 1;
+                let is_reserved = outcome == ReserveOutcome::Reserved;
+                if entry.reply.send(outcome).is_err() && is_reserved {
+                    // The caller has gone away meanwhile.
+                    account.settle(entry.need, TokenCount(0));
+                }
+            }
+        }
+        answered
+    }
+
+    /// A reservation of tokens that were just reserved.
+    pub(super) fn reservation(
+        book: &std::rc::Rc<std::cell::RefCell<Self>>,
+        workspace: &WorkspaceId,
+        need: TokenCount,
+    ) -> Reservation {
+        Reservation::new(std::rc::Rc::clone(book), workspace.clone(), need)
+    }
+}
+
+fn decide_waiting(
+    account: &mut BudgetAccount,
+    entry: &WaitingReservation,
+    now: Instant,
+) -> Option<ReserveOutcome> {
+    if entry.reply.is_canceled() {
+        return Some(ReserveOutcome::Unavailable);
+    }
+    if account.try_reserve(entry.need) {
+        return Some(ReserveOutcome::Reserved);
+    }
+    let reachable = account.available().saturating_add(account.pool());
+    let is_fresh = account.read_at().is_some_and(|at| at >= entry.since);
+    if entry.need > reachable && is_fresh {
+        return Some(ReserveOutcome::Exhausted);
+    }
+    (now >= entry.since + WAIT_TIME).then_some(ReserveOutcome::Unavailable)
+}
--- /dev/null
+++ b/crates/bramleywind_gateway/src/funds/pending_reservation.rs
@@ -0,0 +1,58 @@
+use std::{
+    cell::RefCell,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll, ready},
+};
+
+use bramleywind_types::{TokenCount, WorkspaceId};
+use futures_channel::oneshot;
+
+use super::{GrantBook, Reservation, ReserveOutcome};
+
+/// Waits for the answer to a queued reservation. If it is dropped after the tokens were set aside, it gives
+/// them back.
+#[derive(Debug)]
+pub(super) struct PendingReservation<'a> {
+    book: &'a Rc<RefCell<GrantBook>>,
+    workspace: &'a WorkspaceId,
+    need: TokenCount,
+    reply: oneshot::Receiver<ReserveOutcome>,
+    is_answered: bool,
+}
+
+impl<'a> PendingReservation<'a> {
+    pub(super) fn new(
+        book: &'a Rc<RefCell<GrantBook>>,
+        workspace: &'a WorkspaceId,
+        need: TokenCount,
+        reply: oneshot::Receiver<ReserveOutcome>,
+    ) -> Self {
+        Self { book, workspace, need, reply, is_answered: false }
+    }
+}
+
+impl Future for PendingReservation<'_> {
+    type Output = Result<Reservation, ReserveOutcome>;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Self::Output> {
+        let reply = ready!(Pin::new(&mut self.reply).poll(context));
+        self.is_answered = true;
+        Poll::Ready(match reply {
+            Ok(ReserveOutcome::Reserved) => {
+                Ok(GrantBook::reservation(self.book, self.workspace, self.need))
+            }
+            Ok(outcome) => Err(outcome),
+            // The desk has ended with the process.
+            Err(oneshot::Canceled) => Err(ReserveOutcome::Unavailable),
+        })
+    }
+}
+
+impl Drop for PendingReservation<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered && self.reply.try_recv() == Ok(Some(ReserveOutcome::Reserved)) {
+            self.book.borrow_mut().settle(self.workspace, self.need, TokenCount(0));
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_gateway/src/funds/reservation.rs
@@ -0,0 +1,45 @@
+use std::{cell::RefCell, rc::Rc};
+
+use bramleywind_types::{TokenCount, WorkspaceId};
+
+use super::GrantBook;
+
+/// Tokens that are set aside for one request. When dropped, the request is charged for what it has used.
+#[derive(Debug)]
+pub struct Reservation {
+    book: Rc<RefCell<GrantBook>>,
+    workspace: WorkspaceId,
+    limit: TokenCount,
+    used: TokenCount,
+}
+
+impl Reservation {
+    pub(super) fn new(
+        book: Rc<RefCell<GrantBook>>,
+        workspace: WorkspaceId,
+        limit: TokenCount,
+    ) -> Self {
+        Self { book, workspace, limit, used: TokenCount(0) }
+    }
+
+    /// Raises the charge. It never falls, and never exceeds what is set aside.
+    pub fn charge(&mut self, used: TokenCount) {
+        self.used = self.used.max(used.min(self.limit));
+    }
+
+    /// The charge so far.
+    pub fn used(&self) -> TokenCount {
+        self.used
+    }
+
+    /// The tokens that are set aside.
+    pub fn limit(&self) -> TokenCount {
+        self.limit
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.book.borrow_mut().settle(&self.workspace, self.limit, self.used);
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_gateway/src/lib.rs
@@ -0,0 +1,26 @@
+//! The gateway: forwards callers' requests by route to the endpoints of a platform's registry, within prepaid budgets.
+//!
+//! Decisions (grants, placement, retries, health) are modules without input or output, so that each can be tested
+//! without a socket. What the platform calls things, and how it writes them, is behind the traits of [`link`]. Everything
+//! runs on one thread, with state that is never borrowed across an await.
+
+mod args;
+mod background;
+pub mod config;
+mod daemon;
+pub mod endpoints;
+pub mod forward;
+pub mod funds;
+mod gateway;
+mod gateway_log;
+pub mod link;
+pub mod members;
+pub mod metrics;
+pub mod placement;
+pub mod settings;
+mod state_dump;
+
+pub use args::Args;
+pub use daemon::run_gateway;
+pub use gateway::{Gateway, StopPhase};
+pub use gateway_log::new_logger;
--- /dev/null
+++ b/crates/bramleywind_gateway/src/link.rs
@@ -0,0 +1,25 @@
+//! What the gateway asks of the platform it runs on: a store, and a way to read and write heads of messages.
+
+mod answer_head;
+mod budget_change;
+mod call_head;
+mod event_id;
+mod fleet_store;
+mod platform;
+mod prompt_shape;
+mod request_head;
+mod store_outcomes;
+mod wire_dialect;
+
+pub use answer_head::AnswerHead;
+pub use budget_change::BudgetChange;
+pub use call_head::CallHead;
+pub use event_id::EventId;
+pub use fleet_store::FleetStore;
+pub use platform::Platform;
+pub use prompt_shape::{PromptPart, PromptShape};
+pub use request_head::RequestHead;
+pub use store_outcomes::{
+    BudgetEntry, CommitOutcome, EntryChange, LeaseId, ListPage, LoadedConfig, StoreChanges,
+};
+pub use wire_dialect::WireDialect;
--- /dev/null
+++ b/crates/bramleywind_gateway/src/settings.rs
@@ -0,0 +1,12 @@
+//! The daemon's settings: JSON with comments, checked before anything starts.
+
+mod gateway_settings;
+mod listen_addresses;
+mod raw_gateway_options;
+mod settings_error;
+mod stop_times;
+
+pub use gateway_settings::GatewaySettings;
+pub use listen_addresses::ListenAddresses;
+pub use settings_error::GatewaySettingsError;
+pub use stop_times::StopTimes;
--- /dev/null
+++ b/crates/bramleywind_gateway/src/settings/gateway_settings.rs
@@ -0,0 +1,97 @@
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use bramleywind_config::json::JsonSource;
+use bramleywind_types::{DataCentreId, InstanceId};
+use snafu::{ResultExt, ensure};
+
+use super::{
+    GatewaySettingsError, ListenAddresses, StopTimes,
+    raw_gateway_options::RawGatewayOptions,
+    settings_error::{SameAddressSnafu, StopGraceSnafu, UnreadableSnafu},
+};
+
+/// The part of the grace time after which new requests are refused. Callers ask again for entries within seconds,
+/// and streams that begin later may not end before the process must.
+const REFUSE_PART: f64 = 0.3;
+
+/// What is left of the grace time when the process ends: returning grants takes a few calls of the store.
+const END_MARGIN: Duration = Duration::from_millis(700);
+
+/// The longest grace time, in seconds. A longer one is a mistake in the unit.
+const LONGEST_GRACE_SECONDS: f64 = 3600.0;
+
+/// The checked settings of the gateway.
+#[derive(Debug, Clone, PartialEq, serde::Serialize)]
+pub struct GatewaySettings {
+    /// This instance.
+    pub instance: InstanceId,
+    /// Where it runs.
+    pub data_centre: DataCentreId,
+    /// Where to listen.
+    pub listen: ListenAddresses,
+    /// The platform's store.
+    pub store_address: SocketAddr,
+    /// How a planned stop goes on.
+    pub stop: StopTimes,
+    /// The least important lines that are logged.
+    #[serde(skip)]
+    pub log_level: slog::Level,
+}
+
+impl GatewaySettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// [`GatewaySettingsError`] with what is wrong and how to mend it.
+    pub fn load(path: &Path) -> Result<Self, GatewaySettingsError> {
+        let text = std::fs::read_to_string(path).context(UnreadableSnafu { path })?;
+        Self::resolve(&text)
+    }
+
+    /// Checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// [`GatewaySettingsError`] with what is wrong and how to mend it.
+    ///
+    /// ```
+    /// use bramleywind_gateway::settings::GatewaySettings;
+    ///
+    /// let settings = GatewaySettings::resolve(r#"{
+    ///     // One instance of the fleet.
+    ///     "instance": "front-1", "data_centre": "north",
+    ///     "listen": { "callers": "127.0.0.1:8000", "readiness": "127.0.0.1:8001",
+    ///                 "entries": "127.0.0.1:8002", "metrics": "127.0.0.1:8003" },
+    ///     "store_address": "127.0.0.1:9000",
+    ///     "stop_grace_seconds": 8
+    /// }"#).unwrap();
+    /// assert_eq!(settings.stop.end_after.as_millis(), 7300);
+    /// ```
+    pub fn resolve(text: &str) -> Result<Self, GatewaySettingsError> {
+        let raw: RawGatewayOptions = JsonSource::new(text)
+            .deserialize()
+            .map_err(|diagnostics| GatewaySettingsError::Invalid { diagnostics })?;
+        let grace = raw.stop_grace_seconds;
+        let is_usable = (1.0..=LONGEST_GRACE_SECONDS).contains(&grace);
+        ensure!(is_usable, StopGraceSnafu { value: grace });
+        let listen = raw.listen;
+        let addresses = [listen.callers, listen.readiness, listen.entries, listen.metrics];
+        for (index, address) in addresses.iter().enumerate() {
+            let is_repeated = addresses[..index].contains(address);
+            ensure!(!is_repeated, SameAddressSnafu { address: *address });
+        }
+        let grace = Duration::from_secs_f64(grace);
+        Ok(Self {
+            instance: raw.instance,
+            data_centre: raw.data_centre,
+            listen,
+            store_address: raw.store_address,
+            stop: StopTimes {
+                refuse_after: grace.mul_f64(REFUSE_PART),
+                end_after: grace.saturating_sub(END_MARGIN),
+            },
+            log_level: raw.log_level.into(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_gateway/src/settings/raw_gateway_options.rs
@@ -0,0 +1,41 @@
+use std::net::SocketAddr;
+
+use bramleywind_types::{DataCentreId, InstanceId};
+use serde::Deserialize;
+
+use super::ListenAddresses;
+
+/// The settings file as written.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RawGatewayOptions {
+    pub instance: InstanceId,
+    pub data_centre: DataCentreId,
+    pub listen: ListenAddresses,
+    pub store_address: SocketAddr,
+    pub stop_grace_seconds: f64,
+    #[serde(default)]
+    pub log_level: LogLevel,
+}
+
+/// The least important lines that are logged.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum LogLevel {
+    Debug,
+    #[default]
+    Info,
+    Warning,
+    Error,
+}
+
+impl From<LogLevel> for slog::Level {
+    fn from(level: LogLevel) -> Self {
+        match level {
+            LogLevel::Debug => Self::Debug,
+            LogLevel::Info => Self::Info,
+            LogLevel::Warning => Self::Warning,
+            LogLevel::Error => Self::Error,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramleywind_gateway/src/state_dump.rs
@@ -0,0 +1,44 @@
+use std::time::Instant;
+
+use serde_json::{Value, json};
+
+use crate::{gateway::Gateway, link::Platform};
+
+/// What the process believes, for a person who looks for the cause of a failure.
+pub(crate) fn dump_state<P: Platform>(gateway: &Gateway<P>) -> Value {
+    let now = Instant::now();
+    let endpoints = gateway.endpoints().borrow();
+    let endpoints: Vec<_> = endpoints
+        .iter()
+        .map(|endpoint| {
+            let record = endpoint.record();
+            let load = endpoint.load();
+            json!({
+                "id": record.id, "service": record.service, "address": record.address,
+                "data_centre": record.data_centre, "is_leaving": record.is_leaving,
+                "in_flight": endpoint.in_flight(), "prefill_tokens": endpoint.prefill_tokens(),
+                "reported": load.map(|(load, _)| load),
+                "report_age_ms": load.map(|(_, at)| now.saturating_duration_since(at).as_millis() as u64),
+                "failures_in_row": endpoint.health().borrow().failures_in_row(),
+            })
+        })
+        .collect();
+    let book = gateway.funds().book().borrow();
+    let budgets: Vec<_> = book
+        .accounts()
+        .map(|(workspace, account)| {
+            json!({
+                "workspace": workspace, "available": account.available(), "pool": account.pool(),
+                "record_age_ms": account.read_at().map(|at| now.saturating_duration_since(at).as_millis() as u64),
+            })
+        })
+        .collect();
+    json!({
+        "instance": gateway.settings().instance,
+        "config_revision": gateway.route_table().map(|table| table.revision()),
+        "entries": gateway.members().borrow().entries(),
+        "open_requests": gateway.open_requests(),
+        "endpoints": endpoints,
+        "budgets": budgets,
+    })
+}
--- a/crates/bramleywind_router/src/http_listener.rs
+++ b/crates/bramleywind_http/src/http_listener.rs
@@ -1,5 +1,3 @@
-//! The connections of the caller and operator ports, one task each.
-
 use std::{
     cell::RefCell,
     convert::Infallible,
@@ -10,7 +8,6 @@
     time::{Duration, Instant},
 };
 
-use bramleywind_types::{Refusal, RefusalCode, RepeatAdvice, RequestId};
 use compio::{
     net::{TcpListener, TcpSocket, TcpStream},
     runtime::JoinHandle,
@@ -19,9 +16,11 @@
 use cyper_core::{CompioTimer, HyperStream};
 use futures_util::{AsyncReadExt, AsyncWriteExt, Stream};
 use http::{Request, Response};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-
-use crate::{AnswerBody, refusal_answer::refusal_json};
+use hyper::{
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 
 /// The largest request head that hyper reads before it answers 431 itself, in multiples of the router's own
 /// limit, so that all but absurd heads get the router's typed refusal.
@@ -30,13 +29,15 @@
 /// The smallest buffer that hyper accepts, in bytes.
 const MIN_HEAD_BUFFER_BYTES: usize = 8_192;
 
-/// What the callers of a port may send.
+/// What the callers of a port may send, and what they are told if they are too slow.
 #[derive(Debug, Clone, Copy)]
 pub struct HeadLimits {
     /// How long the head of a request may take.
     pub read_time: Duration,
     /// The largest headers, in bytes.
     pub header_bytes: usize,
+    /// The whole answer to a head that did not arrive in time, which hyper leaves unanswered.
+    pub late_head_answer: fn() -> Vec<u8>,
 }
 
 /// The kernel's buffer for each connection's answers, in bytes (the kernel doubles it). A few hundred tokens,
@@ -119,10 +120,12 @@
 
 impl BoundListener {
     /// Answers each request with `answer`.
-    pub fn serve<A, F>(self, limits: HeadLimits, answer: A) -> HttpListener
+    pub fn serve<A, F, B>(self, limits: HeadLimits, answer: A) -> HttpListener
     where
         A: Fn(Request<Incoming>) -> F + Clone + Unpin + 'static,
-        F: Future<Output = Result<Response<AnswerBody>, Infallible>> + 'static,
+        F: Future<Output = Result<Response<B>, Infallible>> + 'static,
+        B: Body + 'static,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         let Self { address, listener } = self;
         let connections = PortConnections::default();
@@ -144,14 +147,16 @@
     }
 }
 
-async fn serve_connection<A, F>(
+async fn serve_connection<A, F, B>(
     stream: TcpStream,
     limits: HeadLimits,
     answer: A,
     closed: async_channel::Receiver<Infallible>,
 ) where
     A: Fn(Request<Incoming>) -> F + Unpin + 'static,
-    F: Future<Output = Result<Response<AnswerBody>, Infallible>> + 'static,
+    F: Future<Output = Result<Response<B>, Infallible>> + 'static,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     // Tokens are small and late ones are visible to callers. A socket that refuses the option still works.
     let _ = stream.set_nodelay(true);
@@ -181,7 +186,7 @@
         Err(error) if error.is_parse() => close_gently(&mut stream).await,
         // A connection without a request may be closed without a word.
         Err(error) if error.is_timeout() && !parts.read_buf.is_empty() => {
-            if stream.write_all(&timeout_answer()).await.is_ok() {
+            if stream.write_all(&(limits.late_head_answer)()).await.is_ok() {
                 close_gently(&mut stream).await;
             }
         }
@@ -209,21 +214,6 @@
     let _ = timeout(DRAIN_TIME, drain).await;
 }
 
-/// The answer to a caller whose request head did not arrive in time, which hyper leaves unanswered.
-fn timeout_answer() -> Vec<u8> {
-    let message = "the head of the request was not received in time";
-    let refusal = Refusal::not_run(RefusalCode::RequestTimeout, message, RepeatAdvice::AfterDelay)
-        .after_ms(0);
-    let body = refusal_json(&refusal);
-    let head = format!(
-        "HTTP/1.1 408 Request Timeout\r\ncontent-type: application/json\r\nretry-after: 0\r\n\
-         x-request-id: {}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
-        RequestId::random(),
-        body.len()
-    );
-    [head.as_bytes(), &body].concat()
-}
-
 async fn bind_listener(listen: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = match listen {
         SocketAddr::V4(_) => TcpSocket::new_v4().await?,
--- /dev/null
+++ b/crates/bramleywind_http/src/lib.rs
@@ -0,0 +1,10 @@
+//! HTTP/1.1 over compio: ports that accept connections, and connections to other processes.
+//!
+//! hyper speaks the protocol. This crate adds what a connection's owner must decide: socket options, timeouts,
+//! and how a connection ends.
+
+mod http_connection;
+mod http_listener;
+
+pub use http_connection::{ConnectionError, HttpConnection};
+pub use http_listener::{BoundListener, HeadLimits, HttpListener};
--- a/crates/bramleywind_router/src/router.rs
+++ b/crates/bramleywind_router/src/router.rs
@@ -18,9 +18,9 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::{
-    Admission, CountedStore, DrainPhase, HeadLimits, HttpListener, KeyDesk, OperatorAccess,
-    PeerAnswers, RequestLimits, RouterIdentity, RouterLink, RouterMetrics, RouterParts,
-    RouterState, answer_caller, answer_operator,
+    Admission, CountedStore, DrainPhase, KeyDesk, OperatorAccess, PeerAnswers, RequestLimits,
+    RouterIdentity, RouterLink, RouterMetrics, RouterParts, RouterState, answer_caller,
+    answer_operator,
     background::{
         keep_funds, poll_instances, poll_loads, resolve_repeats, scan_members, send_orders,
         watch_config, watch_peers,
@@ -173,7 +173,11 @@
             capacity: settings.capacity,
         };
         let keys = KeyDesk { claims: claims.clone() };
-        let head = HeadLimits { read_time: limits.read_time, header_bytes: limits.header_bytes };
+        let head = HeadLimits {
+            read_time: limits.read_time,
+            header_bytes: limits.header_bytes,
+            late_head_answer,
+        };
         let state = RouterState::new(RouterParts {
             identity,
             limits,
