gateway: lend granted tokens between gateways, and grant up to half of what is left

Change: gateways ask each other for tokens when the store does not answer within 40 ms, and hold a part of what is left whether they used it or not. What it costs: the loss of all processes strands what they hold.

--- a/crates/bramleywind_gateway/src/daemon.rs
+++ b/crates/bramleywind_gateway/src/daemon.rs
@@ -22,6 +22,7 @@
     config::CallerLimits,
     forward::{AnswerBody, answer_request},
     link::{Platform, WireDialect},
+    loans::answer_loan,
     new_logger,
     settings::GatewaySettings,
     state_dump::dump_state,
@@ -89,6 +90,7 @@
     let callers = HttpListener::bind(listen.callers).await?;
     let readiness = HttpListener::bind(listen.readiness).await?;
     let entries = HttpListener::bind(listen.entries).await?;
+    let peers = HttpListener::bind(listen.peers).await?;
     let metrics = HttpListener::bind(listen.metrics).await?;
     let limits = CallerLimits::default();
     let limits = HeadLimits {
@@ -121,6 +123,11 @@
         async move { Ok::<_, Infallible>(response) }
     });
     let state = Rc::clone(&gateway);
+    let _peers = peers.serve(limits, move |request| {
+        let gateway = Rc::clone(&state);
+        async move { Ok::<_, Infallible>(answer_loan(&gateway, request).await) }
+    });
+    let state = Rc::clone(&gateway);
     let _metrics = metrics.serve(limits, move |request| {
         let response = answer_metrics(&state, &request);
         async move { Ok::<_, Infallible>(response) }
@@ -134,11 +141,17 @@
     let funds = compio::runtime::spawn(async move {
         state.funds().run(state.store(), state.log()).await;
     });
+    let state = Rc::clone(&gateway);
+    let loans = compio::runtime::spawn(async move {
+        let lenders =
+            || state.members().borrow().others().iter().map(|other| other.peer_address).collect();
+        state.funds().run_loans(&state.settings().instance, lenders, state.log()).await;
+    });
     let pools = compio::runtime::spawn(review_pools(Rc::clone(&gateway)));
     let reloads = compio::runtime::spawn(note_reloads(gateway.log().clone()));
     wait_for_stop(gateway.log()).await;
     stop(&gateway, &callers).await;
-    drop((config, endpoints, pools, reloads));
+    drop((config, endpoints, loans, pools, reloads));
     // It ends by itself once the process has left the list.
     membership.detach();
     gateway.funds().stop();
--- a/crates/bramleywind_gateway/src/forward/intake.rs
+++ b/crates/bramleywind_gateway/src/forward/intake.rs
@@ -1,11 +1,12 @@
 use std::{rc::Rc, time::Instant};
 
-use bramleywind_types::ServiceId;
+use bramleywind_types::{ServiceId, TokenCount, WorkspaceId};
 use bytes::Bytes;
 use compio::time::timeout;
 use http::{Request, Response, Uri, request::Parts};
 use hyper::body::Incoming;
 use rand::Rng;
+use slog::info;
 
 use super::{
     AnswerBody, Refusal, RefusalReason, RequestContext, RequestTrace,
@@ -81,6 +82,9 @@
             Some(prepaid) => {
                 let need = prompt.most_tokens();
                 let result = gateway.funds().reserve(&workspace.id, prepaid, need).await;
+                if let Err(outcome) = &result {
+                    log_missing_funds(gateway, &workspace.id, need, *outcome, &trace.request_id);
+                }
                 let reservation = result.map_err(|outcome| match outcome {
                     ReserveOutcome::Exhausted => Refusal::new(RefusalReason::BudgetExhausted),
                     ReserveOutcome::Unavailable | ReserveOutcome::Reserved => {
@@ -113,6 +117,24 @@
     Ok((context, reservation))
 }
 
+/// Writes down what was known of a budget when it did not cover a request.
+fn log_missing_funds<P: Platform>(
+    gateway: &Gateway<P>,
+    workspace: &WorkspaceId,
+    need: TokenCount,
+    outcome: ReserveOutcome,
+    request_id: &str,
+) {
+    let book = gateway.funds().book().borrow();
+    let Some(account) = book.account(workspace) else { return };
+    let age = account.read_at().map(|at| at.elapsed().as_millis());
+    info!(gateway.log(), "funds missing"; "request" => request_id, "workspace" => %workspace,
+        "outcome" => ?outcome, "need" => need.0, "available" => account.available().0,
+        "pool" => account.pool().0, "granted" => account.granted().0,
+        "rate_per_second" => account.rate(Instant::now()),
+        "record_age_ms" => age.and_then(|age| u64::try_from(age).ok()));
+}
+
 async fn read_whole_body(
     body: Incoming,
     limit: usize,
--- a/crates/bramleywind_gateway/src/funds/budget_account.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_account.rs
@@ -13,6 +13,10 @@
     pub(super) prepaid: TokenCount,
     /// Granted tokens that may be used. While a write is in doubt, the smaller of both possible values.
     granted: TokenCount,
+    /// Tokens of other processes' grants that this one may use.
+    borrowed: TokenCount,
+    /// Tokens of the own grant that others may use.
+    lent: TokenCount,
     spent: TokenCount,
     reserved: TokenCount,
     record: BudgetRecord,
@@ -38,6 +42,8 @@
         Self {
             prepaid,
             granted: TokenCount(0),
+            borrowed: TokenCount(0),
+            lent: TokenCount(0),
             spent: TokenCount(0),
             reserved: TokenCount(0),
             record: BudgetRecord::default(),
@@ -51,7 +57,8 @@
 
     /// Tokens that may be reserved now.
     pub fn available(&self) -> TokenCount {
-        self.granted.saturating_sub(self.spent).saturating_sub(self.reserved)
+        let usable = self.granted.saturating_add(self.borrowed);
+        usable.saturating_sub(self.lent).saturating_sub(self.used())
     }
 
     /// Tokens that no process holds, by the last known record.
@@ -59,6 +66,16 @@
         self.record.pool(self.prepaid)
     }
 
+    /// Granted tokens, spent ones included.
+    pub fn granted(&self) -> TokenCount {
+        self.granted
+    }
+
+    /// The process's own use, in tokens a second.
+    pub fn rate(&self, now: Instant) -> f64 {
+        self.rate.at(now)
+    }
+
     /// When the record was last read.
     pub fn read_at(&self) -> Option<Instant> {
         self.read_at
@@ -101,13 +118,34 @@
         };
         match GrantSizing::decide(&input) {
             GrantSizing::Keep => None,
-            GrantSizing::Hold(unspent) => Some(self.used().saturating_add(unspent)),
+            GrantSizing::Hold(unspent) => Some(self.grant_for(unspent)),
         }
     }
 
     /// The grant to ask for when the process stops: what is used and no more.
     pub(super) fn final_grant(&self) -> Option<TokenCount> {
-        (self.available() > TokenCount(0)).then(|| self.used())
+        let granted = self.grant_for(TokenCount(0));
+        (granted < self.granted).then_some(granted)
+    }
+
+    /// The own grant that leaves `unspent` tokens available.
+    fn grant_for(&self, unspent: TokenCount) -> TokenCount {
+        let bound = self.used().saturating_add(self.lent).saturating_add(unspent);
+        bound.saturating_sub(self.borrowed)
+    }
+
+    /// Gives up to `wanted` tokens away: at most three quarters of what is available, so that the next own
+    /// requests are served too.
+    pub(super) fn lend(&mut self, wanted: TokenCount) -> TokenCount {
+        let spare = if self.waiting.is_empty() { self.available().0 / 4 * 3 } else { 0 };
+        let tokens = TokenCount(wanted.0.min(spare));
+        self.lent = self.lent.saturating_add(tokens);
+        tokens
+    }
+
+    /// Takes tokens that another process gave away.
+    pub(super) fn take_loan(&mut self, tokens: TokenCount) {
+        self.borrowed = self.borrowed.saturating_add(tokens);
     }
 
     fn used(&self) -> TokenCount {
--- a/crates/bramleywind_gateway/src/funds/funds_desk.rs
+++ b/crates/bramleywind_gateway/src/funds/funds_desk.rs
@@ -1,16 +1,21 @@
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use async_channel::{Receiver, Sender};
-use bramleywind_types::{IncarnationId, TokenCount, WorkspaceId};
-use compio::time::timeout;
+use bramleywind_types::{IncarnationId, InstanceId, TokenCount, WorkspaceId};
+use compio::time::{sleep, timeout};
+use rand::seq::SliceRandom;
 use slog::{Logger, debug, info, warn};
 
 use super::{CommitPlan, GrantBook, Reservation, pending_reservation::PendingReservation};
-use crate::link::{CommitOutcome, FleetStore};
+use crate::{
+    link::{CommitOutcome, FleetStore},
+    loans::{LoanClient, LoanRequest},
+};
 
 /// How often surpluses are looked at while no request needs tokens.
 const REVIEW_TIME: Duration = Duration::from_millis(250);
@@ -21,6 +26,10 @@
 /// The pause after a call that the store did not answer or refused.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// How often waiting requests are looked at for loans. Short against the targets of requests, and nothing is done
+/// while none waits.
+const LOAN_REVIEW_TIME: Duration = Duration::from_millis(25);
+
 /// The most calls in a row without a pause. Conflicts beyond that wait for the others to finish.
 const MOST_ROUNDS: usize = 8;
 
@@ -106,6 +115,41 @@
         }
     }
 
+    /// Borrows from other gateways for requests that wait in vain for the store. `lenders` names them.
+    pub async fn run_loans(
+        &self,
+        borrower: &InstanceId,
+        lenders: impl Fn() -> Vec<SocketAddr>,
+        log: &Logger,
+    ) {
+        loop {
+            sleep(LOAN_REVIEW_TIME).await;
+            let wanted = self.book.borrow().wanted_loans(Instant::now());
+            for (workspace, mut tokens) in wanted {
+                let mut lenders = lenders();
+                lenders.shuffle(&mut rand::rng());
+                for lender in lenders {
+                    let request = LoanRequest {
+                        borrower: borrower.clone(),
+                        workspace: workspace.clone(),
+                        tokens,
+                    };
+                    let outcome = LoanClient.borrow(lender, &request).await;
+                    info!(log, "loan"; "lender" => %lender, "workspace" => %workspace,
+                        "wanted" => tokens.0, "outcome" => ?outcome.as_ref().map(|loan| loan.tokens.0));
+                    let Ok(loan) = outcome else { continue };
+                    let mut book = self.book.borrow_mut();
+                    book.take_loan(&workspace, loan.tokens);
+                    book.answer_waiting(Instant::now());
+                    tokens = tokens.saturating_sub(loan.tokens);
+                    if tokens == TokenCount(0) {
+                        break;
+                    }
+                }
+            }
+        }
+    }
+
     /// From now on returns what is not used. [`Self::run`] then ends.
     pub fn stop(&self) {
         self.book.borrow_mut().stop();
@@ -146,7 +190,7 @@
         self.book.borrow_mut().answer_waiting(Instant::now());
         self.note_reached(is_reached, log);
         if !is_reached {
-            compio::time::sleep(RETRY_PAUSE).await;
+            sleep(RETRY_PAUSE).await;
         }
         true
     }
--- a/crates/bramleywind_gateway/src/funds/grant_book.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_book.rs
@@ -18,6 +18,12 @@
 /// How long a request waits for funds while the store does not answer. Many times what a store that is well needs.
 const WAIT_TIME: Duration = Duration::from_millis(400);
 
+/// How long a request waits for the store before tokens are borrowed. The store answers in 4 ms when it is well.
+const LOAN_PATIENCE: Duration = Duration::from_millis(40);
+
+/// Seconds of the process's own use that a loan covers beyond what waits.
+const LOAN_COVER_SECONDS: f64 = 2.0;
+
 /// The budgets of all workspaces as this process sees them: decisions only, no calls.
 #[derive(Debug)]
 pub struct GrantBook {
@@ -185,6 +191,32 @@
         }
     }
 
+    /// Gives tokens of a workspace to another process. Returns how many.
+    pub fn lend(&mut self, workspace: &WorkspaceId, wanted: TokenCount) -> TokenCount {
+        self.accounts.get_mut(workspace).map_or(TokenCount(0), |account| account.lend(wanted))
+    }
+
+    /// Takes tokens that another process gave.
+    pub fn take_loan(&mut self, workspace: &WorkspaceId, tokens: TokenCount) {
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.take_loan(tokens);
+        }
+    }
+
+    /// The tokens to borrow for requests that have waited for the store in vain.
+    pub fn wanted_loans(&self, now: Instant) -> Vec<(WorkspaceId, TokenCount)> {
+        let has_waited = |entry: &WaitingReservation| now >= entry.since + LOAN_PATIENCE;
+        let short =
+            self.accounts.iter().filter(|(_, account)| account.waiting.iter().any(has_waited));
+        short
+            .map(|(workspace, account)| {
+                let ahead = (account.rate.at(now) * LOAN_COVER_SECONDS) as u64;
+                let need = account.waiting_tokens().saturating_sub(account.available());
+                (workspace.clone(), need.saturating_add(TokenCount(ahead)))
+            })
+            .collect()
+    }
+
     /// Answers the requests that wait: those that fit are served in order, those that can't fit are refused, and
     /// those that waited too long for the store are told so. Returns how many were answered.
     pub fn answer_waiting(&mut self, now: Instant) -> usize {
--- a/crates/bramleywind_gateway/src/funds/grant_sizing.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_sizing.rs
@@ -1,11 +1,15 @@
 use bramleywind_types::TokenCount;
 
-/// The part of what is left of a budget that all processes together may hold unspent. A store outage of some
-/// seconds is then bridged, and the loss of all processes strands no more than this part.
-const GRANT_POOL_SHARE: f64 = 0.10;
+/// The part of what is left of a budget that all processes together may hold unspent. The loss of all processes
+/// strands no more than this part.
+const GRANT_POOL_SHARE: f64 = 0.5;
 
-/// Seconds of a process's own use that a grant covers.
-const GRANT_COVER_SECONDS: f64 = 4.0;
+/// Seconds of a process's own use that a grant covers: the store may be out of reach for eight to nine seconds.
+const GRANT_COVER_SECONDS: f64 = 10.0;
+
+/// The part of what is left that all processes together hold at least, whether they used it lately or not. In an outage,
+/// those that need more borrow it from those that need less.
+const IDLE_SHARE: f64 = 0.35;
 
 /// Part of the wanted surplus below which more is asked for.
 const REFILL_PART: f64 = 0.5;
@@ -74,7 +78,8 @@
     }
     let left = (input.pool.0 + input.available.0) as f64;
     let share = left * GRANT_POOL_SHARE / input.members.max(1) as f64;
-    (input.rate * GRANT_COVER_SECONDS).min(share) as u64
+    let idle = left * IDLE_SHARE / input.members.max(1) as f64;
+    (input.rate * GRANT_COVER_SECONDS).max(idle).min(share) as u64
 }
 
 fn is_tail(input: &GrantInput) -> bool {
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -61,6 +61,7 @@
             incarnation,
             data_centre: settings.data_centre.clone(),
             caller_address: settings.listen.callers,
+            peer_address: settings.listen.peers,
         };
         Self {
             settings,
--- a/crates/bramleywind_gateway/src/lib.rs
+++ b/crates/bramleywind_gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod gateway;
 mod gateway_log;
 pub mod link;
+pub mod loans;
 pub mod members;
 pub mod metrics;
 pub mod placement;
--- /dev/null
+++ b/crates/bramleywind_gateway/src/loans.rs
@@ -0,0 +1,12 @@
+//! Loans of granted tokens between gateways, for when the store is out of reach.
+//!
+//! A lender gives up the tokens before it answers, and they stay in its own durable grant. If the answer is lost, the
+//! tokens are spent by nobody; they are never spent twice.
+
+mod loan_client;
+mod loan_messages;
+mod loan_port;
+
+pub use loan_client::LoanClient;
+pub use loan_messages::{LoanAnswer, LoanRequest};
+pub use loan_port::answer_loan;
--- /dev/null
+++ b/crates/bramleywind_gateway/src/loans/loan_messages.rs
@@ -0,0 +1,23 @@
+//! The two messages of a loan. They belong together, so they stand in one file.
+
+use bramleywind_macros::domain_type;
+use bramleywind_types::{InstanceId, TokenCount, WorkspaceId};
+
+/// A gateway asks another one for tokens of a budget.
+#[domain_type]
+pub struct LoanRequest {
+    /// Who asks.
+    pub borrower: InstanceId,
+    /// Whose budget.
+    pub workspace: WorkspaceId,
+    /// How many tokens it wants.
+    pub tokens: TokenCount,
+}
+
+/// The tokens that the borrower may spend from now on; zero if the lender has none to spare.
+#[domain_type]
+#[derive(Copy)]
+pub struct LoanAnswer {
+    /// How many.
+    pub tokens: TokenCount,
+}
--- a/crates/bramleywind_gateway/src/members/member_book.rs
+++ b/crates/bramleywind_gateway/src/members/member_book.rs
@@ -53,6 +53,11 @@
         self.is_own_leaving = true;
     }
 
+    /// The other gateways.
+    pub fn others(&self) -> &[MemberRecord] {
+        &self.others
+    }
+
     /// Gateways that are alive, this one included.
     pub fn count(&self) -> usize {
         self.others.len() + 1
--- a/crates/bramleywind_gateway/src/members/member_record.rs
+++ b/crates/bramleywind_gateway/src/members/member_record.rs
@@ -14,4 +14,6 @@
     pub data_centre: DataCentreId,
     /// Where callers connect.
     pub caller_address: SocketAddr,
+    /// Where other gateways ask for loans.
+    pub peer_address: SocketAddr,
 }
--- a/crates/bramleywind_gateway/src/settings/gateway_settings.rs
+++ b/crates/bramleywind_gateway/src/settings/gateway_settings.rs
@@ -62,7 +62,8 @@
     ///     // One instance of the fleet.
     ///     "instance": "front-1", "data_centre": "north",
     ///     "listen": { "callers": "127.0.0.1:8000", "readiness": "127.0.0.1:8001",
-    ///                 "entries": "127.0.0.1:8002", "metrics": "127.0.0.1:8003" },
+    ///                 "entries": "127.0.0.1:8002", "peers": "127.0.0.1:8003",
+    ///                 "metrics": "127.0.0.1:8004" },
     ///     "store_address": "127.0.0.1:9000",
     ///     "stop_grace_seconds": 8
     /// }"#).unwrap();
@@ -76,7 +77,8 @@
         let is_usable = (1.0..=LONGEST_GRACE_SECONDS).contains(&grace);
         ensure!(is_usable, StopGraceSnafu { value: grace });
         let listen = raw.listen;
-        let addresses = [listen.callers, listen.readiness, listen.entries, listen.metrics];
+        let addresses =
+            [listen.callers, listen.readiness, listen.entries, listen.peers, listen.metrics];
         for (index, address) in addresses.iter().enumerate() {
             let is_repeated = addresses[..index].contains(address);
             ensure!(!is_repeated, SameAddressSnafu { address: *address });
--- a/crates/bramleywind_gateway/src/settings/listen_addresses.rs
+++ b/crates/bramleywind_gateway/src/settings/listen_addresses.rs
@@ -13,6 +13,8 @@
     pub readiness: SocketAddr,
     /// For callers' question which gateways to use.
     pub entries: SocketAddr,
+    /// For other gateways.
+    pub peers: SocketAddr,
     /// For metrics and the state dump.
     pub metrics: SocketAddr,
 }
