gateway: keep most granted tokens in standby, which a restarted process gives back

Change: a grant has a working part and a standby part. Standby is spent only after the process's entry in the member list has certainly ended. A process that starts on the same instance while that entry is there gives standby back.

--- a/crates/bramleywind_gateway/src/background/follow_config.rs
+++ b/crates/bramleywind_gateway/src/background/follow_config.rs
@@ -23,7 +23,11 @@
                 contact.note_answer();
                 version = next;
             }
-            Err(reason) => contact.pause_after(reason).await,
+            Err(reason) => {
+                // A watch that was cut may have missed changes that the store's version already covers.
+                version = None;
+                contact.pause_after(reason).await;
+            }
         }
     }
 }
--- a/crates/bramleywind_gateway/src/background/follow_endpoints.rs
+++ b/crates/bramleywind_gateway/src/background/follow_endpoints.rs
@@ -19,6 +19,9 @@
 /// How long one watch waits; see the configuration's.
 const WATCH_TIME: Duration = Duration::from_secs(5);
 
+/// The shortest time that a watch waits.
+const SHORTEST_WATCH: Duration = Duration::from_millis(50);
+
 /// The pause between two watches, which collects changes that come together, such as the start of all endpoints. Far below
 /// the seconds within which a leaving endpoint must be known.
 const COLLECT_TIME: Duration = Duration::from_millis(250);
@@ -44,6 +47,8 @@
             Err(reason) => {
                 // What vanishes with the first answer after this may only have lapsed.
                 doubt_until = Some(Instant::now() + Duration::from_secs(3600));
+                // A watch that was cut may have missed changes that the store's version already covers.
+                version = None;
                 contact.pause_after(reason).await;
             }
         }
@@ -59,9 +64,11 @@
     doubt_until: Option<Instant>,
     unreadable: &mut HashSet<Option<EndpointId>>,
 ) -> Result<Option<StoreVersion>, UnavailableReason> {
-    // While entries are doubted, the watch must not outlast the doubt.
-    let is_doubting = doubt_until.is_some_and(|until| Instant::now() < until);
-    let wait = if is_doubting { RETURN_TIME / 4 } else { WATCH_TIME };
+    // A watch must not outlast the time at which a doubted endpoint has to be dropped.
+    let doubt_end = gateway.endpoints().borrow().next_doubt_end();
+    let wait = doubt_end.map_or(WATCH_TIME, |end| {
+        end.saturating_duration_since(Instant::now()).clamp(SHORTEST_WATCH, WATCH_TIME)
+    });
     let Some(after) = version else {
         let page = gateway.store().list_endpoints().await?;
         let limit = capped(doubt_until);
--- a/crates/bramleywind_gateway/src/daemon.rs
+++ b/crates/bramleywind_gateway/src/daemon.rs
@@ -22,7 +22,7 @@
     config::CallerLimits,
     forward::{AnswerBody, answer_request},
     link::{Platform, WireDialect},
-    loans::answer_loan,
+    loans::answer_peer,
     new_logger,
     settings::GatewaySettings,
     state_dump::dump_state,
@@ -43,6 +43,9 @@
 /// How long returning grants may take when the process ends.
 const RETURN_TIME: Duration = Duration::from_millis(400);
 
+/// How long handing grants over may take when the store is out of reach.
+const HAND_OVER_TIME: Duration = Duration::from_millis(250);
+
 /// How often idle connections that have grown too old are closed.
 const POOL_REVIEW_TIME: Duration = Duration::from_secs(1);
 
@@ -125,7 +128,7 @@
     let state = Rc::clone(&gateway);
     let _peers = peers.serve(limits, move |request| {
         let gateway = Rc::clone(&state);
-        async move { Ok::<_, Infallible>(answer_loan(&gateway, request).await) }
+        async move { Ok::<_, Infallible>(answer_peer(&gateway, request).await) }
     });
     let state = Rc::clone(&gateway);
     let _metrics = metrics.serve(limits, move |request| {
@@ -156,7 +159,13 @@
     membership.detach();
     gateway.funds().stop();
     if timeout(RETURN_TIME, funds).await.is_err() {
-        info!(gateway.log(), "not all grants could be returned; they stay counted as spent");
+        info!(gateway.log(), "not all grants could be returned to the store");
+    }
+    let takers =
+        gateway.members().borrow().others().iter().map(|other| other.peer_address).collect();
+    let hand_over = gateway.funds().hand_over(&gateway.settings().instance, takers, gateway.log());
+    if timeout(HAND_OVER_TIME, hand_over).await.is_err() {
+        info!(gateway.log(), "no gateway took the grants; they stay counted as spent");
     }
     Ok(())
 }
@@ -167,6 +176,7 @@
     let started = Instant::now();
     let end_at = started + times.end_after;
     gateway.set_stop_phase(StopPhase::Leaving);
+    gateway.funds().leave();
     info!(gateway.log(), "stopping: callers are sent elsewhere"; "open_requests" => gateway.open_requests());
     sleep(times.refuse_after).await;
     gateway.set_stop_phase(StopPhase::Refusing);
--- a/crates/bramleywind_gateway/src/endpoints/endpoint_book.rs
+++ b/crates/bramleywind_gateway/src/endpoints/endpoint_book.rs
@@ -83,6 +83,11 @@
         expired
     }
 
+    /// When the next doubted endpoint has to be dropped.
+    pub fn next_doubt_end(&self) -> Option<Instant> {
+        self.doubted.values().min().copied()
+    }
+
     /// The names of endpoints that `listed` lacks.
     pub fn missing_from(&self, listed: &HashSet<EndpointId>) -> Vec<EndpointId> {
         self.endpoints.keys().filter(|id| !listed.contains(*id)).cloned().collect()
--- a/crates/bramleywind_gateway/src/funds.rs
+++ b/crates/bramleywind_gateway/src/funds.rs
@@ -9,8 +9,10 @@
 mod funds_desk;
 mod grant_book;
 mod grant_sizing;
+mod holder_grant;
 mod pending_reservation;
 mod reservation;
+mod takeover;
 mod use_rate;
 
 pub use budget_account::BudgetAccount;
@@ -19,5 +21,7 @@
 pub use funds_desk::{FundsDesk, ReserveOutcome};
 pub use grant_book::GrantBook;
 pub use grant_sizing::{GrantInput, GrantSizing};
+pub use holder_grant::HolderGrant;
 pub use reservation::Reservation;
+pub use takeover::{TakeoverOutcome, take_over};
 pub use use_rate::UseRate;
--- a/crates/bramleywind_gateway/src/funds/budget_account.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_account.rs
@@ -4,15 +4,15 @@
 use bramleywind_types::{IncarnationId, TokenCount};
 use futures_channel::oneshot;
 
-use super::{BudgetRecord, GrantInput, GrantSizing, ReserveOutcome, UseRate};
+use super::{BudgetRecord, GrantInput, GrantSizing, HolderGrant, ReserveOutcome, UseRate};
 
 /// What this process knows of one budget, and what it has spent of it.
 #[derive(Debug)]
 pub struct BudgetAccount {
     /// All tokens that the workspace may use, by the newest configuration.
     pub(super) prepaid: TokenCount,
-    /// Granted tokens that may be used. While a write is in doubt, the smaller of both possible values.
-    granted: TokenCount,
+    /// The own grant. While a write is in doubt, the smaller of both possible values.
+    granted: HolderGrant,
     /// Tokens of other processes' grants that this one may use.
     borrowed: TokenCount,
     /// Tokens of the own grant that others may use.
@@ -41,7 +41,7 @@
     pub(super) fn new(prepaid: TokenCount, now: Instant) -> Self {
         Self {
             prepaid,
-            granted: TokenCount(0),
+            granted: HolderGrant::default(),
             borrowed: TokenCount(0),
             lent: TokenCount(0),
             spent: TokenCount(0),
@@ -55,10 +55,20 @@
         }
     }
 
-    /// Tokens that may be reserved now.
-    pub fn available(&self) -> TokenCount {
-        let usable = self.granted.saturating_add(self.borrowed);
-        usable.saturating_sub(self.lent).saturating_sub(self.used())
+    /// Tokens that may be reserved now. Standby tokens only if `is_lapsed`: the process's presence has lapsed.
+    pub fn available(&self, is_lapsed: bool) -> TokenCount {
+        let granted = if is_lapsed { self.granted.total() } else { self.granted.working };
+        granted.saturating_add(self.borrowed).saturating_sub(self.bound())
+    }
+
+    /// Tokens that were spent, reserved or lent beyond the working ones.
+    pub(super) fn overdrawn(&self) -> TokenCount {
+        self.bound().saturating_sub(self.granted.working.saturating_add(self.borrowed))
+    }
+
+    /// Tokens that are spent, reserved or lent.
+    fn bound(&self) -> TokenCount {
+        self.spent.saturating_add(self.reserved).saturating_add(self.lent)
     }
 
     /// Tokens that no process holds, by the last known record.
@@ -67,7 +77,7 @@
     }
 
     /// Granted tokens, spent ones included.
-    pub fn granted(&self) -> TokenCount {
+    pub fn granted(&self) -> HolderGrant {
         self.granted
     }
 
@@ -87,8 +97,8 @@
     }
 
     /// Reserves tokens, if enough are available.
-    pub(super) fn try_reserve(&mut self, need: TokenCount) -> bool {
-        if self.available() < need {
+    pub(super) fn try_reserve(&mut self, need: TokenCount, is_lapsed: bool) -> bool {
+        if self.available(is_lapsed) < need {
             return false;
         }
         self.reserved = self.reserved.saturating_add(need);
@@ -107,37 +117,47 @@
     }
 
     /// The grant to ask for, if it should change.
-    pub(super) fn wanted_grant(&self, members: usize, now: Instant) -> Option<TokenCount> {
+    pub(super) fn wanted_grant(
+        &self,
+        members: usize,
+        is_joining: bool,
+        is_leaving: bool,
+        now: Instant,
+    ) -> Option<HolderGrant> {
         let input = GrantInput {
             prepaid: self.prepaid,
             pool: self.pool(),
-            available: self.available(),
+            available: self.available(false),
+            standby: self.granted.standby,
+            overdrawn: self.overdrawn(),
             waiting: self.waiting_tokens(),
             rate: self.rate.at(now),
             members,
+            is_joining,
+            is_leaving,
         };
         match GrantSizing::decide(&input) {
             GrantSizing::Keep => None,
-            GrantSizing::Hold(unspent) => Some(self.grant_for(unspent)),
+            GrantSizing::Hold(unspent) => {
+                let bound = self.bound().saturating_add(unspent.working);
+                let working = bound.saturating_sub(self.borrowed);
+                let wanted = HolderGrant { working, standby: unspent.standby };
+                (wanted != self.granted).then_some(wanted)
+            }
         }
     }
 
-    /// The grant to ask for when the process stops: what is used and no more.
-    pub(super) fn final_grant(&self) -> Option<TokenCount> {
-        let granted = self.grant_for(TokenCount(0));
-        (granted < self.granted).then_some(granted)
-    }
-
-    /// The own grant that leaves `unspent` tokens available.
-    fn grant_for(&self, unspent: TokenCount) -> TokenCount {
-        let bound = self.used().saturating_add(self.lent).saturating_add(unspent);
-        bound.saturating_sub(self.borrowed)
+    /// Gives all away that is available, when the process stops.
+    pub(super) fn give_away(&mut self, is_lapsed: bool) -> TokenCount {
+        let tokens = self.available(is_lapsed);
+        self.lent = self.lent.saturating_add(tokens);
+        tokens
     }
 
     /// Gives up to `wanted` tokens away: at most three quarters of what is available, so that the next own
     /// requests are served too.
-    pub(super) fn lend(&mut self, wanted: TokenCount) -> TokenCount {
-        let spare = if self.waiting.is_empty() { self.available().0 / 4 * 3 } else { 0 };
+    pub(super) fn lend(&mut self, wanted: TokenCount, is_lapsed: bool) -> TokenCount {
+        let spare = if self.waiting.is_empty() { self.available(is_lapsed).0 / 4 * 3 } else { 0 };
         let tokens = TokenCount(wanted.0.min(spare));
         self.lent = self.lent.saturating_add(tokens);
         tokens
@@ -148,19 +168,15 @@
         self.borrowed = self.borrowed.saturating_add(tokens);
     }
 
-    fn used(&self) -> TokenCount {
-        self.spent.saturating_add(self.reserved)
-    }
-
     /// The record to write for a new grant. From now on no more than the smaller grant is used.
     pub(super) fn begin_change(
         &mut self,
         holder: IncarnationId,
-        granted: TokenCount,
+        granted: HolderGrant,
     ) -> BudgetRecord {
         let mut record = self.record.clone();
         record.set_grant(holder, granted);
-        self.granted = self.granted.min(granted);
+        self.granted = self.granted.least(granted);
         record
     }
 
--- a/crates/bramleywind_gateway/src/funds/budget_record.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_record.rs
@@ -3,41 +3,43 @@
 use bramleywind_macros::domain_type;
 use bramleywind_types::{IncarnationId, TokenCount};
 
-/// The durable record of one workspace's budget: the net tokens that each process was granted.
+use super::HolderGrant;
+
+/// The durable record of one workspace's budget: what each process was granted.
 ///
 /// ```
-/// use bramleywind_gateway::funds::BudgetRecord;
+/// use bramleywind_gateway::funds::{BudgetRecord, HolderGrant};
 /// use bramleywind_types::{IncarnationId, TokenCount};
 ///
 /// let mut record = BudgetRecord::default();
-/// record.set_grant(IncarnationId::from_number(1), TokenCount(40));
-/// record.set_grant(IncarnationId::from_number(2), TokenCount(20));
+/// let grant = HolderGrant { working: TokenCount(20), standby: TokenCount(40) };
+/// record.set_grant(IncarnationId::from_number(1), grant);
 /// assert_eq!(record.pool(TokenCount(100)), TokenCount(40));
 /// ```
 #[domain_type]
 #[derive(Default)]
 pub struct BudgetRecord {
-    grants: BTreeMap<IncarnationId, TokenCount>,
+    grants: BTreeMap<IncarnationId, HolderGrant>,
 }
 
 impl BudgetRecord {
-    /// The tokens that a process was granted, less those that it gave back.
-    pub fn grant(&self, holder: IncarnationId) -> TokenCount {
+    /// What a process was granted, less what it gave back.
+    pub fn grant(&self, holder: IncarnationId) -> HolderGrant {
         self.grants.get(&holder).copied().unwrap_or_default()
     }
 
-    /// Replaces a process's grant. Only that process may call this.
-    pub fn set_grant(&mut self, holder: IncarnationId, granted: TokenCount) {
-        if granted == TokenCount::default() {
+    /// Replaces a process's grant. Only that process may call this, or its successor on the same instance.
+    pub fn set_grant(&mut self, holder: IncarnationId, grant: HolderGrant) {
+        if grant == HolderGrant::default() {
             self.grants.remove(&holder);
         } else {
-            self.grants.insert(holder, granted);
+            self.grants.insert(holder, grant);
         }
     }
 
     /// What is left of a prepaid total. Zero if the total was lowered below what is granted.
     pub fn pool(&self, prepaid: TokenCount) -> TokenCount {
-        prepaid.saturating_sub(self.grants.values().copied().sum())
+        prepaid.saturating_sub(self.grants.values().map(|grant| grant.total()).sum())
     }
 
     /// How many processes hold or held a grant.
--- a/crates/bramleywind_gateway/src/funds/funds_desk.rs
+++ b/crates/bramleywind_gateway/src/funds/funds_desk.rs
@@ -11,10 +11,12 @@
 use rand::seq::SliceRandom;
 use slog::{Logger, debug, info, warn};
 
-use super::{CommitPlan, GrantBook, Reservation, pending_reservation::PendingReservation};
+use super::{
+    CommitPlan, GrantBook, HolderGrant, Reservation, pending_reservation::PendingReservation,
+};
 use crate::{
     link::{CommitOutcome, FleetStore},
-    loans::{LoanClient, LoanRequest},
+    loans::{GiftError, LoanClient, LoanRequest, TokenGift},
 };
 
 /// How often surpluses are looked at while no request needs tokens.
@@ -51,6 +53,7 @@
     wake: Sender<()>,
     woken: Receiver<()>,
     is_reached: Cell<bool>,
+    is_stopping: Cell<bool>,
 }
 
 impl FundsDesk {
@@ -58,7 +61,7 @@
     pub fn new(holder: IncarnationId) -> Self {
         let (wake, woken) = async_channel::bounded(1);
         let book = Rc::new(RefCell::new(GrantBook::new(holder)));
-        Self { book, wake, woken, is_reached: Cell::new(true) }
+        Self { book, wake, woken, is_reached: Cell::new(true), is_stopping: Cell::new(false) }
     }
 
     /// The book, for its figures.
@@ -105,10 +108,14 @@
                     break;
                 }
             }
-            if is_idle && self.book.borrow().is_stopping() {
+            if is_idle && self.is_stopping.get() {
                 return;
             }
             if Instant::now() >= refresh_at {
+                for (workspace, account) in self.book.borrow().accounts() {
+                    debug!(log, "budget"; "workspace" => %workspace, "available" => account.available(false).0,
+                        "pool" => account.pool().0, "prepaid" => account.prepaid.0, "standby" => account.granted().standby.0);
+                }
                 self.refresh(store).await;
                 refresh_at = Instant::now() + REFRESH_TIME;
             }
@@ -150,9 +157,34 @@
         }
     }
 
-    /// From now on returns what is not used. [`Self::run`] then ends.
+    /// Gives what could not be returned to the store to another gateway. What no one takes stays counted as spent.
+    pub async fn hand_over(&self, donor: &InstanceId, takers: Vec<SocketAddr>, log: &Logger) {
+        let gifts = self.book.borrow_mut().give_away(Instant::now());
+        if gifts.is_empty() {
+            return;
+        }
+        let tokens: TokenCount = gifts.iter().map(|(_, tokens)| *tokens).sum();
+        let gift = TokenGift { donor: donor.clone(), gifts };
+        for taker in takers {
+            // A gift whose answer was lost may have been taken, so it is not offered again.
+            let outcome = LoanClient.give(taker, &gift).await;
+            info!(log, "grants handed over"; "taker" => %taker, "tokens" => tokens.0, "outcome" => ?outcome);
+            if outcome != Err(GiftError::NotSent) {
+                return;
+            }
+        }
+    }
+
+    /// From now on returns what requests do not need.
+    pub fn leave(&self) {
+        self.book.borrow_mut().leave();
+        // A full channel means that the desk is already woken.
+        let _ = self.wake.try_send(());
+    }
+
+    /// Ends [`Self::run`] once all is returned. No more requests may come.
     pub fn stop(&self) {
-        self.book.borrow_mut().stop();
+        self.is_stopping.set(true);
         // A full channel means that the desk is already woken.
         let _ = self.wake.try_send(());
     }
@@ -179,7 +211,7 @@
                 }
             },
             CommitPlan::Write(changes) => {
-                let outcome = store.commit_budgets(&changes).await;
+                let outcome = store.commit_budgets(&changes, None).await;
                 debug!(log, "grants changed"; "budgets" => changes.len(), "outcome" => outcome_name(&outcome));
                 let is_reached =
                     !matches!(outcome, CommitOutcome::NotApplied | CommitOutcome::Unknown);
@@ -199,7 +231,7 @@
     async fn refresh(&self, store: &impl FleetStore) {
         let holds_any = {
             let book = self.book.borrow();
-            book.accounts().any(|(_, account)| account.available() > TokenCount(0))
+            book.accounts().any(|(_, account)| account.granted() != HolderGrant::default())
         };
         if !holds_any {
             return;
--- a/crates/bramleywind_gateway/src/funds/grant_book.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_book.rs
@@ -13,7 +13,7 @@
 use crate::link::{BudgetChange, BudgetEntry, CommitOutcome};
 
 /// How old a record may be when a request is refused for want of funds.
-const REFUSAL_RECORD_AGE: Duration = Duration::from_millis(100);
+const REFUSAL_RECORD_AGE: Duration = Duration::from_millis(500);
 
 /// How long a request waits for funds while the store does not answer. Many times what a store that is well needs.
 const WAIT_TIME: Duration = Duration::from_millis(400);
@@ -30,13 +30,22 @@
     holder: IncarnationId,
     accounts: BTreeMap<WorkspaceId, BudgetAccount>,
     members: usize,
-    is_stopping: bool,
+    is_leaving: bool,
+    /// When the process's presence lapses, by the last entry in the member list that may have been written. Never while
+    /// nothing was written: then nobody can take the process for present either.
+    presence_until: Option<Instant>,
 }
 
 impl GrantBook {
     /// A book of the process run `holder`, which has no grants yet.
     pub fn new(holder: IncarnationId) -> Self {
-        Self { holder, accounts: BTreeMap::new(), members: 1, is_stopping: false }
+        Self {
+            holder,
+            accounts: BTreeMap::new(),
+            members: 1,
+            is_leaving: false,
+            presence_until: None,
+        }
     }
 
     /// The account of a workspace, if it was used.
@@ -63,22 +72,43 @@
         }
     }
 
-    /// From now on only returns tokens.
-    pub fn stop(&mut self) {
-        self.is_stopping = true;
+    /// Whether the process's entry in the member list has certainly ended, so that standby tokens may be spent.
+    pub fn is_lapsed(&self, now: Instant) -> bool {
+        self.presence_until.is_none_or(|until| now >= until)
+    }
+
+    /// Whether the process may enter itself into the member list: no standby token is spent.
+    pub fn may_be_present(&self) -> bool {
+        self.accounts.values().all(|account| account.overdrawn() == TokenCount(0))
+    }
+
+    /// Notes, before an entry in the member list is written, that it may last until `until`.
+    pub fn set_presence(&mut self, until: Instant) {
+        self.presence_until = self.presence_until.max(Some(until));
+    }
+
+    /// From now on holds nothing beyond what requests need.
+    pub fn leave(&mut self) {
+        self.is_leaving = true;
     }
 
-    /// Whether only returns are made.
-    pub fn is_stopping(&self) -> bool {
-        self.is_stopping
+    /// Gives all available tokens away, for another process to take.
+    pub fn give_away(&mut self, now: Instant) -> Vec<(WorkspaceId, TokenCount)> {
+        let is_lapsed = self.is_lapsed(now);
+        let gifts = self
+            .accounts
+            .iter_mut()
+            .map(|(workspace, account)| (workspace.clone(), account.give_away(is_lapsed)));
+        gifts.filter(|(_, tokens)| *tokens > TokenCount(0)).collect()
     }
 
     /// Reserves tokens at once, if they are available.
     pub fn try_reserve(&mut self, workspace: &WorkspaceId, need: TokenCount, now: Instant) -> bool {
+        let is_lapsed = self.is_lapsed(now);
         let Some(account) = self.accounts.get_mut(workspace) else { return false };
         account.rate.add(need.0, now);
         // Who came first is served first.
-        account.waiting.is_empty() && account.try_reserve(need)
+        account.waiting.is_empty() && account.try_reserve(need, is_lapsed)
     }
 
     /// Queues a request that needs more than is available.
@@ -105,22 +135,26 @@
     pub fn plan(&mut self, most: usize, now: Instant) -> CommitPlan {
         let needs_read = |account: &BudgetAccount| {
             let is_old = account.read_at().is_none_or(|at| now >= at + REFUSAL_RECORD_AGE);
-            let reachable = account.available().saturating_add(account.pool());
+            let reachable = account.available(false).saturating_add(account.pool());
             is_old && account.waiting.iter().any(|entry| entry.need > reachable)
         };
         if self.accounts.values().any(needs_read) {
             return CommitPlan::Read;
         }
+        let (members, is_leaving) = (self.members, self.is_leaving);
+        let wanted_grant = |account: &BudgetAccount, is_joining| {
+            account.wanted_grant(members, is_joining, is_leaving, now)
+        };
+        let is_due = self.accounts.values().any(|account| wanted_grant(account, false).is_some());
+        if !is_due {
+            return CommitPlan::Idle;
+        }
         let mut changes = Vec::new();
         for (workspace, account) in &mut self.accounts {
             if changes.len() == most {
                 break;
             }
-            let wanted = if self.is_stopping && account.waiting.is_empty() {
-                account.final_grant()
-            } else {
-                account.wanted_grant(self.members, now)
-            };
+            let wanted = wanted_grant(account, true);
             if let Some(granted) = wanted {
                 let expected = account.version();
                 let record = account.begin_change(self.holder, granted);
@@ -192,26 +226,37 @@
     }
 
     /// Gives tokens of a workspace to another process. Returns how many.
-    pub fn lend(&mut self, workspace: &WorkspaceId, wanted: TokenCount) -> TokenCount {
-        self.accounts.get_mut(workspace).map_or(TokenCount(0), |account| account.lend(wanted))
+    pub fn lend(
+        &mut self,
+        workspace: &WorkspaceId,
+        wanted: TokenCount,
+        now: Instant,
+    ) -> TokenCount {
+        let is_lapsed = self.is_lapsed(now);
+        let account = self.accounts.get_mut(workspace);
+        account.map_or(TokenCount(0), |account| account.lend(wanted, is_lapsed))
     }
 
-    /// Takes tokens that another process gave.
-    pub fn take_loan(&mut self, workspace: &WorkspaceId, tokens: TokenCount) {
-        if let Some(account) = self.accounts.get_mut(workspace) {
+    /// Takes tokens that another process gave. False if the workspace is not known here: nothing is taken.
+    pub fn take_loan(&mut self, workspace: &WorkspaceId, tokens: TokenCount) -> bool {
+        let account = self.accounts.get_mut(workspace);
+        if let Some(account) = account {
             account.take_loan(tokens);
+            return true;
         }
+        false
     }
 
     /// The tokens to borrow for requests that have waited for the store in vain.
     pub fn wanted_loans(&self, now: Instant) -> Vec<(WorkspaceId, TokenCount)> {
+        let is_lapsed = self.is_lapsed(now);
         let has_waited = |entry: &WaitingReservation| now >= entry.since + LOAN_PATIENCE;
         let short =
             self.accounts.iter().filter(|(_, account)| account.waiting.iter().any(has_waited));
         short
             .map(|(workspace, account)| {
                 let ahead = (account.rate.at(now) * LOAN_COVER_SECONDS) as u64;
-                let need = account.waiting_tokens().saturating_sub(account.available());
+                let need = account.waiting_tokens().saturating_sub(account.available(is_lapsed));
                 (workspace.clone(), need.saturating_add(TokenCount(ahead)))
             })
             .collect()
@@ -220,10 +265,11 @@
     /// Answers the requests that wait: those that fit are served in order, those that can't fit are refused, and
     /// those that waited too long for the store are told so. Returns how many were answered.
     pub fn answer_waiting(&mut self, now: Instant) -> usize {
+        let is_lapsed = self.is_lapsed(now);
         let mut answered = 0;
         for account in self.accounts.values_mut() {
             for entry in std::mem::take(&mut account.waiting) {
-                let outcome = decide_waiting(account, &entry, now);
+                let outcome = decide_waiting(account, &entry, is_lapsed, now);
                 let Some(outcome) = outcome else {
                     account.waiting.push_back(entry);
                     continue;
@@ -252,16 +298,17 @@
 fn decide_waiting(
     account: &mut BudgetAccount,
     entry: &WaitingReservation,
+    is_lapsed: bool,
     now: Instant,
 ) -> Option<ReserveOutcome> {
     if entry.reply.is_canceled() {
         return Some(ReserveOutcome::Unavailable);
     }
-    if account.try_reserve(entry.need) {
+    if account.try_reserve(entry.need, is_lapsed) {
         return Some(ReserveOutcome::Reserved);
     }
-    let reachable = account.available().saturating_add(account.pool());
-    let is_fresh = account.read_at().is_some_and(|at| at >= entry.since);
+    let reachable = account.available(is_lapsed).saturating_add(account.pool());
+    let is_fresh = account.read_at().is_some_and(|at| now < at + REFUSAL_RECORD_AGE);
     if entry.need > reachable && is_fresh {
         return Some(ReserveOutcome::Exhausted);
     }
--- a/crates/bramleywind_gateway/src/funds/grant_sizing.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_sizing.rs
@@ -1,25 +1,42 @@
 use bramleywind_types::TokenCount;
 
-/// The part of what is left of a budget that all processes together may hold unspent. The loss of all processes
-/// strands no more than this part.
-const GRANT_POOL_SHARE: f64 = 0.5;
+use super::HolderGrant;
 
-/// Seconds of a process's own use that a grant covers: the store may be out of reach for eight to nine seconds.
-const GRANT_COVER_SECONDS: f64 = 10.0;
+/// Seconds of a process's own use that its working tokens cover: longer than its entry in the member list lives after the
+/// store is out of reach, since standby tokens can be spent from then on.
+const WORKING_SECONDS: f64 = 3.5;
 
-/// The part of what is left that all processes together hold at least, whether they used it lately or not. In an outage,
-/// those that need more borrow it from those that need less.
-const IDLE_SHARE: f64 = 0.35;
+/// The part of what is left that the working tokens of all processes hold at most. The loss of all processes strands no
+/// more than this part.
+const WORKING_SHARE: f64 = 0.2;
 
-/// Part of the wanted surplus below which more is asked for.
+/// The part of what is left that the working tokens of all processes hold at least, whether it was used lately or not.
+const IDLE_SHARE: f64 = 0.03;
+
+/// The part of what is left that the standby tokens of all processes hold, for outages of the store.
+const STANDBY_SHARE: f64 = 0.5;
+
+/// Part of the wanted working tokens below which more are asked for.
 const REFILL_PART: f64 = 0.5;
 
-/// Part of the prepaid total below which what is left is drawn request by request.
-const TAIL_PART: f64 = 0.03;
+/// Part of the wanted working tokens below which more are asked for if a write is made for another budget anyway.
+const JOIN_PART: f64 = 0.8;
+
+/// The part of what is left that all processes together may hold when little is left.
+const TAIL_SHARE: f64 = 0.1;
 
-/// A surplus is given back if it is this many times what is wanted.
+/// Seconds of a process's own use that a grant covers when little is left.
+const TAIL_SECONDS: f64 = 1.0;
+
+/// Part of the prepaid total below which little is left: what is parked with one process is missed by another.
+const TAIL_PART: f64 = 0.05;
+
+/// Tokens are given back if there are this many times what is wanted.
 const RETURN_FACTOR: f64 = 2.0;
 
+/// Standby tokens are given back if there are this many times what is wanted. They shrink with what is left.
+const STANDBY_RETURN_FACTOR: f64 = 1.3;
+
 /// Part of the prepaid total that is not worth a write of its own.
 const SMALL_PART: f64 = 0.002;
 
@@ -30,14 +47,22 @@
     pub prepaid: TokenCount,
     /// Tokens that no process holds.
     pub pool: TokenCount,
-    /// Granted tokens of this process that are neither spent nor reserved.
+    /// Working tokens that are neither spent nor reserved.
     pub available: TokenCount,
+    /// Standby tokens.
+    pub standby: TokenCount,
+    /// Tokens that were spent beyond the working ones, out of standby.
+    pub overdrawn: TokenCount,
     /// Tokens that waiting requests of this process need.
     pub waiting: TokenCount,
     /// The process's own use, in tokens a second.
     pub rate: f64,
     /// Processes that may hold grants.
     pub members: usize,
+    /// Whether a write is made for another budget anyway.
+    pub is_joining: bool,
+    /// Whether the process is leaving: it holds nothing beyond what waits.
+    pub is_leaving: bool,
 }
 
 /// How many unspent tokens to hold.
@@ -45,41 +70,57 @@
 pub enum GrantSizing {
     /// As many as now.
     Keep,
-    /// This many; more or fewer than now.
-    Hold(TokenCount),
+    /// This many unspent ones of each kind; more or fewer than now.
+    Hold(HolderGrant),
 }
 
 impl GrantSizing {
     /// Decides from what is left of the budget and how it is used.
     pub fn decide(input: &GrantInput) -> Self {
-        let surplus = wanted_surplus(input);
-        let available = input.available.0;
-        let reachable = available + input.pool.0;
-        let waiting = input.waiting.0.min(reachable);
-        if input.waiting.0 > available || (available as f64) < surplus as f64 * REFILL_PART {
-            let target = (waiting + surplus).min(reachable);
-            // The waiting requests are served even if nothing is left for a surplus.
-            return if target > available { Self::Hold(TokenCount(target)) } else { Self::Keep };
-        }
-        let kept = waiting + surplus;
-        let excess = available.saturating_sub(kept);
-        let is_worth = excess as f64 > input.prepaid.0 as f64 * SMALL_PART || is_tail(input);
-        if available as f64 > kept as f64 * RETURN_FACTOR && excess > 0 && is_worth {
-            return Self::Hold(TokenCount(kept));
-        }
-        Self::Keep
+        // All that this process can have: what it holds unspent, and what nobody holds.
+        let own = (input.available.0 + input.standby.0).saturating_sub(input.overdrawn.0);
+        let reachable = own + input.pool.0;
+        let members = input.members.max(1) as f64;
+        // The others hold about as much in standby as this process.
+        let left = reachable as f64 + input.standby.0 as f64 * (members - 1.0);
+        let surplus = wanted_working(input, left / members);
+        let standby = wanted_standby(input, left / members);
+        let working = (input.waiting.0.saturating_add(surplus)).min(reachable);
+        let held = HolderGrant {
+            working: TokenCount(working),
+            standby: TokenCount(standby.min(reachable - working)),
+        };
+        let (available, parked) = (input.available.0 as f64, input.standby.0 as f64);
+        let refill_part = if input.is_joining { JOIN_PART } else { REFILL_PART };
+        let is_short = input.overdrawn.0 > 0
+            || input.waiting.0 > input.available.0 && working > input.available.0
+            || available < surplus as f64 * refill_part && working > input.available.0
+            || parked < standby as f64 * refill_part && held.standby > input.standby;
+        let least_excess = match input.is_leaving {
+            true => 0.0,
+            false => input.prepaid.0 as f64 * SMALL_PART,
+        };
+        let is_ample = available > working as f64 * RETURN_FACTOR
+            && available - working as f64 > least_excess
+            || parked > standby as f64 * STANDBY_RETURN_FACTOR
+                && parked - standby as f64 > least_excess;
+        if is_short || is_ample { Self::Hold(held) } else { Self::Keep }
     }
 }
 
-/// The unspent tokens that a process should hold besides what waits.
-fn wanted_surplus(input: &GrantInput) -> u64 {
-    if is_tail(input) {
+/// The working tokens that a process should hold unspent besides what waits. `part` is its part of what is left.
+fn wanted_working(input: &GrantInput, part: f64) -> u64 {
+    if input.is_leaving {
         return 0;
     }
-    let left = (input.pool.0 + input.available.0) as f64;
-    let share = left * GRANT_POOL_SHARE / input.members.max(1) as f64;
-    let idle = left * IDLE_SHARE / input.members.max(1) as f64;
-    (input.rate * GRANT_COVER_SECONDS).max(idle).min(share) as u64
+    if is_tail(input) {
+        return (input.rate * TAIL_SECONDS).min(part * TAIL_SHARE) as u64;
+    }
+    (input.rate * WORKING_SECONDS).max(part * IDLE_SHARE).min(part * WORKING_SHARE) as u64
+}
+
+fn wanted_standby(input: &GrantInput, part: f64) -> u64 {
+    if input.is_leaving || is_tail(input) { 0 } else { (part * STANDBY_SHARE) as u64 }
 }
 
 fn is_tail(input: &GrantInput) -> bool {
--- /dev/null
+++ b/crates/bramleywind_gateway/src/funds/holder_grant.rs
@@ -0,0 +1,25 @@
+use bramleywind_macros::domain_type;
+use bramleywind_types::TokenCount;
+
+/// The tokens of one budget that a process holds, spent ones included. All of them count as spent for everyone else.
+#[domain_type]
+#[derive(Copy, Default)]
+pub struct HolderGrant {
+    /// Tokens that the process may spend at any time.
+    pub working: TokenCount,
+    /// Tokens that it may spend only once its presence has lapsed: after it was out of reach of the store for longer
+    /// than its entry in the member list lives. While that entry is there, none of them has been spent.
+    pub standby: TokenCount,
+}
+
+impl HolderGrant {
+    /// Both parts.
+    pub fn total(self) -> TokenCount {
+        self.working.saturating_add(self.standby)
+    }
+
+    /// The smaller of each part: what may be used while it is unknown which of two grants is in force.
+    pub fn least(self, other: Self) -> Self {
+        Self { working: self.working.min(other.working), standby: self.standby.min(other.standby) }
+    }
+}
--- a/crates/bramleywind_gateway/src/link/fleet_store.rs
+++ b/crates/bramleywind_gateway/src/link/fleet_store.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use bramleywind_store::{StoreVersion, UnavailableReason};
+use bramleywind_types::InstanceId;
 
 use super::{
     BudgetChange, BudgetEntry, CommitOutcome, EntryChange, LeaseId, ListPage, LoadedConfig,
@@ -43,9 +44,6 @@
     /// Takes a lease that ends by itself after `time_to_live`, unless it is renewed.
     async fn take_lease(&self, time_to_live: Duration) -> Result<LeaseId, UnavailableReason>;
 
-    /// Renews a lease. False if it has ended.
-    async fn renew_lease(&self, lease: LeaseId) -> Result<bool, UnavailableReason>;
-
     /// Ends a lease, and with it what was written under it.
     async fn end_lease(&self, lease: LeaseId) -> Result<(), UnavailableReason>;
 
@@ -59,8 +57,19 @@
     /// Reads all budget records. With `is_fresh` they are as of now, else they may be some seconds old.
     async fn read_budgets(&self, is_fresh: bool) -> Result<Vec<BudgetEntry>, UnavailableReason>;
 
-    /// Writes budget records, all or none. At most [`Self::MOST_CHANGES`] at once.
-    async fn commit_budgets(&self, changes: &[BudgetChange]) -> CommitOutcome;
+    /// Reads one gateway's entry in the list as of now, with its version.
+    async fn read_member(
+        &self,
+        instance: &InstanceId,
+    ) -> Result<Option<(MemberRecord, StoreVersion)>, UnavailableReason>;
+
+    /// Writes budget records, all or none, and only if the entry of `present`, if given, still has its version. At
+    /// most [`Self::MOST_CHANGES`] at once.
+    async fn commit_budgets(
+        &self,
+        changes: &[BudgetChange],
+        present: Option<(&InstanceId, StoreVersion)>,
+    ) -> CommitOutcome;
 
     /// The most budget records that one write may change.
     const MOST_CHANGES: usize;
--- a/crates/bramleywind_gateway/src/loans.rs
+++ b/crates/bramleywind_gateway/src/loans.rs
@@ -7,6 +7,6 @@
 mod loan_messages;
 mod loan_port;
 
-pub use loan_client::LoanClient;
-pub use loan_messages::{LoanAnswer, LoanRequest};
-pub use loan_port::answer_loan;
+pub use loan_client::{GiftError, LoanClient};
+pub use loan_messages::{LoanAnswer, LoanRequest, TokenGift};
+pub use loan_port::answer_peer;
--- a/crates/bramleywind_gateway/src/loans/loan_client.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_client.rs
@@ -1,22 +1,35 @@
 use std::{net::SocketAddr, time::Duration};
 
-use bramleywind_http::HttpConnection;
+use bramleywind_http::{ConnectionError, HttpConnection};
 use bytes::Bytes;
 use compio::time::timeout;
-use http::{HeaderValue, Method, Request, StatusCode, header};
+use http::{HeaderValue, Method, Request, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full};
+use serde::Serialize;
 
-use super::{LoanAnswer, LoanRequest};
+use super::{
+    LoanAnswer, LoanRequest, TokenGift,
+    loan_port::{GIFT_PATH, LOAN_PATH},
+};
 
 /// How long a loan may take. Gateways of a region are milliseconds apart.
 const LOAN_TIME: Duration = Duration::from_millis(120);
 
-/// Asks other gateways for loans.
+/// Why a gift was not confirmed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GiftError {
+    /// It was not sent: another gateway may take it.
+    NotSent,
+    /// It may have been taken.
+    Unknown,
+}
+
+/// Asks other gateways for loans, and offers them gifts.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct LoanClient;
 
 impl LoanClient {
-    /// Asks one gateway.
+    /// Asks one gateway for a loan.
     ///
     /// # Errors
     ///
@@ -26,29 +39,59 @@
         lender: SocketAddr,
         request: &LoanRequest,
     ) -> Result<LoanAnswer, Box<str>> {
-        match timeout(LOAN_TIME, call(lender, request)).await {
-            Ok(answer) => answer,
-            Err(_) => Err("no answer in time".into()),
+        let body = match timeout(LOAN_TIME, call(lender, LOAN_PATH, request)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(error)) => return Err(error.reason),
+            Err(_) => return Err("no answer in time".into()),
+        };
+        bincode::serde::decode_from_slice(&body, bincode::config::standard())
+            .map(|(answer, _)| answer)
+            .map_err(|error| error.to_string().into())
+    }
+
+    /// Offers one gateway a gift.
+    ///
+    /// # Errors
+    ///
+    /// [`GiftError`] if it was not confirmed.
+    pub async fn give(&self, taker: SocketAddr, gift: &TokenGift) -> Result<(), GiftError> {
+        match timeout(LOAN_TIME, call(taker, GIFT_PATH, gift)).await {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(error)) if error.is_not_sent => Err(GiftError::NotSent),
+            Ok(Err(_)) | Err(_) => Err(GiftError::Unknown),
         }
     }
 }
 
-async fn call(lender: SocketAddr, request: &LoanRequest) -> Result<LoanAnswer, Box<str>> {
-    let text = |error: &dyn std::fmt::Display| Box::<str>::from(error.to_string());
-    let body = bincode::serde::encode_to_vec(request, bincode::config::standard())
-        .map_err(|error| text(&error))?;
+struct CallError {
+    is_not_sent: bool,
+    reason: Box<str>,
+}
+
+async fn call(
+    peer: SocketAddr,
+    path: &'static str,
+    body: &impl Serialize,
+) -> Result<Bytes, CallError> {
+    let failed = |is_not_sent: bool, reason: &dyn std::fmt::Display| CallError {
+        is_not_sent,
+        reason: reason.to_string().into(),
+    };
+    let body = bincode::serde::encode_to_vec(body, bincode::config::standard())
+        .map_err(|error| failed(true, &error))?;
     let mut connection =
-        HttpConnection::connect(lender, LOAN_TIME).await.map_err(|error| text(&error))?;
+        HttpConnection::connect(peer, LOAN_TIME).await.map_err(|error| failed(true, &error))?;
     let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.method_mut() = Method::POST;
-    *request.uri_mut() = http::Uri::from_static("/loan");
+    *request.uri_mut() = Uri::from_static(path);
     request.headers_mut().insert(header::HOST, HeaderValue::from_static("gateway"));
-    let response = connection.send(request).await.map_err(|error| text(&error))?;
+    let response = connection
+        .send(request)
+        .await
+        .map_err(|error| failed(!matches!(error, ConnectionError::Broken { .. }), &error))?;
     if response.status() != StatusCode::OK {
-        return Err(format!("answered with {}", response.status()).into());
+        return Err(failed(false, &response.status()));
     }
-    let body = response.into_body().collect().await.map_err(|error| text(&error))?.to_bytes();
-    bincode::serde::decode_from_slice(&body, bincode::config::standard())
-        .map(|(answer, _)| answer)
-        .map_err(|error| text(&error))
+    let body = response.into_body().collect().await.map_err(|error| failed(false, &error))?;
+    Ok(body.to_bytes())
 }
--- a/crates/bramleywind_gateway/src/loans/loan_messages.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_messages.rs
@@ -1,4 +1,4 @@
-//! The two messages of a loan. They belong together, so they stand in one file.
+//! The messages of loans and gifts. They belong together, so they stand in one file.
 
 use bramleywind_macros::domain_type;
 use bramleywind_types::{InstanceId, TokenCount, WorkspaceId};
@@ -21,3 +21,12 @@
     /// How many.
     pub tokens: TokenCount,
 }
+
+/// Tokens that a stopping gateway gives to another one. The answer has no content.
+#[domain_type]
+pub struct TokenGift {
+    /// Who gives.
+    pub donor: InstanceId,
+    /// How many tokens of which budgets.
+    pub gifts: Vec<(WorkspaceId, TokenCount)>,
+}
--- a/crates/bramleywind_gateway/src/loans/loan_port.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_port.rs
@@ -1,45 +1,68 @@
+use std::time::Instant;
+
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
 use slog::{info, warn};
 
-use super::{LoanAnswer, LoanRequest};
+use super::{LoanAnswer, LoanRequest, TokenGift};
 use crate::{forward::AnswerBody, gateway::Gateway, link::Platform};
 
-/// The largest request for a loan, in bytes: two names and a number.
-const MOST_REQUEST_BYTES: usize = 1_024;
+/// Where a gateway is asked for a loan.
+pub(super) const LOAN_PATH: &str = "/loan";
+
+/// Where a gateway is offered a gift.
+pub(super) const GIFT_PATH: &str = "/gift";
 
-/// Answers a request for a loan.
-pub async fn answer_loan<P: Platform>(
+/// The largest message, in bytes: a gift of 4,000 budgets.
+const MOST_MESSAGE_BYTES: usize = 256 * 1024;
+
+/// Answers another gateway.
+pub async fn answer_peer<P: Platform>(
     gateway: &Gateway<P>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let body = Limited::new(request.into_body(), MOST_REQUEST_BYTES).collect().await;
-    let decoded = body.map_err(|error| error.to_string()).and_then(|body| {
-        bincode::serde::decode_from_slice::<LoanRequest, _>(
-            &body.to_bytes(),
-            bincode::config::standard(),
-        )
-        .map_err(|error| error.to_string())
-    });
-    let loan = match decoded {
-        Ok((loan, _)) => loan,
-        Err(error) => {
-            warn!(gateway.log(), "request for a loan unreadable"; "error" => error);
-            return refused(StatusCode::BAD_REQUEST);
-        }
+    let answer = match request.uri().path() {
+        LOAN_PATH => decode(request).await.and_then(|loan| lend(gateway, &loan)),
+        GIFT_PATH => decode(request).await.map(|gift| take_gift(gateway, gift)),
+        _ => return refused(StatusCode::NOT_FOUND),
     };
-    let tokens = gateway.funds().book().borrow_mut().lend(&loan.workspace, loan.tokens);
+    answer.unwrap_or_else(|error| {
+        warn!(gateway.log(), "message of another gateway not handled"; "error" => error);
+        refused(StatusCode::BAD_REQUEST)
+    })
+}
+
+async fn decode<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, String> {
+    let body = Limited::new(request.into_body(), MOST_MESSAGE_BYTES).collect().await;
+    let body = body.map_err(|error| error.to_string())?.to_bytes();
+    bincode::serde::decode_from_slice(&body, bincode::config::standard())
+        .map(|(message, _)| message)
+        .map_err(|error| error.to_string())
+}
+
+fn lend<P: Platform>(
+    gateway: &Gateway<P>,
+    loan: &LoanRequest,
+) -> Result<Response<AnswerBody>, String> {
+    let tokens =
+        gateway.funds().book().borrow_mut().lend(&loan.workspace, loan.tokens, Instant::now());
     info!(gateway.log(), "loan asked for"; "borrower" => %loan.borrower, "workspace" => %loan.workspace,
         "wanted" => loan.tokens.0, "lent" => tokens.0);
-    match bincode::serde::encode_to_vec(LoanAnswer { tokens }, bincode::config::standard()) {
-        Ok(body) => Response::new(AnswerBody::from(Bytes::from(body))),
-        Err(error) => {
-            warn!(gateway.log(), "loan can't be encoded; its tokens stay unused"; "error" => %error);
-            refused(StatusCode::INTERNAL_SERVER_ERROR)
-        }
+    bincode::serde::encode_to_vec(LoanAnswer { tokens }, bincode::config::standard())
+        .map(|body| Response::new(AnswerBody::from(Bytes::from(body))))
+        .map_err(|error| error.to_string())
+}
+
+fn take_gift<P: Platform>(gateway: &Gateway<P>, gift: TokenGift) -> Response<AnswerBody> {
+    for (workspace, tokens) in gift.gifts {
+        let is_taken = gateway.funds().book().borrow_mut().take_loan(&workspace, tokens);
+        info!(gateway.log(), "gift"; "donor" => %gift.donor, "workspace" => %workspace,
+            "tokens" => tokens.0, "taken" => is_taken);
     }
+    Response::new(AnswerBody::from(Bytes::new()))
 }
 
 fn refused(status: StatusCode) -> Response<AnswerBody> {
--- a/crates/bramleywind_router/src/router.rs
+++ b/crates/bramleywind_router/src/router.rs
@@ -6,6 +6,7 @@
 };
 
 use bramleywind_claims::{ClaimHolder, ClaimKeeper};
+use bramleywind_http::{HeadLimits, HttpListener};
 use bramleywind_ledger::{FundsKeeper, GrantPolicy, KeeperClock, KeeperSettings};
 use bramleywind_orders::{DutySettings, DutyTiming, WeightSettings};
 use bramleywind_peer::{FleetSecret, MeshError, MeshSettings, MeshTiming, PeerMesh, SecretError};
@@ -25,6 +26,7 @@
         keep_funds, poll_instances, poll_loads, resolve_repeats, scan_members, send_orders,
         watch_config, watch_peers,
     },
+    late_head_answer::late_head_answer,
 };
 
 /// How long one call of the store may take. The store answers within milliseconds when it is well.
