--- a/crates/bramleywind_gateway/src/background/keep_membership.rs
+++ b/crates/bramleywind_gateway/src/background/keep_membership.rs
@@ -23,6 +23,9 @@
 /// The longest time between two entries.
 const LONGEST_ROUND: Duration = Duration::from_secs(3);
 
+/// The time between two looks whether the process may enter itself again.
+const ABSENT_PAUSE: Duration = Duration::from_millis(50);
+
 /// How long an entry lasts, in rounds: two may fail before a gateway that lives is dropped from the list.
 const ENTRY_ROUNDS: f64 = 2.8;
 
@@ -40,9 +43,9 @@
     while gateway.stop_phase() == StopPhase::Running {
         let round_time = round_time(gateway.members().borrow().count());
         match round(&gateway, &mut lease, &mut has_taken_over, round_time).await {
-            Ok(()) => {
+            Ok(is_present) => {
                 contact.note_answer();
-                sleep(round_time).await;
+                sleep(if is_present { round_time } else { ABSENT_PAUSE }).await;
             }
             Err(reason) => contact.pause_after(reason).await,
         }
@@ -68,7 +71,7 @@
     lease: &mut Option<LeaseId>,
     has_taken_over: &mut bool,
     round_time: Duration,
-) -> Result<(), UnavailableReason> {
+) -> Result<bool, UnavailableReason> {
     if !*has_taken_over {
         let outcome = take_over_predecessor(gateway).await?;
         info!(gateway.log(), "takeover from the instance's earlier process"; "outcome" => ?outcome);
@@ -76,26 +79,27 @@
     }
     let store = gateway.store();
     let book = gateway.funds().book();
-    let is_present = book.borrow().may_be_present();
-    if is_present {
-        let time_to_live = round_time.mul_f64(ENTRY_ROUNDS);
-        let taken = store.take_lease(time_to_live).await?;
-        // The lease runs from before this moment, so the entry has ended by then.
-        let until = Instant::now() + time_to_live;
-        // Standby tokens may have been spent while the lease was taken.
-        let may_be_present = {
-            let mut book = book.borrow_mut();
-            let may_be_present = book.may_be_present();
-            if may_be_present {
-                book.set_presence(until);
-            }
-            may_be_present
-        };
+    // Tokens that were spent out of standby are first written down as spent.
+    if !book.borrow().may_be_present() {
+        return Ok(false);
+    }
+    let time_to_live = round_time.mul_f64(ENTRY_ROUNDS);
+    let taken = store.take_lease(time_to_live).await?;
+    // The lease runs from before this moment, so the entry has ended by then.
+    let until = Instant::now() + time_to_live;
+    // Standby tokens may have been spent while the lease was taken.
+    let may_be_present = {
+        let mut book = book.borrow_mut();
+        let may_be_present = book.may_be_present();
         if may_be_present {
-            let own = gateway.members().borrow().own().clone();
-            if store.write_member(&own, taken).await? && lease.replace(taken).is_none() {
-                info!(gateway.log(), "entered the member list"; "lease" => %taken);
-            }
+            book.set_presence(until);
+        }
+        may_be_present
+    };
+    if may_be_present {
+        let own = gateway.members().borrow().own().clone();
+        if store.write_member(&own, taken).await? && lease.replace(taken).is_none() {
+            info!(gateway.log(), "entered the member list"; "lease" => %taken);
         }
     }
     let listed = store.list_members().await?;
@@ -109,7 +113,7 @@
     }
     gateway.metrics().members.set(i64::try_from(members.count()).unwrap_or(i64::MAX));
     book.borrow_mut().set_members(members.count());
-    Ok(())
+    Ok(true)
 }
 
 /// Gives the standby tokens of the instance's earlier process back. That process has ended: this one listens on its
--- a/crates/bramleywind_gateway/src/funds/funds_desk.rs
+++ b/crates/bramleywind_gateway/src/funds/funds_desk.rs
@@ -219,8 +219,8 @@
                 is_reached
             }
         };
-        self.book.borrow_mut().answer_waiting(Instant::now());
         self.note_reached(is_reached, log);
+        self.book.borrow_mut().answer_waiting(Instant::now());
         if !is_reached {
             sleep(RETRY_PAUSE).await;
         }
@@ -243,6 +243,7 @@
     }
 
     fn note_reached(&self, is_reached: bool, log: &Logger) {
+        self.book.borrow_mut().set_store_reached(is_reached);
         if self.is_reached.replace(is_reached) == is_reached {
             return;
         }
--- a/crates/bramleywind_gateway/src/funds/grant_book.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_book.rs
@@ -34,6 +34,8 @@
     /// When the process's presence lapses, by the last entry in the member list that may have been written. Never while
     /// nothing was written: then nobody can take the process for present either.
     presence_until: Option<Instant>,
+    /// Whether the store answers. Standby tokens are for when it does not.
+    is_store_reached: bool,
 }
 
 impl GrantBook {
@@ -45,6 +47,7 @@
             members: 1,
             is_leaving: false,
             presence_until: None,
+            is_store_reached: true,
         }
     }
 
@@ -72,9 +75,15 @@
         }
     }
 
-    /// Whether the process's entry in the member list has certainly ended, so that standby tokens may be spent.
+    /// Whether standby tokens may be spent: the process's entry in the member list has certainly ended, and the store
+    /// does not answer. Once it answers, working tokens are drawn, so that the process can enter itself again.
     pub fn is_lapsed(&self, now: Instant) -> bool {
-        self.presence_until.is_none_or(|until| now >= until)
+        !self.is_store_reached && self.presence_until.is_none_or(|until| now >= until)
+    }
+
+    /// Takes whether the store answers.
+    pub fn set_store_reached(&mut self, is_reached: bool) {
+        self.is_store_reached = is_reached;
     }
 
     /// Whether the process may enter itself into the member list: no standby token is spent.
--- a/crates/bramleywind_gateway/src/funds/grant_sizing.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_sizing.rs
@@ -11,16 +11,16 @@
 const WORKING_SHARE: f64 = 0.2;
 
 /// The part of what is left that the working tokens of all processes hold at least, whether it was used lately or not.
-const IDLE_SHARE: f64 = 0.03;
+const IDLE_SHARE: f64 = 0.05;
 
 /// The part of what is left that the standby tokens of all processes hold, for outages of the store.
-const STANDBY_SHARE: f64 = 0.5;
+const STANDBY_SHARE: f64 = 0.6;
 
 /// Part of the wanted working tokens below which more are asked for.
 const REFILL_PART: f64 = 0.5;
 
 /// Part of the wanted working tokens below which more are asked for if a write is made for another budget anyway.
-const JOIN_PART: f64 = 0.8;
+const JOIN_PART: f64 = 0.65;
 
 /// The part of what is left that all processes together may hold when little is left.
 const TAIL_SHARE: f64 = 0.1;
@@ -31,11 +31,14 @@
 /// Part of the prepaid total below which little is left: what is parked with one process is missed by another.
 const TAIL_PART: f64 = 0.05;
 
+/// Part of the prepaid total below which no standby tokens are held.
+const STANDBY_END_PART: f64 = 0.01;
+
 /// Tokens are given back if there are this many times what is wanted.
-const RETURN_FACTOR: f64 = 2.0;
+const RETURN_FACTOR: f64 = 3.0;
 
 /// Standby tokens are given back if there are this many times what is wanted. They shrink with what is left.
-const STANDBY_RETURN_FACTOR: f64 = 1.3;
+const STANDBY_RETURN_FACTOR: f64 = 1.5;
 
 /// Part of the prepaid total that is not worth a write of its own.
 const SMALL_PART: f64 = 0.002;
@@ -95,7 +98,7 @@
         let is_short = input.overdrawn.0 > 0
             || input.waiting.0 > input.available.0 && working > input.available.0
             || available < surplus as f64 * refill_part && working > input.available.0
-            || parked < standby as f64 * refill_part && held.standby > input.standby;
+            || parked < standby as f64 * REFILL_PART && held.standby > input.standby;
         let least_excess = match input.is_leaving {
             true => 0.0,
             false => input.prepaid.0 as f64 * SMALL_PART,
@@ -120,7 +123,8 @@
 }
 
 fn wanted_standby(input: &GrantInput, part: f64) -> u64 {
-    if input.is_leaving || is_tail(input) { 0 } else { (part * STANDBY_SHARE) as u64 }
+    let is_worth = input.pool.0 as f64 >= input.prepaid.0 as f64 * STANDBY_END_PART;
+    if is_worth && !input.is_leaving { (part * STANDBY_SHARE) as u64 } else { 0 }
 }
 
 fn is_tail(input: &GrantInput) -> bool {
--- a/crates/bramleywind_gateway/src/funds/use_rate.rs
+++ b/crates/bramleywind_gateway/src/funds/use_rate.rs
@@ -2,7 +2,7 @@
 
 /// The time over which use is averaged: long enough to hold several requests of a busy workspace, short enough
 /// to follow a burst.
-const AVERAGING_TIME: Duration = Duration::from_secs(2);
+const AVERAGING_TIME: Duration = Duration::from_secs(4);
 
 /// Tokens a second that were reserved lately. Old use fades exponentially.
 #[derive(Debug)]
