gateway: release standby tokens with the age of the presence record, and charge prompts from the moment they are sent

The store was down for 4.8 s, its leases stood still meanwhile, and all processes lost power. Their entries were still there, so their successors gave all standby tokens back, a part of which had been spent in the outage. Besides, a caller that left before the first event was not charged, though the engine may have read its prompt. Ruled out: a lease as proof of age, since leases may stand still; one clock, since it may jump. Change: a presence record outlasts the process and bears the time on which most instances agree. Standby tokens are released with its age, so a successor knows how many can have been spent. Prompts are charged while an answer is outstanding. A waiting request no longer keeps a gateway from lending, and a probe goes before each presence record.

--- /dev/null
+++ b/crates/bramleywind_gateway/src/background/keep_presence.rs
@@ -0,0 +1,194 @@
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bramleywind_store::{StoreVersion, UnavailableReason};
+use compio::time::sleep;
+use futures_util::future::join_all;
+use rand::seq::IndexedRandom;
+use slog::info;
+
+use super::StoreContact;
+use crate::{
+    funds::{StandbyRelease, TakeoverOutcome, take_over},
+    gateway::{Gateway, StopPhase},
+    link::{CommitOutcome, FleetStore, Platform},
+    loans::LoanClient,
+    members::{PresenceRecord, boot_millis, unix_millis},
+};
+
+/// The time between two presence records in a small fleet. What a process can have spent is judged by the record's age.
+const ROUND_TIME: Duration = Duration::from_secs(1);
+
+/// Gateways up to which a round takes [`ROUND_TIME`]; it grows with larger fleets, since each round is a write.
+const SMALL_FLEET: usize = 16;
+
+/// The longest time between two records: shorter than the age from which standby tokens may be spent.
+const LONGEST_ROUND: Duration = Duration::from_secs(2);
+
+/// The time between two looks whether the spent standby tokens are written down.
+const ABSENT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Gateways that are asked for the time.
+const CLOCK_PEERS: usize = 4;
+
+/// Rounds of writes to take over before the process writes its own presence. Writes of other gateways conflict.
+const TAKEOVER_ROUNDS: usize = 10;
+
+/// The pause between two tries to learn the time from other gateways.
+const CLOCK_PAUSE: Duration = Duration::from_millis(100);
+
+/// Tries to learn the time from other gateways. They may still be starting.
+const CLOCK_TRIES: usize = 20;
+
+/// The earlier process of the instance, and where the other gateways are reached.
+#[derive(Debug)]
+struct Predecessor {
+    record: PresenceRecord,
+    version: StoreVersion,
+    peers: Vec<SocketAddr>,
+}
+
+/// Takes over from the instance's earlier process, and then writes presence records until the process leaves.
+pub(crate) async fn keep_presence<P: Platform>(gateway: Rc<Gateway<P>>) {
+    let mut contact = StoreContact::new("presence records", gateway.log());
+    loop {
+        match take_over_predecessor(&gateway).await {
+            Ok(outcome) => {
+                info!(gateway.log(), "takeover from the instance's earlier process"; "outcome" => ?outcome);
+                break;
+            }
+            Err(reason) => contact.pause_after(reason).await,
+        }
+    }
+    while gateway.stop_phase() == StopPhase::Running {
+        match round(&gateway).await {
+            Ok(is_present) => {
+                contact.note_answer();
+                let members = gateway.members().borrow().count();
+                sleep(if is_present { round_time(members) } else { ABSENT_PAUSE }).await;
+            }
+            Err(reason) => {
+                gateway.funds().book().borrow_mut().set_store_reached(false);
+                contact.pause_after(reason).await;
+            }
+        }
+    }
+}
+
+fn round_time(members: usize) -> Duration {
+    let growth = members as f64 / SMALL_FLEET as f64;
+    ROUND_TIME.mul_f64(growth.max(1.0)).min(LONGEST_ROUND)
+}
+
+/// Writes the presence once. False if tokens that were spent out of standby are not yet written down as spent.
+async fn round<P: Platform>(gateway: &Gateway<P>) -> Result<bool, UnavailableReason> {
+    let peers: Vec<_> = {
+        let members = gateway.members().borrow();
+        members.others().iter().map(|other| other.peer_address).collect()
+    };
+    compare_clocks(gateway, &peers).await;
+    if !gateway.funds().book().borrow().may_be_present() {
+        return Ok(false);
+    }
+    // A write that is sent in vain could still take effect, and would hold standby tokens back. A cheap read shows first
+    // whether the store answers.
+    gateway.store().list_members().await?;
+    let record = {
+        let mut book = gateway.funds().book().borrow_mut();
+        if !book.may_be_present() {
+            return Ok(false);
+        }
+        // The record's time is read first, so that a successor takes it for at least as old as this process does.
+        let written_at_ms = gateway.fleet_clock().now(boot_millis());
+        book.set_presence(Instant::now());
+        let members = gateway.members().borrow();
+        let own = members.own();
+        let (incarnation, peer_address) = (own.incarnation, own.peer_address);
+        PresenceRecord { incarnation, peer_address, written_at_ms }
+    };
+    let instance = &gateway.settings().instance;
+    gateway.store().write_presence(instance, &record).await?;
+    Ok(true)
+}
+
+/// Asks some gateways for the time. False if too few answered.
+async fn compare_clocks<P: Platform>(gateway: &Gateway<P>, peers: &[SocketAddr]) -> bool {
+    let asked: Vec<_> = peers.choose_multiple(&mut rand::rng(), CLOCK_PEERS).copied().collect();
+    let told = join_all(asked.into_iter().map(|peer| LoanClient.ask_time(peer))).await;
+    let mut times: Vec<_> = told.into_iter().flatten().collect();
+    times.push(unix_millis());
+    gateway.fleet_clock().compare(&mut times, boot_millis())
+}
+
+/// Gives the standby tokens of the instance's earlier process back that it can't have spent. That process has ended: this
+/// one listens on its ports.
+async fn take_over_predecessor<P: Platform>(
+    gateway: &Gateway<P>,
+) -> Result<TakeoverOutcome, UnavailableReason> {
+    let Some(predecessor) = find_predecessor(gateway).await? else {
+        return Ok(TakeoverOutcome::NothingToTake);
+    };
+    let Some(age) = record_age(gateway, &predecessor).await else {
+        return Ok(TakeoverOutcome::AgeUnknown);
+    };
+    let spent_part = StandbyRelease.spent_at_most(age);
+    let incarnation = predecessor.record.incarnation;
+    info!(gateway.log(), "earlier process found"; "incarnation" => %incarnation,
+        "age_ms" => u64::try_from(age.as_millis()).ok(), "spent_part" => spent_part);
+    let instance = &gateway.settings().instance;
+    let mut done = 0;
+    for _ in 0..TAKEOVER_ROUNDS {
+        let budgets = gateway.store().read_budgets(true).await?;
+        let changes = take_over(incarnation, budgets, spent_part);
+        if changes.is_empty() {
+            break;
+        }
+        // One budget a write: other gateways start at the same time and write the same records.
+        for change in changes.chunks(1) {
+            let presence = Some((instance, predecessor.version));
+            let outcome = gateway.store().commit_budgets(change, presence).await;
+            done += usize::from(matches!(outcome, CommitOutcome::Applied(_)));
+        }
+    }
+    Ok(match done {
+        0 => TakeoverOutcome::NothingToTake,
+        budgets => TakeoverOutcome::Done { budgets },
+    })
+}
+
+/// The presence record of the instance's earlier process.
+async fn find_predecessor<P: Platform>(
+    gateway: &Gateway<P>,
+) -> Result<Option<Predecessor>, UnavailableReason> {
+    let mut own = None;
+    let mut peers = Vec::new();
+    for (instance, record, version) in gateway.store().list_presences().await? {
+        if instance == gateway.settings().instance {
+            own = Some((record, version));
+        } else {
+            peers.push(record.peer_address);
+        }
+    }
+    Ok(own.map(|(record, version)| Predecessor { record, version, peers }))
+}
+
+/// How old the record is by the clocks of most instances; nothing if that is not known.
+async fn record_age<P: Platform>(
+    gateway: &Gateway<P>,
+    predecessor: &Predecessor,
+) -> Option<Duration> {
+    let written_at_ms = predecessor.record.written_at_ms?;
+    let mut tries = 0;
+    while !compare_clocks(gateway, &predecessor.peers).await {
+        tries += 1;
+        if tries == CLOCK_TRIES {
+            return None;
+        }
+        sleep(CLOCK_PAUSE).await;
+    }
+    let now_ms = gateway.fleet_clock().now(boot_millis())?;
+    Some(Duration::from_millis(now_ms.saturating_sub(written_at_ms)))
+}
--- a/crates/bramleywind_gateway/src/daemon.rs
+++ b/crates/bramleywind_gateway/src/daemon.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     Args, Gateway, StopPhase,
-    background::{follow_config, follow_endpoints, keep_membership},
+    background::{follow_config, follow_endpoints, keep_membership, keep_presence},
     config::CallerLimits,
     forward::{AnswerBody, answer_request},
     link::{Platform, WireDialect},
@@ -140,6 +140,7 @@
     let config = compio::runtime::spawn(follow_config(Rc::clone(&gateway)));
     let endpoints = compio::runtime::spawn(follow_endpoints(Rc::clone(&gateway)));
     let membership = compio::runtime::spawn(keep_membership(Rc::clone(&gateway)));
+    let presence = compio::runtime::spawn(keep_presence(Rc::clone(&gateway)));
     let state = Rc::clone(&gateway);
     let funds = compio::runtime::spawn(async move {
         state.funds().run(state.store(), state.log()).await;
@@ -154,7 +155,7 @@
     let reloads = compio::runtime::spawn(note_reloads(gateway.log().clone()));
     wait_for_stop(gateway.log()).await;
     stop(&gateway, &callers).await;
-    drop((config, endpoints, loans, pools, reloads));
+    drop((config, endpoints, presence, loans, pools, reloads));
     // It ends by itself once the process has left the list.
     membership.detach();
     gateway.funds().stop();
--- a/crates/bramleywind_gateway/src/forward/attempt_loop.rs
+++ b/crates/bramleywind_gateway/src/forward/attempt_loop.rs
@@ -67,6 +67,7 @@
         let mut last_failure = None;
         loop {
             let Some(endpoint) = gateway.choose_endpoint(&context, &self.tried) else { break };
+            expose_prompt(&mut reservation, &context);
             let (kind, failure) = match self.call::<P>(&context, &mut trace, &endpoint, None).await
             {
                 Ok(CallEnd::Stream(source, first)) => {
@@ -103,6 +104,9 @@
             if !kind.is_not_run() {
                 charge_prompt(&mut reservation, &context);
             }
+            if let Some(reservation) = &mut reservation {
+                reservation.expose(TokenCount(0));
+            }
             let may_repeat = self.may_repeat(&gateway, &context, kind);
             trace.log_failure(&failure, may_repeat);
             last_failure = Some(kind);
@@ -234,6 +238,13 @@
     }
 }
 
+/// Until an endpoint answers, it may have begun to read the prompt.
+fn expose_prompt(reservation: &mut Option<Reservation>, context: &RequestContext) {
+    if let (Some(reservation), Some(prompt)) = (reservation, &context.prompt) {
+        reservation.expose(prompt.prompt_tokens);
+    }
+}
+
 fn charge_prompt(reservation: &mut Option<Reservation>, context: &RequestContext) {
     if let (Some(reservation), Some(prompt)) = (reservation, &context.prompt) {
         reservation.charge(prompt.prompt_tokens);
--- a/crates/bramleywind_gateway/src/funds.rs
+++ b/crates/bramleywind_gateway/src/funds.rs
@@ -12,6 +12,7 @@
 mod holder_grant;
 mod pending_reservation;
 mod reservation;
+mod standby_release;
 mod takeover;
 mod use_rate;
 
@@ -23,5 +24,6 @@
 pub use grant_sizing::{GrantInput, GrantSizing};
 pub use holder_grant::HolderGrant;
 pub use reservation::Reservation;
+pub use standby_release::StandbyRelease;
 pub use takeover::{TakeoverOutcome, take_over};
 pub use use_rate::UseRate;
--- a/crates/bramleywind_gateway/src/funds/budget_account.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_account.rs
@@ -55,9 +55,10 @@
         }
     }
 
-    /// Tokens that may be reserved now. Standby tokens only if `is_lapsed`: the process's presence has lapsed.
-    pub fn available(&self, is_lapsed: bool) -> TokenCount {
-        let granted = if is_lapsed { self.granted.total() } else { self.granted.working };
+    /// Tokens that may be reserved now, with the part `released` of the standby tokens, from 0 to 1.
+    pub fn available(&self, released: f64) -> TokenCount {
+        let standby = TokenCount((self.granted.standby.0 as f64 * released) as u64);
+        let granted = self.granted.working.saturating_add(standby);
         granted.saturating_add(self.borrowed).saturating_sub(self.bound())
     }
 
@@ -97,8 +98,8 @@
     }
 
     /// Reserves tokens, if enough are available.
-    pub(super) fn try_reserve(&mut self, need: TokenCount, is_lapsed: bool) -> bool {
-        if self.available(is_lapsed) < need {
+    pub(super) fn try_reserve(&mut self, need: TokenCount, released: f64) -> bool {
+        if self.available(released) < need {
             return false;
         }
         self.reserved = self.reserved.saturating_add(need);
@@ -127,7 +128,7 @@
         let input = GrantInput {
             prepaid: self.prepaid,
             pool: self.pool(),
-            available: self.available(false),
+            available: self.available(0.0),
             standby: self.granted.standby,
             overdrawn: self.overdrawn(),
             waiting: self.waiting_tokens(),
@@ -148,17 +149,16 @@
     }
 
     /// Gives all away that is available, when the process stops.
-    pub(super) fn give_away(&mut self, is_lapsed: bool) -> TokenCount {
-        let tokens = self.available(is_lapsed);
+    pub(super) fn give_away(&mut self, released: f64) -> TokenCount {
+        let tokens = self.available(released);
         self.lent = self.lent.saturating_add(tokens);
         tokens
     }
 
     /// Gives up to `wanted` tokens away: at most three quarters of what is available, so that the next own
     /// requests are served too.
-    pub(super) fn lend(&mut self, wanted: TokenCount, is_lapsed: bool) -> TokenCount {
-        let spare = if self.waiting.is_empty() { self.available(is_lapsed).0 / 4 * 3 } else { 0 };
-        let tokens = TokenCount(wanted.0.min(spare));
+    pub(super) fn lend(&mut self, wanted: TokenCount, released: f64) -> TokenCount {
+        let tokens = TokenCount(wanted.0.min(self.available(released).0 / 4 * 3));
         self.lent = self.lent.saturating_add(tokens);
         tokens
     }
--- a/crates/bramleywind_gateway/src/funds/funds_desk.rs
+++ b/crates/bramleywind_gateway/src/funds/funds_desk.rs
@@ -8,6 +8,7 @@
 use async_channel::{Receiver, Sender};
 use bramleywind_types::{IncarnationId, InstanceId, TokenCount, WorkspaceId};
 use compio::time::{sleep, timeout};
+use futures_util::future::join_all;
 use rand::seq::SliceRandom;
 use slog::{Logger, debug, info, warn};
 
@@ -113,7 +114,7 @@
             }
             if Instant::now() >= refresh_at {
                 for (workspace, account) in self.book.borrow().accounts() {
-                    debug!(log, "budget"; "workspace" => %workspace, "available" => account.available(false).0,
+                    debug!(log, "budget"; "workspace" => %workspace, "available" => account.available(0.0).0,
                         "pool" => account.pool().0, "prepaid" => account.prepaid.0, "standby" => account.granted().standby.0);
                 }
                 self.refresh(store).await;
@@ -132,29 +133,34 @@
         loop {
             sleep(LOAN_REVIEW_TIME).await;
             let wanted = self.book.borrow().wanted_loans(Instant::now());
-            for (workspace, mut tokens) in wanted {
+            let loans = wanted.into_iter().map(|(workspace, tokens)| {
                 let mut lenders = lenders();
                 lenders.shuffle(&mut rand::rng());
-                for lender in lenders {
-                    let request = LoanRequest {
-                        borrower: borrower.clone(),
-                        workspace: workspace.clone(),
-                        tokens,
-                    };
-                    let outcome = LoanClient.borrow(lender, &request).await;
-                    info!(log, "loan"; "lender" => %lender, "workspace" => %workspace,
-                        "wanted" => tokens.0, "outcome" => ?outcome.as_ref().map(|loan| loan.tokens.0));
-                    let Ok(loan) = outcome else { continue };
-                    let mut book = self.book.borrow_mut();
-                    book.take_loan(&workspace, loan.tokens);
-                    book.answer_waiting(Instant::now());
-                    tokens = tokens.saturating_sub(loan.tokens);
-                    if tokens == TokenCount(0) {
-                        break;
-                    }
-                }
+                let loan = LoanRequest { borrower: borrower.clone(), workspace, tokens };
+                self.borrow(loan, lenders, log)
+            });
+            join_all(loans).await;
+        }
+    }
+
+    /// Asks one lender after the other until all wanted tokens are borrowed.
+    async fn borrow(&self, mut loan: LoanRequest, lenders: Vec<SocketAddr>, log: &Logger) {
+        let (wanted, mut failures) = (loan.tokens, 0);
+        for lender in lenders {
+            let Ok(answer) = LoanClient.borrow(lender, &loan).await else {
+                failures += 1;
+                continue;
+            };
+            let mut book = self.book.borrow_mut();
+            book.take_loan(&loan.workspace, answer.tokens);
+            book.answer_waiting(Instant::now());
+            loan.tokens = loan.tokens.saturating_sub(answer.tokens);
+            if loan.tokens == TokenCount(0) {
+                break;
             }
         }
+        info!(log, "tokens borrowed"; "workspace" => %loan.workspace, "wanted" => wanted.0,
+            "missing" => loan.tokens.0, "failures" => failures);
     }
 
     /// Gives what could not be returned to the store to another gateway. What no one takes stays counted as spent.
--- a/crates/bramleywind_gateway/src/funds/grant_book.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_book.rs
@@ -8,7 +8,8 @@
 use futures_channel::oneshot;
 
 use super::{
-    BudgetAccount, CommitPlan, Reservation, ReserveOutcome, budget_account::WaitingReservation,
+    BudgetAccount, CommitPlan, Reservation, ReserveOutcome, StandbyRelease,
+    budget_account::WaitingReservation,
 };
 use crate::link::{BudgetChange, BudgetEntry, CommitOutcome};
 
@@ -31,9 +32,9 @@
     accounts: BTreeMap<WorkspaceId, BudgetAccount>,
     members: usize,
     is_leaving: bool,
-    /// When the process's presence lapses, by the last entry in the member list that may have been written. Never while
-    /// nothing was written: then nobody can take the process for present either.
-    presence_until: Option<Instant>,
+    /// When the last presence record was written that may be in the store. Before the first one, no successor can take
+    /// standby tokens back, so they may be spent.
+    present_at: Option<Instant>,
     /// Whether the store answers. Standby tokens are for when it does not.
     is_store_reached: bool,
 }
@@ -46,7 +47,7 @@
             accounts: BTreeMap::new(),
             members: 1,
             is_leaving: false,
-            presence_until: None,
+            present_at: None,
             is_store_reached: true,
         }
     }
@@ -75,10 +76,14 @@
         }
     }
 
-    /// Whether standby tokens may be spent: the process's entry in the member list has certainly ended, and the store
-    /// does not answer. Once it answers, working tokens are drawn, so that the process can enter itself again.
-    pub fn is_lapsed(&self, now: Instant) -> bool {
-        !self.is_store_reached && self.presence_until.is_none_or(|until| now >= until)
+    /// The part of the standby tokens that may be spent now. None while the store answers: working tokens are drawn
+    /// then, so that the process can write its presence again.
+    pub fn released(&self, now: Instant) -> f64 {
+        if self.is_store_reached {
+            return 0.0;
+        }
+        let age = self.present_at.map(|at| now.saturating_duration_since(at));
+        age.map_or(1.0, |age| StandbyRelease.spendable(age))
     }
 
     /// Takes whether the store answers.
@@ -86,14 +91,14 @@
         self.is_store_reached = is_reached;
     }
 
-    /// Whether the process may enter itself into the member list: no standby token is spent.
+    /// Whether the process may write its presence: no standby token is spent.
     pub fn may_be_present(&self) -> bool {
         self.accounts.values().all(|account| account.overdrawn() == TokenCount(0))
     }
 
-    /// Notes, before an entry in the member list is written, that it may last until `until`.
-    pub fn set_presence(&mut self, until: Instant) {
-        self.presence_until = self.presence_until.max(Some(until));
+    /// Notes, before a presence record is written, that it says `now`.
+    pub fn set_presence(&mut self, now: Instant) {
+        self.present_at = Some(now);
     }
 
     /// From now on holds nothing beyond what requests need.
@@ -103,21 +108,21 @@
 
     /// Gives all available tokens away, for another process to take.
     pub fn give_away(&mut self, now: Instant) -> Vec<(WorkspaceId, TokenCount)> {
-        let is_lapsed = self.is_lapsed(now);
+        let released = self.released(now);
         let gifts = self
             .accounts
             .iter_mut()
-            .map(|(workspace, account)| (workspace.clone(), account.give_away(is_lapsed)));
+            .map(|(workspace, account)| (workspace.clone(), account.give_away(released)));
         gifts.filter(|(_, tokens)| *tokens > TokenCount(0)).collect()
     }
 
     /// Reserves tokens at once, if they are available.
     pub fn try_reserve(&mut self, workspace: &WorkspaceId, need: TokenCount, now: Instant) -> bool {
-        let is_lapsed = self.is_lapsed(now);
+        let released = self.released(now);
         let Some(account) = self.accounts.get_mut(workspace) else { return false };
         account.rate.add(need.0, now);
         // Who came first is served first.
-        account.waiting.is_empty() && account.try_reserve(need, is_lapsed)
+        account.waiting.is_empty() && account.try_reserve(need, released)
     }
 
     /// Queues a request that needs more than is available.
@@ -144,7 +149,7 @@
     pub fn plan(&mut self, most: usize, now: Instant) -> CommitPlan {
         let needs_read = |account: &BudgetAccount| {
             let is_old = account.read_at().is_none_or(|at| now >= at + REFUSAL_RECORD_AGE);
-            let reachable = account.available(false).saturating_add(account.pool());
+            let reachable = account.available(0.0).saturating_add(account.pool());
             is_old && account.waiting.iter().any(|entry| entry.need > reachable)
         };
         if self.accounts.values().any(needs_read) {
@@ -241,9 +246,9 @@
         wanted: TokenCount,
         now: Instant,
     ) -> TokenCount {
-        let is_lapsed = self.is_lapsed(now);
+        let released = self.released(now);
         let account = self.accounts.get_mut(workspace);
-        account.map_or(TokenCount(0), |account| account.lend(wanted, is_lapsed))
+        account.map_or(TokenCount(0), |account| account.lend(wanted, released))
     }
 
     /// Takes tokens that another process gave. False if the workspace is not known here: nothing is taken.
@@ -258,14 +263,14 @@
 
     /// The tokens to borrow for requests that have waited for the store in vain.
     pub fn wanted_loans(&self, now: Instant) -> Vec<(WorkspaceId, TokenCount)> {
-        let is_lapsed = self.is_lapsed(now);
+        let released = self.released(now);
         let has_waited = |entry: &WaitingReservation| now >= entry.since + LOAN_PATIENCE;
         let short =
             self.accounts.iter().filter(|(_, account)| account.waiting.iter().any(has_waited));
         short
             .map(|(workspace, account)| {
                 let ahead = (account.rate.at(now) * LOAN_COVER_SECONDS) as u64;
-                let need = account.waiting_tokens().saturating_sub(account.available(is_lapsed));
+                let need = account.waiting_tokens().saturating_sub(account.available(released));
                 (workspace.clone(), need.saturating_add(TokenCount(ahead)))
             })
             .collect()
@@ -274,11 +279,11 @@
     /// Answers the requests that wait: those that fit are served in order, those that can't fit are refused, and
     /// those that waited too long for the store are told so. Returns how many were answered.
     pub fn answer_waiting(&mut self, now: Instant) -> usize {
-        let is_lapsed = self.is_lapsed(now);
+        let released = self.released(now);
         let mut answered = 0;
         for account in self.accounts.values_mut() {
             for entry in std::mem::take(&mut account.waiting) {
-                let outcome = decide_waiting(account, &entry, is_lapsed, now);
+                let outcome = decide_waiting(account, &entry, released, now);
                 let Some(outcome) = outcome else {
                     account.waiting.push_back(entry);
                     continue;
@@ -307,16 +312,16 @@
 fn decide_waiting(
     account: &mut BudgetAccount,
     entry: &WaitingReservation,
-    is_lapsed: bool,
+    released: f64,
     now: Instant,
 ) -> Option<ReserveOutcome> {
     if entry.reply.is_canceled() {
         return Some(ReserveOutcome::Unavailable);
     }
-    if account.try_reserve(entry.need, is_lapsed) {
+    if account.try_reserve(entry.need, released) {
         return Some(ReserveOutcome::Reserved);
     }
-    let reachable = account.available(is_lapsed).saturating_add(account.pool());
+    let reachable = account.available(released).saturating_add(account.pool());
     let is_fresh = account.read_at().is_some_and(|at| now < at + REFUSAL_RECORD_AGE);
     if entry.need > reachable && is_fresh {
         return Some(ReserveOutcome::Exhausted);
--- a/crates/bramleywind_gateway/src/funds/grant_sizing.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_sizing.rs
@@ -2,13 +2,13 @@
 
 use super::HolderGrant;
 
-/// Seconds of a process's own use that its working tokens cover: longer than its entry in the member list lives after the
-/// store is out of reach, since standby tokens can be spent from then on.
-const WORKING_SECONDS: f64 = 3.5;
+/// Seconds of a process's own use that its working tokens cover: longer than it takes until standby tokens are released
+/// once the store is out of reach.
+const WORKING_SECONDS: f64 = 4.5;
 
 /// The part of what is left that the working tokens of all processes hold at most. The loss of all processes strands no
 /// more than this part.
-const WORKING_SHARE: f64 = 0.2;
+const WORKING_SHARE: f64 = 0.25;
 
 /// The part of what is left that the working tokens of all processes hold at least, whether it was used lately or not.
 const IDLE_SHARE: f64 = 0.05;
--- a/crates/bramleywind_gateway/src/funds/holder_grant.rs
+++ b/crates/bramleywind_gateway/src/funds/holder_grant.rs
@@ -7,8 +7,8 @@
 pub struct HolderGrant {
     /// Tokens that the process may spend at any time.
     pub working: TokenCount,
-    /// Tokens that it may spend only once its presence has lapsed: after it was out of reach of the store for longer
-    /// than its entry in the member list lives. While that entry is there, none of them has been spent.
+    /// Tokens that it may spend only after it has been out of reach of the store for a while, more of them the longer
+    /// that lasts. Its presence record tells since when.
     pub standby: TokenCount,
 }
 
--- a/crates/bramleywind_gateway/src/funds/reservation.rs
+++ b/crates/bramleywind_gateway/src/funds/reservation.rs
@@ -11,6 +11,8 @@
     workspace: WorkspaceId,
     limit: TokenCount,
     used: TokenCount,
+    /// Tokens that the endpoint may be using while its answer is outstanding.
+    exposed: TokenCount,
 }
 
 impl Reservation {
@@ -19,7 +21,7 @@
         workspace: WorkspaceId,
         limit: TokenCount,
     ) -> Self {
-        Self { book, workspace, limit, used: TokenCount(0) }
+        Self { book, workspace, limit, used: TokenCount(0), exposed: TokenCount(0) }
     }
 
     /// Raises the charge. It never falls, and never exceeds what is set aside.
@@ -27,6 +29,11 @@
         self.used = self.used.max(used.min(self.limit));
     }
 
+    /// Notes what an endpoint may use while its answer is outstanding. If the caller leaves meanwhile, it is charged.
+    pub fn expose(&mut self, tokens: TokenCount) {
+        self.exposed = tokens.min(self.limit);
+    }
+
     /// The charge so far.
     pub fn used(&self) -> TokenCount {
         self.used
@@ -40,6 +47,7 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.book.borrow_mut().settle(&self.workspace, self.limit, self.used);
+        let used = self.used.max(self.exposed);
+        self.book.borrow_mut().settle(&self.workspace, self.limit, used);
     }
 }
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -16,7 +16,7 @@
     forward::{RequestContext, RequestTrace},
     funds::FundsDesk,
     link::{Platform, PromptShape},
-    members::{MemberBook, MemberRecord},
+    members::{FleetClock, MemberBook, MemberRecord},
     metrics::GatewayMetrics,
     placement::{Candidate, HomePlacement, PlacementPolicy, PlacementRequest},
     settings::GatewaySettings,
@@ -49,6 +49,7 @@
     metrics: Rc<GatewayMetrics>,
     open_requests: Rc<Cell<usize>>,
     stop_phase: Cell<StopPhase>,
+    fleet_clock: FleetClock,
     placement: HomePlacement,
 }
 
@@ -75,6 +76,7 @@
             metrics: Rc::default(),
             open_requests: Rc::default(),
             stop_phase: Cell::new(StopPhase::Running),
+            fleet_clock: FleetClock::default(),
             placement: HomePlacement,
         }
     }
@@ -139,6 +141,11 @@
         &self.members
     }
 
+    /// The time on which most instances agree.
+    pub fn fleet_clock(&self) -> &FleetClock {
+        &self.fleet_clock
+    }
+
     /// Requests that have not ended.
     pub fn open_requests(&self) -> usize {
         self.open_requests.get()
--- a/crates/bramleywind_gateway/src/link/fleet_store.rs
+++ b/crates/bramleywind_gateway/src/link/fleet_store.rs
@@ -7,7 +7,7 @@
     BudgetChange, BudgetEntry, CommitOutcome, EntryChange, LeaseId, ListPage, LoadedConfig,
     StoreChanges,
 };
-use crate::members::MemberRecord;
+use crate::members::{MemberRecord, PresenceRecord};
 
 /// The platform's store, as far as the gateway uses it.
 ///
@@ -41,6 +41,21 @@
     /// Reads the list of gateways. It may be some seconds old.
     async fn list_members(&self) -> Result<Vec<MemberRecord>, UnavailableReason>;
 
+    /// Reads all gateways' presence records as of now, with their instances and versions.
+    async fn list_presences(
+        &self,
+    ) -> Result<Vec<(InstanceId, PresenceRecord, StoreVersion)>, UnavailableReason>;
+
+    /// Writes the own presence record.
+    async fn write_presence(
+        &self,
+        instance: &InstanceId,
+        record: &PresenceRecord,
+    ) -> Result<(), UnavailableReason>;
+
+    /// Renews a lease. False if it has ended.
+    async fn renew_lease(&self, lease: LeaseId) -> Result<bool, UnavailableReason>;
+
     /// Takes a lease that ends by itself after `time_to_live`, unless it is renewed.
     async fn take_lease(&self, time_to_live: Duration) -> Result<LeaseId, UnavailableReason>;
 
@@ -57,18 +72,12 @@
     /// Reads all budget records. With `is_fresh` they are as of now, else they may be some seconds old.
     async fn read_budgets(&self, is_fresh: bool) -> Result<Vec<BudgetEntry>, UnavailableReason>;
 
-    /// Reads one gateway's entry in the list as of now, with its version.
-    async fn read_member(
-        &self,
-        instance: &InstanceId,
-    ) -> Result<Option<(MemberRecord, StoreVersion)>, UnavailableReason>;
-
-    /// Writes budget records, all or none, and only if the entry of `present`, if given, still has its version. At
+    /// Writes budget records, all or none, and only if the presence record of the given instance still has its version. At
     /// most [`Self::MOST_CHANGES`] at once.
     async fn commit_budgets(
         &self,
         changes: &[BudgetChange],
-        present: Option<(&InstanceId, StoreVersion)>,
+        presence: Option<(&InstanceId, StoreVersion)>,
     ) -> CommitOutcome;
 
     /// The most budget records that one write may change.
--- a/crates/bramleywind_gateway/src/loans.rs
+++ b/crates/bramleywind_gateway/src/loans.rs
@@ -1,4 +1,4 @@
-//! Loans of granted tokens between gateways, for when the store is out of reach.
+//! What gateways tell each other: loans of granted tokens, for when the store is out of reach, and the time of day.
 //!
 //! A lender gives up the tokens before it answers, and they stay in its own durable grant. If the answer is lost, the
 //! tokens are spent by nobody; they are never spent twice.
--- a/crates/bramleywind_gateway/src/loans/loan_client.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_client.rs
@@ -9,7 +9,7 @@
 
 use super::{
     LoanAnswer, LoanRequest, TokenGift,
-    loan_port::{GIFT_PATH, LOAN_PATH},
+    loan_port::{CLOCK_PATH, GIFT_PATH, LOAN_PATH},
 };
 
 /// How long a loan may take. Gateways of a region are milliseconds apart.
@@ -49,6 +49,13 @@
             .map_err(|error| error.to_string().into())
     }
 
+    /// Asks one gateway for its time of day, in Unix milliseconds. Nothing if it does not answer.
+    pub async fn ask_time(&self, peer: SocketAddr) -> Option<u64> {
+        let body = timeout(LOAN_TIME, call(peer, CLOCK_PATH, &())).await.ok()?.ok()?;
+        let decoded = bincode::serde::decode_from_slice(&body, bincode::config::standard());
+        decoded.ok().map(|(millis, _)| millis)
+    }
+
     /// Offers one gateway a gift.
     ///
     /// # Errors
--- a/crates/bramleywind_gateway/src/loans/loan_port.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_port.rs
@@ -8,7 +8,7 @@
 use slog::{info, warn};
 
 use super::{LoanAnswer, LoanRequest, TokenGift};
-use crate::{forward::AnswerBody, gateway::Gateway, link::Platform};
+use crate::{forward::AnswerBody, gateway::Gateway, link::Platform, members::unix_millis};
 
 /// Where a gateway is asked for a loan.
 pub(super) const LOAN_PATH: &str = "/loan";
@@ -16,6 +16,9 @@
 /// Where a gateway is offered a gift.
 pub(super) const GIFT_PATH: &str = "/gift";
 
+/// Where a gateway is asked for its time of day.
+pub(super) const CLOCK_PATH: &str = "/clock";
+
 /// The largest message, in bytes: a gift of 4,000 budgets.
 const MOST_MESSAGE_BYTES: usize = 256 * 1024;
 
@@ -27,6 +30,7 @@
     let answer = match request.uri().path() {
         LOAN_PATH => decode(request).await.and_then(|loan| lend(gateway, &loan)),
         GIFT_PATH => decode(request).await.map(|gift| take_gift(gateway, gift)),
+        CLOCK_PATH => tell_time(),
         _ => return refused(StatusCode::NOT_FOUND),
     };
     answer.unwrap_or_else(|error| {
@@ -47,15 +51,24 @@
     gateway: &Gateway<P>,
     loan: &LoanRequest,
 ) -> Result<Response<AnswerBody>, String> {
-    let tokens =
-        gateway.funds().book().borrow_mut().lend(&loan.workspace, loan.tokens, Instant::now());
+    let now = Instant::now();
+    let mut book = gateway.funds().book().borrow_mut();
+    let tokens = book.lend(&loan.workspace, loan.tokens, now);
     info!(gateway.log(), "loan asked for"; "borrower" => %loan.borrower, "workspace" => %loan.workspace,
-        "wanted" => loan.tokens.0, "lent" => tokens.0);
+        "wanted" => loan.tokens.0, "lent" => tokens.0, "released" => book.released(now),
+        "standby" => book.account(&loan.workspace).map(|account| account.granted().standby.0));
+    drop(book);
     bincode::serde::encode_to_vec(LoanAnswer { tokens }, bincode::config::standard())
         .map(|body| Response::new(AnswerBody::from(Bytes::from(body))))
         .map_err(|error| error.to_string())
 }
 
+fn tell_time() -> Result<Response<AnswerBody>, String> {
+    bincode::serde::encode_to_vec(unix_millis(), bincode::config::standard())
+        .map(|body| Response::new(AnswerBody::from(Bytes::from(body))))
+        .map_err(|error| error.to_string())
+}
+
 fn take_gift<P: Platform>(gateway: &Gateway<P>, gift: TokenGift) -> Response<AnswerBody> {
     for (workspace, tokens) in gift.gifts {
         let is_taken = gateway.funds().book().borrow_mut().take_loan(&workspace, tokens);
--- /dev/null
+++ b/crates/bramleywind_gateway/src/members/fleet_clock.rs
@@ -0,0 +1,53 @@
+use std::{cell::Cell, time::Duration};
+
+/// How long a comparison of clocks holds. Quartz clocks drift by less than a millisecond in this time.
+const LONGEST_AGE: Duration = Duration::from_secs(10);
+
+/// The fewest clocks, the own one included, whose median is believed.
+const FEWEST_CLOCKS: usize = 3;
+
+/// The time of day on which most instances agree.
+///
+/// The time of day of a single instance may jump by seconds. The median of several is right as long as most of them
+/// are; between two comparisons, the clock that counts from the instance's start carries it on.
+#[derive(Debug, Default)]
+pub struct FleetClock {
+    comparison: Cell<Option<Comparison>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Comparison {
+    fleet_ms: u64,
+    boot_ms: u64,
+}
+
+impl FleetClock {
+    /// Compares clocks: the times of day, the own one included, that were told at `boot_ms`, milliseconds since the
+    /// instance's start. False if they are too few.
+    ///
+    /// ```
+    /// use bramleywind_gateway::members::FleetClock;
+    ///
+    /// let clock = FleetClock::default();
+    /// // One of the three has jumped ahead.
+    /// assert!(clock.compare(&mut [70_000, 1_005, 1_000], 500));
+    /// assert_eq!(clock.now(600), Some(1_105));
+    /// assert_eq!(clock.now(60_000), None);
+    /// ```
+    pub fn compare(&self, told: &mut [u64], boot_ms: u64) -> bool {
+        if told.len() < FEWEST_CLOCKS {
+            return false;
+        }
+        told.sort_unstable();
+        let fleet_ms = told[told.len() / 2];
+        self.comparison.set(Some(Comparison { fleet_ms, boot_ms }));
+        true
+    }
+
+    /// The time of day at `boot_ms`, in Unix milliseconds; nothing if the clocks were not compared lately.
+    pub fn now(&self, boot_ms: u64) -> Option<u64> {
+        let comparison = self.comparison.get()?;
+        let age = boot_ms.checked_sub(comparison.boot_ms)?;
+        (u128::from(age) <= LONGEST_AGE.as_millis()).then(|| comparison.fleet_ms + age)
+    }
+}
