--- a/crates/bramleywind_gateway/tests/budget_model.rs
+++ b/crates/bramleywind_gateway/tests/budget_model.rs
@@ -1,6 +1,8 @@
 //! Prepaid budgets under deaths, outages, lost answers and late writes. Guards against a workspace that gets more than it
 //! prepaid.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 #[path = "budget_model/world.rs"]
 mod world;
 
--- a/crates/bramleywind_gateway/tests/events.rs
+++ b/crates/bramleywind_gateway/tests/events.rs
@@ -1,5 +1,7 @@
 //! Cutting event streams. Guards against pieces of two runs that are joined within an event.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 use bramleywind_gateway::{forward::EventScanner, link::EventId};
 use proptest::prelude::*;
 use test_case::test_case;
--- a/crates/bramleywind_gateway/tests/health.rs
+++ b/crates/bramleywind_gateway/tests/health.rs
@@ -1,5 +1,7 @@
 //! Endpoints and their health. Guards against work for endpoints that left, and for a foreign start at a known name.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 use std::time::{Duration, Instant};
 
 use bramleywind_gateway::endpoints::{EndpointBook, EndpointHealth, EndpointRecord, EntryEffect};
--- a/crates/bramleywind_gateway/tests/members.rs
+++ b/crates/bramleywind_gateway/tests/members.rs
@@ -1,6 +1,8 @@
 //! Who is alive, and what time it is. Guards against callers that are sent to nobody, and against a takeover that trusts a
 //! clock that has jumped.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 use std::time::{Duration, Instant};
 
 use bramleywind_gateway::members::{FleetClock, MemberBook, MemberRecord};
--- a/crates/bramleywind_gateway/tests/retries.rs
+++ b/crates/bramleywind_gateway/tests/retries.rs
@@ -1,5 +1,7 @@
 //! Whether a failed request is sent again. Guards against orders that run twice.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 use std::time::{Duration, Instant};
 
 use bramleywind_gateway::{
--- a/crates/bramleywind_gateway/tests/routes.rs
+++ b/crates/bramleywind_gateway/tests/routes.rs
@@ -1,5 +1,7 @@
 //! Look-ups by host, path and key. Guards against a request that reaches another route's service.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 use std::time::Duration;
 
 use bramleywind_gateway::config::{
