gateway: place requests where their first event is expected first

Change: the expected time to the first event, from what an engine holds, what it has to read already and the pace that it showed; first and second homes keep processes in agreement.

--- a/crates/bramleywind_gateway/src/endpoints/endpoint.rs
+++ b/crates/bramleywind_gateway/src/endpoints/endpoint.rs
@@ -4,16 +4,21 @@
     time::Instant,
 };
 
-use bramleywind_routing::LoadReport;
+use bramleywind_routing::{LoadReport, SmoothedValue};
 
-use super::{ConnectionPool, EndpointHealth, EndpointRecord, WorkGuard};
+use super::{ConnectionPool, EndpointHealth, EndpointRecord, PrefixMemory, WorkGuard};
+
+/// How much a new sample of an endpoint's pace counts: a few samples settle it, and one slow request does not.
+const PACE_WEIGHT: f64 = 0.25;
 
 /// One endpoint of the registry, and what this process has seen of it.
 #[derive(Debug)]
 pub struct Endpoint {
     record: RefCell<EndpointRecord>,
     pub(super) in_flight: Cell<u32>,
-    pub(super) prefill_tokens: Cell<u64>,
+    pub(super) backlog_tokens: Cell<u64>,
+    pub(super) pace_ms: RefCell<SmoothedValue>,
+    prefixes: RefCell<PrefixMemory>,
     load: Cell<Option<(LoadReport, Instant)>>,
     health: RefCell<EndpointHealth>,
     pool: RefCell<ConnectionPool>,
@@ -26,7 +31,9 @@
         Self {
             record: RefCell::new(record),
             in_flight: Cell::new(0),
-            prefill_tokens: Cell::new(0),
+            backlog_tokens: Cell::new(0),
+            pace_ms: RefCell::new(SmoothedValue::new(PACE_WEIGHT)),
+            prefixes: RefCell::default(),
             load: Cell::new(None),
             health: RefCell::default(),
             pool: RefCell::default(),
@@ -60,9 +67,19 @@
         self.in_flight.get()
     }
 
-    /// Prompt tokens of this process's requests that have no first event yet.
-    pub fn prefill_tokens(&self) -> u64 {
-        self.prefill_tokens.get()
+    /// Prompt tokens that it has to read for this process's requests that have no first event yet.
+    pub fn backlog_tokens(&self) -> u64 {
+        self.backlog_tokens.get()
+    }
+
+    /// Milliseconds that it took lately for a thousand prompt tokens, or for a request without a prompt.
+    pub fn pace_ms(&self) -> Option<f64> {
+        self.pace_ms.borrow().current()
+    }
+
+    /// What it read lately for this process.
+    pub fn prefixes(&self) -> &RefCell<PrefixMemory> {
+        &self.prefixes
     }
 
     /// Its last report and when it arrived.
@@ -85,8 +102,9 @@
         &self.pool
     }
 
-    /// Counts a request to it until the guard is dropped. `prefill_tokens` are what it has to read first.
-    pub fn begin_work(self: &Rc<Self>, prefill_tokens: u64) -> WorkGuard {
-        WorkGuard::new(Rc::clone(self), prefill_tokens)
+    /// Counts a request to it until the guard is dropped. `prompt_tokens` are what it has to read first; nothing for a
+    /// request without a prompt.
+    pub fn begin_work(self: &Rc<Self>, prompt_tokens: Option<u64>, now: Instant) -> WorkGuard {
+        WorkGuard::new(Rc::clone(self), prompt_tokens, now)
     }
 }
--- a/crates/bramleywind_gateway/src/forward/attempt_loop.rs
+++ b/crates/bramleywind_gateway/src/forward/attempt_loop.rs
@@ -281,6 +281,9 @@
         body.extend_from_slice(&data);
     }
     let head = exchange.head.clone();
+    if head.status.is_success() {
+        exchange.work.note_answer(Instant::now());
+    }
     exchange.recycle();
     Ok(WholeAnswer { head, body: body.freeze() })
 }
--- a/crates/bramleywind_gateway/src/forward/exchange.rs
+++ b/crates/bramleywind_gateway/src/forward/exchange.rs
@@ -36,8 +36,14 @@
     resume_after: Option<EventId>,
     patience: Instant,
 ) -> Result<Exchange, CallFailure> {
-    let prefill = context.prompt.as_ref().map_or(0, |prompt| prompt.prompt_tokens.0);
-    let work = endpoint.begin_work(prefill);
+    let now = Instant::now();
+    let to_read = context.prompt.as_ref().map(|prompt| {
+        let mut prefixes = endpoint.prefixes().borrow_mut();
+        let cached = prefixes.cached_tokens(&prompt.parts, now);
+        prefixes.insert(&prompt.parts, now);
+        prompt.prompt_tokens.0.saturating_sub(cached)
+    });
+    let work = endpoint.begin_work(to_read, now);
     loop {
         let pooled = endpoint.pool().borrow_mut().take(Instant::now());
         let is_pooled = pooled.is_some();
--- a/crates/bramleywind_gateway/src/forward/stream_source.rs
+++ b/crates/bramleywind_gateway/src/forward/stream_source.rs
@@ -42,7 +42,7 @@
             let Ok(data) = frame.into_data() else { continue };
             let events = self.scanner.push(&data);
             if events.count > 0 {
-                self.exchange.work.end_prefill();
+                self.exchange.work.note_answer(Instant::now());
             }
             if !events.bytes.is_empty() {
                 return Ok(Some(events));
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -15,10 +15,10 @@
     endpoints::{Endpoint, EndpointBook},
     forward::{RequestContext, RequestTrace},
     funds::FundsDesk,
-    link::{Platform, PromptShape},
+    link::{Platform, PromptPart},
     members::{FleetClock, MemberBook, MemberRecord},
     metrics::GatewayMetrics,
-    placement::{Candidate, HomePlacement, PlacementPolicy, PlacementRequest},
+    placement::{Candidate, LatencyPlacement, PlacementPolicy, PlacementRequest},
     settings::GatewaySettings,
 };
 
@@ -50,7 +50,7 @@
     open_requests: Rc<Cell<usize>>,
     stop_phase: Cell<StopPhase>,
     fleet_clock: FleetClock,
-    placement: HomePlacement,
+    placement: LatencyPlacement,
 }
 
 impl<P: Platform> Gateway<P> {
@@ -77,7 +77,7 @@
             open_requests: Rc::default(),
             stop_phase: Cell::new(StopPhase::Running),
             fleet_clock: FleetClock::default(),
-            placement: HomePlacement,
+            placement: LatencyPlacement,
         }
     }
 
@@ -201,7 +201,10 @@
     ) -> Option<Rc<Endpoint>> {
         let now = Instant::now();
         let book = self.endpoints.borrow();
-        let prefix = context.prompt.as_ref().and_then(shared_prefix);
+        let prompt = context.prompt.as_ref();
+        let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let prefix = hash_parts(shared);
         let usable = |endpoint: &&Rc<Endpoint>| {
             !tried.contains(&endpoint.record().id) && endpoint.in_flight() < context.endpoint_limit
         };
@@ -211,30 +214,29 @@
             .map(|endpoint| {
                 let record = endpoint.record();
                 Candidate {
-                    affinity: xxh3_64_with_seed(
-                        record.id.as_str().as_bytes(),
-                        prefix.unwrap_or_default(),
-                    ),
+                    affinity: xxh3_64_with_seed(record.id.as_str().as_bytes(), prefix),
                     in_flight: endpoint.in_flight(),
-                    prefill_tokens: endpoint.prefill_tokens(),
+                    backlog_tokens: endpoint.backlog_tokens(),
+                    cached_tokens: endpoint.prefixes().borrow().cached_tokens(parts, now),
                     reported: endpoint.load().map(|(load, _)| load.accepted()),
                     slots: record.slots,
+                    pace_ms: endpoint.pace_ms(),
                     is_avoided: endpoint.health().borrow().is_avoided(now),
                     is_near: record.data_centre == self.settings.data_centre,
                 }
             })
             .collect();
-        let request = PlacementRequest { prefix, tie_break: rand::random() };
+        let request = PlacementRequest {
+            prompt_tokens: prompt.map_or(0, |prompt| prompt.prompt_tokens.0),
+            shared_tokens: shared.iter().map(|part| u64::from(part.tokens)).sum(),
+            tie_break: rand::random(),
+        };
         let chosen = self.placement.choose(&request, &candidates)?;
         endpoints.get(chosen).map(|endpoint| Rc::clone(endpoint))
     }
 }
 
-/// Identifies the shared beginning of a prompt: all parts but the last, which belongs to the request alone.
-fn shared_prefix(prompt: &PromptShape) -> Option<u64> {
-    let shared = prompt.parts.split_last()?.1;
-    if shared.is_empty() {
-        return None;
-    }
-    Some(shared.iter().fold(0, |seed, part| xxh3_64_with_seed(&part.id.to_le_bytes(), seed)))
+/// Identifies a beginning of prompts.
+fn hash_parts(parts: &[PromptPart]) -> u64 {
+    parts.iter().fold(0, |seed, part| xxh3_64_with_seed(&part.id.to_le_bytes(), seed))
 }
--- a/crates/bramleywind_gateway/src/placement/placement_policy.rs
+++ b/crates/bramleywind_gateway/src/placement/placement_policy.rs
@@ -3,8 +3,10 @@
 /// What matters of a request for its placement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlacementRequest {
-    /// Identifies the shared beginning of its prompt, if it has one.
-    pub prefix: Option<u64>,
+    /// The length of its prompt; zero if it has none.
+    pub prompt_tokens: u64,
+    /// The part of the prompt that other requests share.
+    pub shared_tokens: u64,
     /// A random number that decides between equals.
     pub tie_break: u64,
 }
--- a/crates/bramleywind_gateway/src/state_dump.rs
+++ b/crates/bramleywind_gateway/src/state_dump.rs
@@ -16,7 +16,7 @@
             json!({
                 "id": record.id, "service": record.service, "address": record.address,
                 "data_centre": record.data_centre, "is_leaving": record.is_leaving,
-                "in_flight": endpoint.in_flight(), "prefill_tokens": endpoint.prefill_tokens(),
+                "in_flight": endpoint.in_flight(), "backlog_tokens": endpoint.backlog_tokens(), "pace_ms": endpoint.pace_ms(),
                 "reported": load.map(|(load, _)| load),
                 "report_age_ms": load.map(|(_, at)| now.saturating_duration_since(at).as_millis() as u64),
                 "failures_in_row": endpoint.health().borrow().failures_in_row(),
