--- a/crates/bramleywind_gateway/src/forward/attempt_loop.rs
+++ b/crates/bramleywind_gateway/src/forward/attempt_loop.rs
@@ -67,6 +67,7 @@
         let mut last_failure = None;
         loop {
             let Some(endpoint) = gateway.choose_endpoint(&context, &self.tried) else { break };
+            trace.placement.get_or_insert_with(|| describe_load(&endpoint, Instant::now()));
             expose_prompt(&mut reservation, &context);
             let (kind, failure) = match self.call::<P>(&context, &mut trace, &endpoint, None).await
             {
@@ -238,6 +239,17 @@
     }
 }
 
+/// What was known of an endpoint when it was chosen, for the log.
+fn describe_load(endpoint: &Endpoint, now: Instant) -> Box<str> {
+    let pace = endpoint.pace_ms().unwrap_or_default();
+    let (in_flight, backlog) = (endpoint.in_flight(), endpoint.backlog_tokens());
+    let report = endpoint.load().map_or_else(String::new, |(load, at)| {
+        let age = now.saturating_duration_since(at).as_millis();
+        format!(" reported={} report_age_ms={age}", load.accepted())
+    });
+    format!("pace_ms={pace:.0} in_flight={in_flight} backlog_tokens={backlog}{report}").into()
+}
+
 /// Until an endpoint answers, it may have begun to read the prompt.
 fn expose_prompt(reservation: &mut Option<Reservation>, context: &RequestContext) {
     if let (Some(reservation), Some(prompt)) = (reservation, &context.prompt) {
--- a/crates/bramleywind_gateway/src/forward/request_trace.rs
+++ b/crates/bramleywind_gateway/src/forward/request_trace.rs
@@ -22,6 +22,8 @@
     pub revision: Option<ConfigRevision>,
     /// The workspace that pays.
     pub workspace: Option<WorkspaceId>,
+    /// What decided the choice of the first endpoint.
+    pub placement: Option<Box<str>>,
     /// The endpoints that were called, in order.
     pub endpoints: Vec<EndpointId>,
     /// The status of the answer.
@@ -54,6 +56,7 @@
             route: None,
             revision: None,
             workspace: None,
+            placement: None,
             endpoints: Vec::new(),
             status: None,
             first_piece_ms: None,
@@ -109,7 +112,7 @@
         info!(self.log, "request ended"; "request" => &*self.request_id,
             "outcome" => self.outcome.name(), "reason" => reason, "status" => self.status,
             "route" => self.route.as_deref(), "workspace" => self.workspace.as_ref().map(ToString::to_string),
-            "endpoints" => endpoints.join(","), "revision" => self.revision.map(|revision| revision.0),
+            "endpoints" => endpoints.join(","), "placement" => self.placement.as_deref(), "revision" => self.revision.map(|revision| revision.0),
             "first_piece_ms" => self.first_piece_ms, "elapsed_ms" => self.elapsed_ms(),
             "events" => self.events, "tokens_set_aside" => set_aside, "tokens_charged" => charged);
     }
--- a/crates/bramleywind_gateway/src/funds/funds_desk.rs
+++ b/crates/bramleywind_gateway/src/funds/funds_desk.rs
@@ -155,8 +155,10 @@
                 break;
             }
         }
-        info!(log, "tokens borrowed"; "workspace" => %loan.workspace, "wanted" => wanted.0,
-            "missing" => loan.tokens.0, "failures" => failures);
+        if loan.tokens < wanted {
+            info!(log, "tokens borrowed"; "workspace" => %loan.workspace, "wanted" => wanted.0,
+                "missing" => loan.tokens.0, "lenders_without_answer" => failures);
+        }
     }
 
     /// Gives what could not be returned to the store to another gateway. What no one takes stays counted as spent.
--- a/crates/bramleywind_gateway/src/loans/loan_port.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_port.rs
@@ -1,5 +1,6 @@
 use std::time::Instant;
 
+use bramleywind_types::TokenCount;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -54,9 +55,11 @@
     let now = Instant::now();
     let mut book = gateway.funds().book().borrow_mut();
     let tokens = book.lend(&loan.workspace, loan.tokens, now);
-    info!(gateway.log(), "loan asked for"; "borrower" => %loan.borrower, "workspace" => %loan.workspace,
-        "wanted" => loan.tokens.0, "lent" => tokens.0, "released" => book.released(now),
-        "standby" => book.account(&loan.workspace).map(|account| account.granted().standby.0));
+    // Requests in vain are many in an outage, and say nothing.
+    if tokens > TokenCount(0) {
+        info!(gateway.log(), "tokens lent"; "borrower" => %loan.borrower, "workspace" => %loan.workspace,
+            "wanted" => loan.tokens.0, "lent" => tokens.0, "standby_released" => book.released(now));
+    }
     drop(book);
     bincode::serde::encode_to_vec(LoanAnswer { tokens }, bincode::config::standard())
         .map(|body| Response::new(AnswerBody::from(Bytes::from(body))))
