gateway: retry limits from the settings, fresh connections for orders, and shorter waits for funds

Causes: each gateway allowed three retries in ten seconds whatever the size of the fleet, which is more than 78 gateways may send together; an endpoint may drop an idle connection without notice, and an order sent on it may have run; requests without funds waited 400 ms in vain and came back into the same outage. Change: the retries' share and the extra ones come from the platform's bounds and are divided by the members; requests that must not be repeated use connections that were idle for at most 300 ms; they wait 250 ms for funds and are told to come back in 1.2 s.

--- a/crates/bramleywind_gateway/src/endpoints/connection_pool.rs
+++ b/crates/bramleywind_gateway/src/endpoints/connection_pool.rs
@@ -11,6 +11,10 @@
 /// not cross the endpoint's close.
 const USABLE_IDLE_PART: f64 = 0.5;
 
+/// The idle time up to which a connection carries a request that must not be repeated. An endpoint may drop an idle connection
+/// without notice, and then nobody knows whether the request ran.
+const FRESH_TIME: Duration = Duration::from_millis(300);
+
 /// Idle connections that are kept for one endpoint.
 const MOST_IDLE: usize = 24;
 
@@ -26,12 +30,18 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: PooledConnection,
+    idle_since: Instant,
     usable_until: Instant,
 }
 
 impl ConnectionPool {
-    /// Takes the connection that was used last and that the endpoint still keeps open.
-    pub fn take(&mut self, now: Instant) -> Option<PooledConnection> {
+    /// Takes the connection that was used last and that the endpoint still keeps open. With `must_be_fresh` only one that
+    /// was used a moment ago.
+    pub fn take(&mut self, must_be_fresh: bool, now: Instant) -> Option<PooledConnection> {
+        let is_fresh = |entry: &IdleConnection| now < entry.idle_since + FRESH_TIME;
+        if must_be_fresh && !self.idle.last().is_some_and(is_fresh) {
+            return None;
+        }
         while let Some(entry) = self.idle.pop() {
             if now < entry.usable_until && entry.connection.is_ready() {
                 return Some(entry.connection);
@@ -47,7 +57,7 @@
         if self.idle.len() >= MOST_IDLE {
             self.idle.remove(0);
         }
-        self.idle.push(IdleConnection { connection, usable_until });
+        self.idle.push(IdleConnection { connection, idle_since: now, usable_until });
     }
 
     /// Closes the connections that are too old to be used.
--- a/crates/bramleywind_gateway/src/forward/attempt_loop.rs
+++ b/crates/bramleywind_gateway/src/forward/attempt_loop.rs
@@ -51,7 +51,7 @@
 /// What one call brought.
 enum CallEnd {
     Whole(WholeAnswer),
-    Stream(StreamSource, ScannedEvents),
+    Stream(Box<StreamSource>, ScannedEvents),
 }
 
 impl AttemptLoop {
@@ -72,7 +72,7 @@
             let (kind, failure) = match self.call::<P>(&context, &mut trace, &endpoint, None).await
             {
                 Ok(CallEnd::Stream(source, first)) => {
-                    let last_id = None;
+                    let (source, last_id) = (*source, None);
                     charge_prompt(&mut reservation, &context);
                     let attempts = self;
                     return StreamRelay {
@@ -140,7 +140,7 @@
             if context.route.kind.is_stream() && exchange.head.status.is_success() {
                 let mut source = StreamSource::new(exchange);
                 let first = source.next_events(patience).await?;
-                return Ok(CallEnd::Stream(source, first.unwrap_or_default()));
+                return Ok(CallEnd::Stream(Box::new(source), first.unwrap_or_default()));
             }
             collect(exchange, patience).await.map(CallEnd::Whole)
         }
--- a/crates/bramleywind_gateway/src/forward/exchange.rs
+++ b/crates/bramleywind_gateway/src/forward/exchange.rs
@@ -44,8 +44,9 @@
         prompt.prompt_tokens.0.saturating_sub(cached)
     });
     let work = endpoint.begin_work(to_read, now);
+    let must_be_fresh = !context.route.kind.is_repeatable();
     loop {
-        let pooled = endpoint.pool().borrow_mut().take(Instant::now());
+        let pooled = endpoint.pool().borrow_mut().take(must_be_fresh, Instant::now());
         let is_pooled = pooled.is_some();
         let mut connection = match pooled {
             Some(connection) => connection,
--- a/crates/bramleywind_gateway/src/forward/intake.rs
+++ b/crates/bramleywind_gateway/src/forward/intake.rs
@@ -1,4 +1,7 @@
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bramleywind_types::{ServiceId, TokenCount, WorkspaceId};
 use bytes::Bytes;
@@ -20,9 +23,13 @@
     link::{Platform, RequestHead, WireDialect},
 };
 
-/// When to come back to a gateway that has no configuration or no funds yet. The store answers within
+/// When to come back to a gateway that has no configuration or no endpoint yet. The store answers within
 /// milliseconds when it is well.
-const SHORT_DELAY: std::time::Duration = std::time::Duration::from_millis(500);
+const SHORT_DELAY: Duration = Duration::from_millis(500);
+
+/// When to come back for funds while the store does not answer: a standby token more is released each moment, and an outage
+/// lasts for seconds.
+const FUNDS_DELAY: Duration = Duration::from_millis(1_200);
 
 /// Answers one request of a caller.
 pub async fn answer_request<P: Platform>(
@@ -70,7 +77,7 @@
     }
     trace.workspace = workspace.as_ref().map(|workspace| workspace.id.clone());
     if gateway.stop_phase() == StopPhase::Refusing {
-        return Err(Refusal::after(RefusalReason::Stopping, std::time::Duration::ZERO));
+        return Err(Refusal::after(RefusalReason::Stopping, Duration::ZERO));
     }
     let deadline = head.deadline_within(arrival, route.timeout);
     let body = read_whole_body(body, table.limits().body_bytes, deadline).await?;
@@ -88,7 +95,7 @@
                 let reservation = result.map_err(|outcome| match outcome {
                     ReserveOutcome::Exhausted => Refusal::new(RefusalReason::BudgetExhausted),
                     ReserveOutcome::Unavailable | ReserveOutcome::Reserved => {
-                        Refusal::after(RefusalReason::FundsUnavailable, SHORT_DELAY)
+                        Refusal::after(RefusalReason::FundsUnavailable, FUNDS_DELAY)
                     }
                 })?;
                 trace.tokens = Some((need.0, 0));
--- a/crates/bramleywind_gateway/src/funds/grant_book.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_book.rs
@@ -16,8 +16,9 @@
 /// How old a record may be when a request is refused for want of funds.
 const REFUSAL_RECORD_AGE: Duration = Duration::from_millis(500);
 
-/// How long a request waits for funds while the store does not answer. Many times what a store that is well needs.
-const WAIT_TIME: Duration = Duration::from_millis(400);
+/// How long a request waits for funds while the store does not answer. Many times what a store that is well needs, and
+/// enough to ask the other gateways for a loan.
+const WAIT_TIME: Duration = Duration::from_millis(250);
 
 /// How long a request waits for the store before tokens are borrowed. The store answers in 4 ms when it is well.
 const LOAN_PATIENCE: Duration = Duration::from_millis(40);
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -182,7 +182,11 @@
 
     /// Whether the service's retry budget allows one more call; it is counted.
     pub fn try_retry(&self, service: &ServiceId, now: Instant) -> bool {
-        self.retry_budgets.borrow_mut().entry(service.clone()).or_default().try_retry(now)
+        let limits = self.settings.retries;
+        let extra = limits.extra_of_one(self.members.borrow().count());
+        let mut budgets = self.retry_budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.try_retry_within(limits.per_request(), extra, now)
     }
 
     /// The most requests that this process may have at one endpoint: its part of the connections that the endpoint
--- a/crates/bramleywind_gateway/src/settings/gateway_settings.rs
+++ b/crates/bramleywind_gateway/src/settings/gateway_settings.rs
@@ -2,12 +2,12 @@
 
 use bramleywind_config::json::JsonSource;
 use bramleywind_types::{DataCentreId, InstanceId};
-use snafu::{ResultExt, ensure};
+use snafu::{OptionExt, ResultExt, ensure};
 
 use super::{
-    GatewaySettingsError, ListenAddresses, StopTimes,
+    GatewaySettingsError, ListenAddresses, RetryLimits, StopTimes,
     raw_gateway_options::RawGatewayOptions,
-    settings_error::{SameAddressSnafu, StopGraceSnafu, UnreadableSnafu},
+    settings_error::{RetryShareSnafu, SameAddressSnafu, StopGraceSnafu, UnreadableSnafu},
 };
 
 /// The part of the grace time after which new requests are refused. Callers ask again for entries within seconds,
@@ -31,6 +31,8 @@
     pub listen: ListenAddresses,
     /// The platform's store.
     pub store_address: SocketAddr,
+    /// How often requests may be sent again.
+    pub retries: RetryLimits,
     /// How a planned stop goes on.
     pub stop: StopTimes,
     /// The least important lines that are logged.
@@ -65,7 +67,9 @@
     ///                 "entries": "127.0.0.1:8002", "peers": "127.0.0.1:8003",
     ///                 "metrics": "127.0.0.1:8004" },
     ///     "store_address": "127.0.0.1:9000",
-    ///     "stop_grace_seconds": 8
+    ///     "stop_grace_seconds": 8,
+    ///     // Two retries in ten requests, and 52 besides.
+    ///     "retries": { "share": 0.2, "extra": 52 }
     /// }"#).unwrap();
     /// assert_eq!(settings.stop.end_after.as_millis(), 7300);
     /// ```
@@ -76,6 +80,8 @@
         let grace = raw.stop_grace_seconds;
         let is_usable = (1.0..=LONGEST_GRACE_SECONDS).contains(&grace);
         ensure!(is_usable, StopGraceSnafu { value: grace });
+        let share = raw.retries.share;
+        let retries = raw.retries.resolve().context(RetryShareSnafu { value: share })?;
         let listen = raw.listen;
         let addresses =
             [listen.callers, listen.readiness, listen.entries, listen.peers, listen.metrics];
@@ -89,6 +95,7 @@
             data_centre: raw.data_centre,
             listen,
             store_address: raw.store_address,
+            retries,
             stop: StopTimes {
                 refuse_after: grace.mul_f64(REFUSE_PART),
                 end_after: grace.saturating_sub(END_MARGIN),
--- a/crates/bramleywind_gateway/src/settings/raw_gateway_options.rs
+++ b/crates/bramleywind_gateway/src/settings/raw_gateway_options.rs
@@ -3,7 +3,7 @@
 use bramleywind_types::{DataCentreId, InstanceId};
 use serde::Deserialize;
 
-use super::ListenAddresses;
+use super::{ListenAddresses, RetryLimits};
 
 /// The settings file as written.
 #[derive(Debug, Clone, Deserialize)]
@@ -14,10 +14,27 @@
     pub listen: ListenAddresses,
     pub store_address: SocketAddr,
     pub stop_grace_seconds: f64,
+    pub retries: RawRetryLimits,
     #[serde(default)]
     pub log_level: LogLevel,
 }
 
+/// The limits of retries as written: the share is a fraction.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RawRetryLimits {
+    pub share: f64,
+    pub extra: u32,
+}
+
+impl RawRetryLimits {
+    /// The limits, unless the share is none.
+    pub(super) fn resolve(self) -> Option<RetryLimits> {
+        let percent = (0.0..=1.0).contains(&self.share).then_some((self.share * 100.0) as u32)?;
+        Some(RetryLimits { percent, extra: self.extra })
+    }
+}
+
 /// The least important lines that are logged.
 #[derive(Debug, Clone, Copy, Default, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/bramleywind_gateway/src/settings/settings_error.rs
+++ b/crates/bramleywind_gateway/src/settings/settings_error.rs
@@ -27,6 +27,12 @@
         /// The value.
         value: f64,
     },
+    /// The share of retries is no share.
+    #[snafu(display("`retries.share` is {value}; give a number from 0 to 1"))]
+    RetryShare {
+        /// The value.
+        value: f64,
+    },
     /// Two ports are the same.
     #[snafu(display("`listen` names {address} twice; give each port an address of its own"))]
     SameAddress {
--- a/crates/bramleywind_routing/src/retry_budget.rs
+++ b/crates/bramleywind_routing/src/retry_budget.rs
@@ -3,8 +3,8 @@
 /// How long a request counts towards the budget.
 const WINDOW: Duration = Duration::from_secs(10);
 
-/// One retry is allowed for this many requests in the window.
-const REQUESTS_PER_RETRY: usize = 5;
+/// The retries that are allowed for a request in the window.
+const RETRIES_PER_REQUEST: f64 = 0.2;
 
 /// Retries that are always allowed in a window, so that a quiet router can retry at all.
 const MINIMUM_RETRIES: usize = 3;
@@ -34,9 +34,14 @@
 
     /// Counts and allows a retry, or refuses it.
     pub fn try_retry(&mut self, now: Instant) -> bool {
+        self.try_retry_within(RETRIES_PER_REQUEST, MINIMUM_RETRIES, now)
+    }
+
+    /// As [`Self::try_retry`], with another share of the requests, and another number that is always allowed.
+    pub fn try_retry_within(&mut self, per_request: f64, minimum: usize, now: Instant) -> bool {
         self.drop_expired(now);
-        let allowed = MINIMUM_RETRIES.max(self.request_ends.len() / REQUESTS_PER_RETRY);
-        if self.retry_ends.len() >= allowed {
+        let share = (self.request_ends.len() as f64 * per_request) as usize;
+        if self.retry_ends.len() >= minimum.max(share) {
             return false;
         }
         self.retry_ends.push_back(now + WINDOW);
