gateway: in larger fleets, let a few gateways draw the grants of each budget and lend them to the others

Change: in fleets of more than twelve, six gateways by rendezvous hash draw the grants of a budget; the others borrow, ahead of use, and draw only if no banker answers. Small fleets work as before. Lent tokens count as use of the lender, and a budget asks for loans at most every 40 ms.

--- a/crates/bramleywind_gateway/src/background/keep_membership.rs
+++ b/crates/bramleywind_gateway/src/background/keep_membership.rs
@@ -9,6 +9,7 @@
 
 use super::StoreContact;
 use crate::{
+    funds::BankerRule,
     gateway::{Gateway, StopPhase},
     link::{FleetStore, LeaseId, Platform},
 };
@@ -71,6 +72,9 @@
             "before" => before, "now" => members.count());
     }
     gateway.metrics().members.set(i64::try_from(members.count()).unwrap_or(i64::MAX));
-    gateway.funds().book().borrow_mut().set_members(members.count());
+    let own = members.own().instance.clone();
+    let others = members.others().iter().map(|other| other.instance.clone());
+    let all = others.chain([own.clone()]).collect();
+    gateway.funds().book().borrow_mut().set_bankers(BankerRule::new(own, all));
     Ok(())
 }
--- a/crates/bramleywind_gateway/src/daemon.rs
+++ b/crates/bramleywind_gateway/src/daemon.rs
@@ -7,6 +7,7 @@
 };
 
 use bramleywind_http::{HeadLimits, HttpListener};
+use bramleywind_types::WorkspaceId;
 use bytes::Bytes;
 use compio::{
     runtime::Runtime,
@@ -156,8 +157,7 @@
     });
     let state = Rc::clone(&gateway);
     let loans = compio::runtime::spawn(async move {
-        let lenders =
-            || state.members().borrow().others().iter().map(|other| other.peer_address).collect();
+        let lenders = |workspace: &WorkspaceId| state.lenders(workspace);
         state.funds().run_loans(&state.settings().instance, lenders, state.log()).await;
     });
     let pools = compio::runtime::spawn(review_pools(Rc::clone(&gateway)));
