--- a/crates/bramleywind_gateway/src/funds/banker_rule.rs
+++ b/crates/bramleywind_gateway/src/funds/banker_rule.rs
@@ -29,7 +29,10 @@
     /// ```
     /// use bramleywind_gateway::funds::BankerRule;
     ///
-    /// let members: Vec<_> = (0..80).map(|number| format!("front-{number}").parse().unwrap()).collect();
+    /// use bramleywind_types::InstanceId;
+    ///
+    /// let name = |number| format!("front-{number}").parse::<InstanceId>().unwrap();
+    /// let members: Vec<_> = (0..80).map(name).collect();
     /// let one = BankerRule::new(members[0].clone(), members.clone());
     /// let other = BankerRule::new(members[9].clone(), members);
     /// let workspace = "menders".parse().unwrap();
