gateway: log the charge of failed requests, and collect registry changes for longer in larger fleets

Each change of the registry wakes every gateway of the fleet; on 78 gateways the start of 94 endpoints alone is 7,000 calls. The charge of a request that may have run was logged as zero.

--- a/crates/bramleywind_gateway/src/background/follow_endpoints.rs
+++ b/crates/bramleywind_gateway/src/background/follow_endpoints.rs
@@ -22,10 +22,16 @@
 /// The shortest time that a watch waits.
 const SHORTEST_WATCH: Duration = Duration::from_millis(50);
 
-/// The pause between two watches, which collects changes that come together, such as the start of all endpoints. Far below
-/// the seconds within which a leaving endpoint must be known.
+/// The pause between two watches in a small fleet, which collects changes that come together, such as the start of all
+/// endpoints.
 const COLLECT_TIME: Duration = Duration::from_millis(250);
 
+/// The longest pause: below the seconds within which a leaving endpoint must be known.
+const LONGEST_COLLECT_TIME: Duration = Duration::from_secs(1);
+
+/// Gateways up to which the pause is the shortest. Each change wakes all of them, so it grows with larger fleets.
+const SMALL_FLEET: f64 = 12.0;
+
 /// How long entries that vanished with a store outage are still believed after its return. Endpoints that live are
 /// back in the registry within about two seconds.
 const RETURN_TIME: Duration = Duration::from_millis(1_900);
@@ -53,10 +59,15 @@
             }
         }
         drop_doubted(&gateway);
-        sleep(COLLECT_TIME).await;
+        sleep(collect_time(gateway.members().borrow().count())).await;
     }
 }
 
+fn collect_time(members: usize) -> Duration {
+    let growth = (members as f64 / SMALL_FLEET).max(1.0);
+    COLLECT_TIME.mul_f64(growth).min(LONGEST_COLLECT_TIME)
+}
+
 /// Reads the registry, or waits for changes. Returns the version to watch from.
 async fn next_version<P: Platform>(
     gateway: &Gateway<P>,
--- a/crates/bramleywind_gateway/src/forward/attempt_loop.rs
+++ b/crates/bramleywind_gateway/src/forward/attempt_loop.rs
@@ -107,6 +107,7 @@
             }
             if let Some(reservation) = &mut reservation {
                 reservation.expose(TokenCount(0));
+                trace.tokens = Some((reservation.limit().0, reservation.used().0));
             }
             let may_repeat = self.may_repeat(&gateway, &context, kind);
             trace.log_failure(&failure, may_repeat);
