--- a/crates/bramleywind_gateway/src/background/follow_endpoints.rs
+++ b/crates/bramleywind_gateway/src/background/follow_endpoints.rs
@@ -59,7 +59,8 @@
             }
         }
         drop_doubted(&gateway);
-        sleep(collect_time(gateway.members().borrow().count())).await;
+        let members = gateway.members().borrow().count();
+        sleep(collect_time(members)).await;
     }
 }
 
