Revert "gateway: in larger fleets, let a few gateways draw the grants of each budget and lend them to the others"

Cause: the lenders draw for each loan, and their writes conflict; the borrowers' own draws after 150 ms add to them.

--- a/crates/bramleywind_gateway/src/background/keep_membership.rs
+++ b/crates/bramleywind_gateway/src/background/keep_membership.rs
@@ -9,7 +9,6 @@
 
 use super::StoreContact;
 use crate::{
-    funds::BankerRule,
     gateway::{Gateway, StopPhase},
     link::{FleetStore, LeaseId, Platform},
 };
@@ -72,9 +71,6 @@
             "before" => before, "now" => members.count());
     }
     gateway.metrics().members.set(i64::try_from(members.count()).unwrap_or(i64::MAX));
-    let own = members.own().instance.clone();
-    let others = members.others().iter().map(|other| other.instance.clone());
-    let all = others.chain([own.clone()]).collect();
-    gateway.funds().book().borrow_mut().set_bankers(BankerRule::new(own, all));
+    gateway.funds().book().borrow_mut().set_members(members.count());
     Ok(())
 }
--- a/crates/bramleywind_gateway/src/daemon.rs
+++ b/crates/bramleywind_gateway/src/daemon.rs
@@ -7,7 +7,6 @@
 };
 
 use bramleywind_http::{HeadLimits, HttpListener};
-use bramleywind_types::WorkspaceId;
 use bytes::Bytes;
 use compio::{
     runtime::Runtime,
@@ -157,7 +156,8 @@
     });
     let state = Rc::clone(&gateway);
     let loans = compio::runtime::spawn(async move {
-        let lenders = |workspace: &WorkspaceId| state.lenders(workspace);
+        let lenders =
+            || state.members().borrow().others().iter().map(|other| other.peer_address).collect();
         state.funds().run_loans(&state.settings().instance, lenders, state.log()).await;
     });
     let pools = compio::runtime::spawn(review_pools(Rc::clone(&gateway)));
--- a/crates/bramleywind_gateway/src/funds.rs
+++ b/crates/bramleywind_gateway/src/funds.rs
@@ -3,7 +3,6 @@
 //! Only tokens that the store already counts as granted are spent, and no process ever takes back a grant of
 //! another one. So a process that freezes, dies or writes late can't lead to overspend.
 
-mod banker_rule;
 mod budget_account;
 mod budget_record;
 mod commit_plan;
@@ -17,7 +16,6 @@
 mod takeover;
 mod use_rate;
 
-pub use banker_rule::BankerRule;
 pub use budget_account::BudgetAccount;
 pub use budget_record::BudgetRecord;
 pub use commit_plan::CommitPlan;
--- a/crates/bramleywind_gateway/src/funds/budget_account.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_account.rs
@@ -26,10 +26,6 @@
     /// When the record was last read from the store; never, if nothing.
     read_at: Option<Instant>,
     pub(super) rate: UseRate,
-    /// Whether this process draws grants of the budget; otherwise it borrows.
-    pub(super) is_banker: bool,
-    /// Until when no further loan is asked for.
-    pub(super) loans_paused_until: Option<Instant>,
     pub(super) waiting: VecDeque<WaitingReservation>,
 }
 
@@ -55,8 +51,6 @@
             is_in_doubt: false,
             read_at: None,
             rate: UseRate::new(now),
-            is_banker: true,
-            loans_paused_until: None,
             waiting: VecDeque::new(),
         }
     }
@@ -122,12 +116,6 @@
         true
     }
 
-    /// Turns a reservation into a loan to another process.
-    pub(super) fn lend_reserved(&mut self, need: TokenCount) {
-        self.reserved = self.reserved.saturating_sub(need);
-        self.lent = self.lent.saturating_add(need);
-    }
-
     /// Ends a reservation of `need` tokens, of which `spent` were used.
     pub(super) fn settle(&mut self, need: TokenCount, spent: TokenCount) {
         self.reserved = self.reserved.saturating_sub(need);
--- a/crates/bramleywind_gateway/src/funds/funds_desk.rs
+++ b/crates/bramleywind_gateway/src/funds/funds_desk.rs
@@ -53,27 +53,16 @@
     book: Rc<RefCell<GrantBook>>,
     wake: Sender<()>,
     woken: Receiver<()>,
-    wake_loans: Sender<()>,
-    loans_woken: Receiver<()>,
     is_reached: Cell<bool>,
     is_stopping: Cell<bool>,
 }
 
 impl FundsDesk {
-    /// A desk of the process run `holder` of the gateway `own`.
-    pub fn new(holder: IncarnationId, own: InstanceId) -> Self {
+    /// A desk of the process run `holder`.
+    pub fn new(holder: IncarnationId) -> Self {
         let (wake, woken) = async_channel::bounded(1);
-        let (wake_loans, loans_woken) = async_channel::bounded(1);
-        let book = Rc::new(RefCell::new(GrantBook::new(holder, own)));
-        Self {
-            book,
-            wake,
-            woken,
-            wake_loans,
-            loans_woken,
-            is_reached: Cell::new(true),
-            is_stopping: Cell::new(false),
-        }
+        let book = Rc::new(RefCell::new(GrantBook::new(holder)));
+        Self { book, wake, woken, is_reached: Cell::new(true), is_stopping: Cell::new(false) }
     }
 
     /// The book, for its figures.
@@ -104,7 +93,6 @@
         };
         // A full channel means that the desk is already woken.
         let _ = self.wake.try_send(());
-        let _ = self.wake_loans.try_send(());
         PendingReservation::new(&self.book, workspace, need, reply).await
     }
 
@@ -135,18 +123,16 @@
     pub async fn run_loans(
         &self,
         borrower: &InstanceId,
-        lenders: impl Fn(&WorkspaceId) -> Vec<SocketAddr>,
+        lenders: impl Fn() -> Vec<SocketAddr>,
         log: &Logger,
     ) {
         loop {
-            // The time-out is the review; it needs no handling of its own.
-            let _ = timeout(LOAN_REVIEW_TIME, self.loans_woken.recv()).await;
-            let wanted = self.book.borrow_mut().wanted_loans(Instant::now());
+            sleep(LOAN_REVIEW_TIME).await;
+            let wanted = self.book.borrow().wanted_loans(Instant::now());
             let loans = wanted.into_iter().map(|(workspace, tokens)| {
-                let mut lenders = lenders(&workspace);
+                let mut lenders = lenders();
                 lenders.shuffle(&mut rand::rng());
-                let may_wait = !self.book.borrow().bankers().is_banker(&workspace);
-                let loan = LoanRequest { borrower: borrower.clone(), workspace, tokens, may_wait };
+                let loan = LoanRequest { borrower: borrower.clone(), workspace, tokens };
                 self.borrow(loan, lenders, log)
             });
             join_all(loans).await;
--- a/crates/bramleywind_gateway/src/funds/grant_book.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_book.rs
@@ -4,11 +4,11 @@
 };
 
 use bramleywind_store::StoreVersion;
-use bramleywind_types::{IncarnationId, InstanceId, TokenCount, WorkspaceId};
+use bramleywind_types::{IncarnationId, TokenCount, WorkspaceId};
 use futures_channel::oneshot;
 
 use super::{
-    BankerRule, BudgetAccount, CommitPlan, Reservation, ReserveOutcome, StandbyRelease,
+    BudgetAccount, CommitPlan, Reservation, ReserveOutcome, StandbyRelease,
     budget_account::WaitingReservation,
 };
 use crate::link::{BudgetChange, BudgetEntry, CommitOutcome};
@@ -23,15 +23,6 @@
 /// How long a request waits for the store before tokens are borrowed. The store answers in 4 ms when it is well.
 const LOAN_PATIENCE: Duration = Duration::from_millis(40);
 
-/// The pause between two loans of one budget, so that lenders that have nothing are not asked all the time.
-const LOAN_PAUSE: Duration = Duration::from_millis(40);
-
-/// How long a request waits for a loan of a banker before this process draws a grant itself.
-const BANKER_PATIENCE: Duration = Duration::from_millis(150);
-
-/// Seconds of the process's own use below which one that is no banker borrows ahead.
-const LOAN_AHEAD_SECONDS: f64 = 0.7;
-
 /// Seconds of the process's own use that a loan covers beyond what waits.
 const LOAN_COVER_SECONDS: f64 = 2.0;
 
@@ -40,7 +31,7 @@
 pub struct GrantBook {
     holder: IncarnationId,
     accounts: BTreeMap<WorkspaceId, BudgetAccount>,
-    bankers: BankerRule,
+    members: usize,
     is_leaving: bool,
     /// When the last presence record was written that may be in the store. Before the first one, no successor can take
     /// standby tokens back, so they may be spent.
@@ -50,13 +41,12 @@
 }
 
 impl GrantBook {
-    /// A book of the process run `holder` of the gateway `own`, which has no grants yet.
-    pub fn new(holder: IncarnationId, own: InstanceId) -> Self {
-        let bankers = BankerRule::new(own.clone(), vec![own]);
+    /// A book of the process run `holder`, which has no grants yet.
+    pub fn new(holder: IncarnationId) -> Self {
         Self {
             holder,
             accounts: BTreeMap::new(),
-            bankers,
+            members: 1,
             is_leaving: false,
             present_at: None,
             is_store_reached: true,
@@ -73,17 +63,9 @@
         self.accounts.iter()
     }
 
-    /// Takes which gateways draw grants.
-    pub fn set_bankers(&mut self, bankers: BankerRule) {
-        for (workspace, account) in &mut self.accounts {
-            account.is_banker = bankers.is_banker(workspace);
-        }
-        self.bankers = bankers;
-    }
-
-    /// The gateways to borrow tokens of a workspace from.
-    pub fn bankers(&self) -> &BankerRule {
-        &self.bankers
+    /// Takes the number of processes that may hold grants.
+    pub fn set_members(&mut self, members: usize) {
+        self.members = members;
     }
 
     /// Takes the prepaid total of a workspace.
@@ -91,9 +73,7 @@
         if let Some(account) = self.accounts.get_mut(workspace) {
             account.prepaid = prepaid;
         } else {
-            let mut account = BudgetAccount::new(prepaid, now);
-            account.is_banker = self.bankers.is_banker(workspace);
-            self.accounts.insert(workspace.clone(), account);
+            self.accounts.insert(workspace.clone(), BudgetAccount::new(prepaid, now));
         }
     }
 
@@ -172,16 +152,13 @@
         let needs_read = |account: &BudgetAccount| {
             let is_old = account.read_at().is_none_or(|at| now >= at + REFUSAL_RECORD_AGE);
             let reachable = account.reachable();
-            draws(account, now)
-                && is_old
-                && account.waiting.iter().any(|entry| entry.need > reachable)
+            is_old && account.waiting.iter().any(|entry| entry.need > reachable)
         };
         if self.accounts.values().any(needs_read) {
             return CommitPlan::Read;
         }
-        let (members, is_leaving) = (self.bankers.banker_count(), self.is_leaving);
+        let (members, is_leaving) = (self.members, self.is_leaving);
         let wanted_grant = |account: &BudgetAccount, is_joining| {
-            let is_leaving = is_leaving || !draws(account, now);
             account.wanted_grant(members, is_joining, is_leaving, now)
         };
         let is_due = self.accounts.values().any(|account| wanted_grant(account, false).is_some());
@@ -273,25 +250,7 @@
     ) -> TokenCount {
         let released = self.released(now);
         let account = self.accounts.get_mut(workspace);
-        account.map_or(TokenCount(0), |account| {
-            let tokens = account.lend(wanted, released);
-            // What is lent is used as well: the next grant covers it.
-            account.rate.add(tokens.0, now);
-            tokens
-        })
-    }
-
-    /// Turns a reservation into a loan to another process.
-    pub(super) fn lend_reserved(
-        &mut self,
-        workspace: &WorkspaceId,
-        need: TokenCount,
-        now: Instant,
-    ) {
-        if let Some(account) = self.accounts.get_mut(workspace) {
-            account.lend_reserved(need);
-            account.rate.add(need.0, now);
-        }
+        account.map_or(TokenCount(0), |account| account.lend(wanted, released))
     }
 
     /// Takes tokens that another process gave. False if the workspace is not known here: nothing is taken.
@@ -305,25 +264,13 @@
     }
 
     /// The tokens to borrow for requests that have waited for the store in vain.
-    pub fn wanted_loans(&mut self, now: Instant) -> Vec<(WorkspaceId, TokenCount)> {
+    pub fn wanted_loans(&self, now: Instant) -> Vec<(WorkspaceId, TokenCount)> {
         let released = self.released(now);
         let has_waited = |entry: &WaitingReservation| now >= entry.since + LOAN_PATIENCE;
-        let is_short = |account: &BudgetAccount| {
-            if account.is_banker {
-                return account.waiting.iter().any(has_waited);
-            }
-            let ahead = (account.rate.at(now) * LOAN_AHEAD_SECONDS) as u64;
-            !account.waiting.is_empty() || account.available(released).0 < ahead
-        };
-        let is_paused =
-            |account: &BudgetAccount| account.loans_paused_until.is_some_and(|until| now < until);
-        let short = self
-            .accounts
-            .iter_mut()
-            .filter(|(_, account)| is_short(account) && !is_paused(account));
+        let short =
+            self.accounts.iter().filter(|(_, account)| account.waiting.iter().any(has_waited));
         short
             .map(|(workspace, account)| {
-                account.loans_paused_until = Some(now + LOAN_PAUSE);
                 let ahead = (account.rate.at(now) * LOAN_COVER_SECONDS) as u64;
                 let need = account.waiting_tokens().saturating_sub(account.available(released));
                 (workspace.clone(), need.saturating_add(TokenCount(ahead)))
@@ -364,12 +311,6 @@
     }
 }
 
-/// Whether this process draws grants for an account now.
-fn draws(account: &BudgetAccount, now: Instant) -> bool {
-    let has_waited = |entry: &WaitingReservation| now >= entry.since + BANKER_PATIENCE;
-    account.is_banker || account.waiting.iter().any(has_waited)
-}
-
 fn decide_waiting(
     account: &mut BudgetAccount,
     entry: &WaitingReservation,
--- a/crates/bramleywind_gateway/src/funds/reservation.rs
+++ b/crates/bramleywind_gateway/src/funds/reservation.rs
@@ -1,4 +1,4 @@
-use std::{cell::RefCell, rc::Rc, time::Instant};
+use std::{cell::RefCell, rc::Rc};
 
 use bramleywind_types::{TokenCount, WorkspaceId};
 
@@ -29,15 +29,6 @@
         self.used = self.used.max(used.min(self.limit));
     }
 
-    /// Gives the tokens to another process instead of using them.
-    pub fn into_loan(mut self, now: Instant) -> TokenCount {
-        let tokens = std::mem::take(&mut self.limit);
-        self.book.borrow_mut().lend_reserved(&self.workspace, tokens, now);
-        // Nothing is left to settle when this is dropped.
-        self.used = TokenCount(0);
-        tokens
-    }
-
     /// Notes what an endpoint may use while its answer is outstanding. If the caller leaves meanwhile, it is charged.
     pub fn expose(&mut self, tokens: TokenCount) {
         self.exposed = tokens.min(self.limit);
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -1,13 +1,12 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
-    net::SocketAddr,
     rc::Rc,
     time::Instant,
 };
 
 use bramleywind_routing::RetryBudget;
-use bramleywind_types::{EndpointId, IncarnationId, ServiceId, WorkspaceId};
+use bramleywind_types::{EndpointId, IncarnationId, ServiceId};
 use slog::Logger;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -71,7 +70,7 @@
             store,
             table: RefCell::default(),
             endpoints: RefCell::default(),
-            funds: FundsDesk::new(incarnation, own.instance.clone()),
+            funds: FundsDesk::new(incarnation),
             members: RefCell::new(MemberBook::new(own)),
             retry_budgets: RefCell::default(),
             metrics: Rc::default(),
@@ -97,15 +96,6 @@
         &self.store
     }
 
-    /// Where the gateways that draw grants of a workspace lend them.
-    pub fn lenders(&self, workspace: &WorkspaceId) -> Vec<SocketAddr> {
-        let book = self.funds.book().borrow();
-        let bankers = book.bankers().bankers(workspace);
-        let members = self.members.borrow();
-        let lenders = members.others().iter().filter(|other| bankers.contains(&&other.instance));
-        lenders.map(|lender| lender.peer_address).collect()
-    }
-
     /// The counters.
     pub fn metrics(&self) -> &Rc<GatewayMetrics> {
         &self.metrics
--- a/crates/bramleywind_gateway/src/loans/loan_client.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_client.rs
@@ -12,7 +12,7 @@
     loan_port::{CLOCK_PATH, GIFT_PATH, LOAN_PATH},
 };
 
-/// How long a loan may take. Gateways of a region are milliseconds apart, and a lender may draw a grant first.
+/// How long a loan may take. Gateways of a region are milliseconds apart.
 const LOAN_TIME: Duration = Duration::from_millis(120);
 
 /// Why a gift was not confirmed.
--- a/crates/bramleywind_gateway/src/loans/loan_messages.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_messages.rs
@@ -12,8 +12,6 @@
     pub workspace: WorkspaceId,
     /// How many tokens it wants.
     pub tokens: TokenCount,
-    /// Whether the lender may draw a grant first. The borrower does not draw itself.
-    pub may_wait: bool,
 }
 
 /// The tokens that the borrower may spend from now on; zero if the lender has none to spare.
--- a/crates/bramleywind_gateway/tests/budget_model/world.rs
+++ b/crates/bramleywind_gateway/tests/budget_model/world.rs
@@ -6,11 +6,11 @@
 };
 
 use bramleywind_gateway::{
-    funds::{BankerRule, BudgetRecord, CommitPlan, GrantBook, StandbyRelease, take_over},
+    funds::{BudgetRecord, CommitPlan, GrantBook, StandbyRelease, take_over},
     link::{BudgetChange, BudgetEntry, CommitOutcome},
 };
 use bramleywind_store::StoreVersion;
-use bramleywind_types::{IncarnationId, InstanceId, TokenCount, WorkspaceId};
+use bramleywind_types::{IncarnationId, TokenCount, WorkspaceId};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 /// The prepaid total of the only workspace.
@@ -126,10 +126,8 @@
     fn new_process(&mut self) -> Process {
         let incarnation = IncarnationId::from_number(self.next_incarnation);
         self.next_incarnation += 1;
-        let members: Vec<InstanceId> =
-            (0..GATEWAYS).map(|number| format!("front-{number}").parse().unwrap()).collect();
-        let mut book = GrantBook::new(incarnation, members[0].clone());
-        book.set_bankers(BankerRule::new(members[0].clone(), members));
+        let mut book = GrantBook::new(incarnation);
+        book.set_members(GATEWAYS);
         book.set_prepaid(&self.workspace, TokenCount(PREPAID), self.instant());
         Process { book, incarnation, open: Vec::new(), spent: 0 }
     }
