--- a/crates/bramleywind_gateway/src/funds/budget_record.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_record.rs
@@ -41,9 +41,4 @@
     pub fn pool(&self, prepaid: TokenCount) -> TokenCount {
         prepaid.saturating_sub(self.grants.values().map(|grant| grant.total()).sum())
     }
-
-    /// How many processes hold or held a grant.
-    pub fn holder_count(&self) -> usize {
-        self.grants.len()
-    }
 }
--- a/crates/bramleywind_gateway/src/funds/grant_book.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_book.rs
@@ -189,19 +189,11 @@
                 }
             }
             CommitOutcome::Conflict(entries) => {
-                for change in &changes {
-                    if let Some(account) = self.accounts.get_mut(&change.workspace) {
-                        account.revert_change(self.holder);
-                    }
-                }
+                self.revert(&changes);
                 self.take_entries(entries, Some(now));
             }
             CommitOutcome::NotApplied => {
-                for change in &changes {
-                    if let Some(account) = self.accounts.get_mut(&change.workspace) {
-                        account.revert_change(self.holder);
-                    }
-                }
+                self.revert(&changes);
             }
             CommitOutcome::Unknown => {
                 for change in &changes {
@@ -213,6 +205,15 @@
         }
     }
 
+    /// Notes that none of the changes was applied.
+    fn revert(&mut self, changes: &[BudgetChange]) {
+        for change in changes {
+            if let Some(account) = self.accounts.get_mut(&change.workspace) {
+                account.revert_change(self.holder);
+            }
+        }
+    }
+
     /// Takes records that were read. `fresh_at` is when, if they are not stale.
     pub fn take_entries(&mut self, entries: Vec<BudgetEntry>, fresh_at: Option<Instant>) {
         for entry in entries {
