--- a/crates/bramleywind_gateway/src/background/keep_presence.rs
+++ b/crates/bramleywind_gateway/src/background/keep_presence.rs
@@ -12,7 +12,7 @@
 
 use super::StoreContact;
 use crate::{
-    funds::{StandbyRelease, TakeoverOutcome, take_over},
+    funds::{TakeoverOutcome, take_over},
     gateway::{Gateway, StopPhase},
     link::{CommitOutcome, FleetStore, Platform},
     loans::LoanClient,
@@ -134,15 +134,14 @@
     let Some(age) = record_age(gateway, &predecessor).await else {
         return Ok(TakeoverOutcome::AgeUnknown);
     };
-    let spent_part = StandbyRelease.spent_at_most(age);
     let incarnation = predecessor.record.incarnation;
     info!(gateway.log(), "earlier process found"; "incarnation" => %incarnation,
-        "age_ms" => u64::try_from(age.as_millis()).ok(), "spent_part" => spent_part);
+        "age_ms" => u64::try_from(age.as_millis()).ok());
     let instance = &gateway.settings().instance;
     let mut done = 0;
     for _ in 0..TAKEOVER_ROUNDS {
         let budgets = gateway.store().read_budgets(true).await?;
-        let changes = take_over(incarnation, budgets, spent_part);
+        let changes = take_over(incarnation, budgets, age);
         if changes.is_empty() {
             break;
         }
@@ -150,7 +149,13 @@
         for change in changes.chunks(1) {
             let presence = Some((instance, predecessor.version));
             let outcome = gateway.store().commit_budgets(change, presence).await;
-            done += usize::from(matches!(outcome, CommitOutcome::Applied(_)));
+            let is_done = matches!(outcome, CommitOutcome::Applied(_));
+            if let ([closed], true) = (change, is_done) {
+                let counted = closed.record.grant(incarnation).total();
+                info!(gateway.log(), "grant of the earlier process closed"; "workspace" => %closed.workspace,
+                    "counted_as_spent" => counted.0);
+            }
+            done += usize::from(is_done);
         }
     }
     Ok(match done {
--- a/crates/bramleywind_gateway/src/funds/budget_account.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_account.rs
@@ -4,7 +4,9 @@
 use bramleywind_types::{IncarnationId, TokenCount};
 use futures_channel::oneshot;
 
-use super::{BudgetRecord, GrantInput, GrantSizing, HolderGrant, ReserveOutcome, UseRate};
+use super::{
+    BudgetRecord, GrantInput, GrantSizing, HolderGrant, ReserveOutcome, StandbyAccess, UseRate,
+};
 
 /// What this process knows of one budget, and what it has spent of it.
 #[derive(Debug)]
@@ -37,6 +39,15 @@
     pub(super) reply: oneshot::Sender<ReserveOutcome>,
 }
 
+/// What concerns all grants of a process.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct HolderState {
+    pub(super) holder: IncarnationId,
+    pub(super) members: usize,
+    pub(super) is_present: bool,
+    pub(super) is_leaving: bool,
+}
+
 impl BudgetAccount {
     pub(super) fn new(prepaid: TokenCount, now: Instant) -> Self {
         Self {
@@ -55,10 +66,9 @@
         }
     }
 
-    /// Tokens that may be reserved now, with the part `released` of the standby tokens, from 0 to 1.
-    pub fn available(&self, released: f64) -> TokenCount {
-        let standby = TokenCount((self.granted.standby.0 as f64 * released) as u64);
-        let granted = self.granted.working.saturating_add(standby);
+    /// Tokens that may be reserved now.
+    pub fn available(&self, access: StandbyAccess) -> TokenCount {
+        let granted = self.granted.working.saturating_add(access.spendable(self.granted));
         granted.saturating_add(self.borrowed).saturating_sub(self.bound())
     }
 
@@ -79,7 +89,7 @@
 
     /// Tokens that this process can have: its own unspent ones of both kinds, and those that no process holds.
     pub fn reachable(&self) -> TokenCount {
-        self.available(1.0).saturating_add(self.pool())
+        self.available(StandbyAccess::Open).saturating_add(self.pool())
     }
 
     /// Granted tokens, spent ones included.
@@ -87,6 +97,11 @@
         self.granted
     }
 
+    /// All tokens that the workspace may use, by the newest configuration.
+    pub fn prepaid(&self) -> TokenCount {
+        self.prepaid
+    }
+
     /// Tokens that this process's requests were charged.
     pub fn spent(&self) -> TokenCount {
         self.spent
@@ -108,8 +123,8 @@
     }
 
     /// Reserves tokens, if enough are available.
-    pub(super) fn try_reserve(&mut self, need: TokenCount, released: f64) -> bool {
-        if self.available(released) < need {
+    pub(super) fn try_reserve(&mut self, need: TokenCount, access: StandbyAccess) -> bool {
+        if self.available(access) < need {
             return false;
         }
         self.reserved = self.reserved.saturating_add(need);
@@ -130,45 +145,50 @@
     /// The grant to ask for, if it should change.
     pub(super) fn wanted_grant(
         &self,
-        members: usize,
+        state: HolderState,
         is_joining: bool,
-        is_leaving: bool,
         now: Instant,
     ) -> Option<HolderGrant> {
+        let others = || self.record.others(state.holder);
         let input = GrantInput {
             prepaid: self.prepaid,
             pool: self.pool(),
-            available: self.available(0.0),
+            available: self.available(StandbyAccess::Closed),
             standby: self.granted.standby,
             overdrawn: self.overdrawn(),
             waiting: self.waiting_tokens(),
             rate: self.rate.at(now),
-            members,
+            others_rate: others().map(|grant| grant.use_rate.0 as f64).sum(),
+            others_standby: others().map(|grant| grant.standby).sum(),
+            members: state.members,
+            is_present: state.is_present,
             is_joining,
-            is_leaving,
+            is_leaving: state.is_leaving,
         };
         match GrantSizing::decide(&input) {
             GrantSizing::Keep => None,
             GrantSizing::Hold(unspent) => {
                 let bound = self.bound().saturating_add(unspent.working);
                 let working = bound.saturating_sub(self.borrowed);
-                let wanted = HolderGrant { working, standby: unspent.standby };
-                (wanted != self.granted).then_some(wanted)
+                let wanted = HolderGrant { working, ..unspent };
+                let is_equal = (wanted.working, wanted.standby)
+                    == (self.granted.working, self.granted.standby);
+                (!is_equal).then_some(wanted)
             }
         }
     }
 
     /// Gives all away that is available, when the process stops.
-    pub(super) fn give_away(&mut self, released: f64) -> TokenCount {
-        let tokens = self.available(released);
+    pub(super) fn give_away(&mut self, access: StandbyAccess) -> TokenCount {
+        let tokens = self.available(access);
         self.lent = self.lent.saturating_add(tokens);
         tokens
     }
 
     /// Gives up to `wanted` tokens away: at most three quarters of what is available, so that the next own
     /// requests are served too.
-    pub(super) fn lend(&mut self, wanted: TokenCount, released: f64) -> TokenCount {
-        let tokens = TokenCount(wanted.0.min(self.available(released).0 / 4 * 3));
+    pub(super) fn lend(&mut self, wanted: TokenCount, access: StandbyAccess) -> TokenCount {
+        let tokens = TokenCount(wanted.0.min(self.available(access).0 / 4 * 3));
         self.lent = self.lent.saturating_add(tokens);
         tokens
     }
--- a/crates/bramleywind_gateway/src/funds/budget_record.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_record.rs
@@ -8,11 +8,15 @@
 /// The durable record of one workspace's budget: what each process was granted.
 ///
 /// ```
-/// use bramleywind_gateway::funds::{BudgetRecord, HolderGrant};
+/// use bramleywind_gateway::funds::{BudgetRecord, HolderGrant, TokenRate};
 /// use bramleywind_types::{IncarnationId, TokenCount};
 ///
 /// let mut record = BudgetRecord::default();
-/// let grant = HolderGrant { working: TokenCount(20), standby: TokenCount(40) };
+/// let grant = HolderGrant {
+///     working: TokenCount(20),
+///     standby: TokenCount(40),
+///     use_rate: TokenRate(5),
+/// };
 /// record.set_grant(IncarnationId::from_number(1), grant);
 /// assert_eq!(record.pool(TokenCount(100)), TokenCount(40));
 /// ```
@@ -30,13 +34,18 @@
 
     /// Replaces a process's grant. Only that process may call this, or its successor on the same instance.
     pub fn set_grant(&mut self, holder: IncarnationId, grant: HolderGrant) {
-        if grant == HolderGrant::default() {
+        if grant.total() == TokenCount(0) {
             self.grants.remove(&holder);
         } else {
             self.grants.insert(holder, grant);
         }
     }
 
+    /// The grants of all processes but one.
+    pub fn others(&self, holder: IncarnationId) -> impl Iterator<Item = HolderGrant> + '_ {
+        self.grants.iter().filter(move |(other, _)| **other != holder).map(|(_, grant)| *grant)
+    }
+
     /// What is left of a prepaid total. Zero if the total was lowered below what is granted.
     pub fn pool(&self, prepaid: TokenCount) -> TokenCount {
         prepaid.saturating_sub(self.grants.values().map(|grant| grant.total()).sum())
--- a/crates/bramleywind_gateway/src/funds/grant_book.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_book.rs
@@ -8,8 +8,8 @@
 use futures_channel::oneshot;
 
 use super::{
-    BudgetAccount, CommitPlan, Reservation, ReserveOutcome, StandbyRelease,
-    budget_account::WaitingReservation,
+    BudgetAccount, CommitPlan, Reservation, ReserveOutcome, StandbyAccess,
+    budget_account::{HolderState, WaitingReservation},
 };
 use crate::link::{BudgetChange, BudgetEntry, CommitOutcome};
 
@@ -33,8 +33,8 @@
     accounts: BTreeMap<WorkspaceId, BudgetAccount>,
     members: usize,
     is_leaving: bool,
-    /// When the last presence record was written that may be in the store. Before the first one, no successor can take
-    /// standby tokens back, so they may be spent.
+    /// When the last presence record was written that may be in the store. Before the first one, no successor can give
+    /// standby tokens back, so none are held.
     present_at: Option<Instant>,
     /// Whether the store answers. Standby tokens are for when it does not.
     is_store_reached: bool,
@@ -77,14 +77,14 @@
         }
     }
 
-    /// The part of the standby tokens that may be spent now. None while the store answers: working tokens are drawn
-    /// then, so that the process can write its presence again.
-    pub fn released(&self, now: Instant) -> f64 {
+    /// Whether standby tokens may be spent now. None while the store answers: working tokens are drawn then, so that the
+    /// process can write its presence again.
+    pub fn standby_access(&self, now: Instant) -> StandbyAccess {
         if self.is_store_reached {
-            return 0.0;
+            return StandbyAccess::Closed;
         }
         let age = self.present_at.map(|at| now.saturating_duration_since(at));
-        age.map_or(1.0, |age| StandbyRelease.spendable(age))
+        age.map_or(StandbyAccess::Closed, StandbyAccess::Aged)
     }
 
     /// Takes whether the store answers.
@@ -109,21 +109,21 @@
 
     /// Gives all available tokens away, for another process to take.
     pub fn give_away(&mut self, now: Instant) -> Vec<(WorkspaceId, TokenCount)> {
-        let released = self.released(now);
+        let access = self.standby_access(now);
         let gifts = self
             .accounts
             .iter_mut()
-            .map(|(workspace, account)| (workspace.clone(), account.give_away(released)));
+            .map(|(workspace, account)| (workspace.clone(), account.give_away(access)));
         gifts.filter(|(_, tokens)| *tokens > TokenCount(0)).collect()
     }
 
     /// Reserves tokens at once, if they are available.
     pub fn try_reserve(&mut self, workspace: &WorkspaceId, need: TokenCount, now: Instant) -> bool {
-        let released = self.released(now);
+        let access = self.standby_access(now);
         let Some(account) = self.accounts.get_mut(workspace) else { return false };
         account.rate.add(need.0, now);
         // Who came first is served first.
-        account.waiting.is_empty() && account.try_reserve(need, released)
+        account.waiting.is_empty() && account.try_reserve(need, access)
     }
 
     /// Queues a request that needs more than is available.
@@ -157,10 +157,14 @@
         if self.accounts.values().any(needs_read) {
             return CommitPlan::Read;
         }
-        let (members, is_leaving) = (self.members, self.is_leaving);
-        let wanted_grant = |account: &BudgetAccount, is_joining| {
-            account.wanted_grant(members, is_joining, is_leaving, now)
+        let fleet = HolderState {
+            holder: self.holder,
+            members: self.members,
+            is_present: self.present_at.is_some(),
+            is_leaving: self.is_leaving,
         };
+        let wanted_grant =
+            |account: &BudgetAccount, is_joining| account.wanted_grant(fleet, is_joining, now);
         let is_due = self.accounts.values().any(|account| wanted_grant(account, false).is_some());
         if !is_due {
             return CommitPlan::Idle;
@@ -249,9 +253,9 @@
         wanted: TokenCount,
         now: Instant,
     ) -> TokenCount {
-        let released = self.released(now);
+        let access = self.standby_access(now);
         let account = self.accounts.get_mut(workspace);
-        account.map_or(TokenCount(0), |account| account.lend(wanted, released))
+        account.map_or(TokenCount(0), |account| account.lend(wanted, access))
     }
 
     /// Takes tokens that another process gave. False if the workspace is not known here: nothing is taken.
@@ -266,14 +270,14 @@
 
     /// The tokens to borrow for requests that have waited for the store in vain.
     pub fn wanted_loans(&self, now: Instant) -> Vec<(WorkspaceId, TokenCount)> {
-        let released = self.released(now);
+        let access = self.standby_access(now);
         let has_waited = |entry: &WaitingReservation| now >= entry.since + LOAN_PATIENCE;
         let short =
             self.accounts.iter().filter(|(_, account)| account.waiting.iter().any(has_waited));
         short
             .map(|(workspace, account)| {
                 let ahead = (account.rate.at(now) * LOAN_COVER_SECONDS) as u64;
-                let need = account.waiting_tokens().saturating_sub(account.available(released));
+                let need = account.waiting_tokens().saturating_sub(account.available(access));
                 (workspace.clone(), need.saturating_add(TokenCount(ahead)))
             })
             .collect()
@@ -282,11 +286,11 @@
     /// Answers the requests that wait: those that fit are served in order, those that can't fit are refused, and
     /// those that waited too long for the store are told so. Returns how many were answered.
     pub fn answer_waiting(&mut self, now: Instant) -> usize {
-        let released = self.released(now);
+        let access = self.standby_access(now);
         let mut answered = 0;
         for account in self.accounts.values_mut() {
             for entry in std::mem::take(&mut account.waiting) {
-                let outcome = decide_waiting(account, &entry, released, now);
+                let outcome = decide_waiting(account, &entry, access, now);
                 let Some(outcome) = outcome else {
                     account.waiting.push_back(entry);
                     continue;
@@ -315,13 +319,13 @@
 fn decide_waiting(
     account: &mut BudgetAccount,
     entry: &WaitingReservation,
-    released: f64,
+    access: StandbyAccess,
     now: Instant,
 ) -> Option<ReserveOutcome> {
     if entry.reply.is_canceled() {
         return Some(ReserveOutcome::Unavailable);
     }
-    if account.try_reserve(entry.need, released) {
+    if account.try_reserve(entry.need, access) {
         return Some(ReserveOutcome::Reserved);
     }
     let reachable = account.reachable();
--- a/crates/bramleywind_gateway/src/funds/grant_sizing.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_sizing.rs
@@ -1,21 +1,24 @@
 use bramleywind_types::TokenCount;
 
-use super::HolderGrant;
+use super::{HolderGrant, TokenRate};
 
 /// Seconds of a process's own use that its working tokens cover: longer than it takes until standby tokens are released
 /// once the store is out of reach.
-const WORKING_SECONDS: f64 = 4.5;
+const WORKING_SECONDS: f64 = 3.0;
 
 /// The part of what is left that the working tokens of all processes hold at most. The loss of all processes strands no
 /// more than this part.
-const WORKING_SHARE: f64 = 0.25;
+const WORKING_SHARE: f64 = 0.1;
 
 /// The part of what is left that the working tokens of all processes hold at least, whether it was used lately or not.
-const IDLE_SHARE: f64 = 0.05;
+const IDLE_SHARE: f64 = 0.02;
 
 /// The part of what is left that the standby tokens of all processes hold, for outages of the store.
 const STANDBY_SHARE: f64 = 0.6;
 
+/// The part of an equal part that is left to a process without use, whose first callers may come.
+const LEAST_SHARE: f64 = 0.2;
+
 /// Part of the wanted working tokens below which more are asked for.
 const REFILL_PART: f64 = 0.5;
 
@@ -32,7 +35,7 @@
 const TAIL_PART: f64 = 0.05;
 
 /// Part of the prepaid total below which no standby tokens are held.
-const STANDBY_END_PART: f64 = 0.01;
+const STANDBY_END_PART: f64 = 0.02;
 
 /// Tokens are given back if there are this many times what is wanted.
 const RETURN_FACTOR: f64 = 3.0;
@@ -41,7 +44,7 @@
 const STANDBY_RETURN_FACTOR: f64 = 1.5;
 
 /// Part of the prepaid total that is not worth a write of its own.
-const SMALL_PART: f64 = 0.002;
+const SMALL_PART: f64 = 0.000_5;
 
 /// What decides how many unspent tokens a process holds of one budget.
 #[derive(Debug, Clone, Copy)]
@@ -60,8 +63,14 @@
     pub waiting: TokenCount,
     /// The process's own use, in tokens a second.
     pub rate: f64,
+    /// The other processes' use, in tokens a second, when their grants were written.
+    pub others_rate: f64,
+    /// The other processes' standby tokens.
+    pub others_standby: TokenCount,
     /// Processes that may hold grants.
     pub members: usize,
+    /// Whether the process has written its presence. Before that, no successor can give its standby tokens back.
+    pub is_present: bool,
     /// Whether a write is made for another budget anyway.
     pub is_joining: bool,
     /// Whether the process is leaving: it holds nothing beyond what waits.
@@ -83,15 +92,14 @@
         // All that this process can have: what it holds unspent, and what nobody holds.
         let own = (input.available.0 + input.standby.0).saturating_sub(input.overdrawn.0);
         let reachable = own + input.pool.0;
-        let members = input.members.max(1) as f64;
-        // The others hold about as much in standby as this process.
-        let left = reachable as f64 + input.standby.0 as f64 * (members - 1.0);
-        let surplus = wanted_working(input, left / members);
-        let standby = wanted_standby(input, left / members);
+        let left = reachable as f64 + input.others_standby.0 as f64;
+        let surplus = wanted_working(input, left);
+        let standby = wanted_standby(input, left);
         let working = (input.waiting.0.saturating_add(surplus)).min(reachable);
         let held = HolderGrant {
             working: TokenCount(working),
             standby: TokenCount(standby.min(reachable - working)),
+            use_rate: TokenRate(input.rate as u64),
         };
         let (available, parked) = (input.available.0 as f64, input.standby.0 as f64);
         let refill_part = if input.is_joining { JOIN_PART } else { REFILL_PART };
@@ -111,22 +119,33 @@
     }
 }
 
-/// The working tokens that a process should hold unspent besides what waits. `part` is its part of what is left.
-fn wanted_working(input: &GrantInput, part: f64) -> u64 {
+/// The part of the budget that is left to this process: its part of the use, since callers of one workspace may all be
+/// with a few gateways.
+fn use_share(input: &GrantInput) -> f64 {
+    let equal = 1.0 / input.members.max(1) as f64;
+    let total = input.rate + input.others_rate;
+    if total > 0.0 { (input.rate / total).max(equal * LEAST_SHARE) } else { equal }
+}
+
+/// The working tokens that a process should hold unspent besides what waits. `left` is what is left of the budget.
+fn wanted_working(input: &GrantInput, left: f64) -> u64 {
     if input.is_leaving {
         return 0;
     }
-    if is_tail(input) {
+    let part = left * use_share(input);
+    if left < input.prepaid.0 as f64 * TAIL_PART {
         return (input.rate * TAIL_SECONDS).min(part * TAIL_SHARE) as u64;
     }
     (input.rate * WORKING_SECONDS).max(part * IDLE_SHARE).min(part * WORKING_SHARE) as u64
 }
 
-fn wanted_standby(input: &GrantInput, part: f64) -> u64 {
-    let is_worth = input.pool.0 as f64 >= input.prepaid.0 as f64 * STANDBY_END_PART;
-    if is_worth && !input.is_leaving { (part * STANDBY_SHARE) as u64 } else { 0 }
-}
-
-fn is_tail(input: &GrantInput) -> bool {
-    (input.pool.0 as f64) < input.prepaid.0 as f64 * TAIL_PART
+/// The standby tokens that a process should hold. What is left decides, which does not depend on who holds it: a bound on
+/// the pool alone would let processes take and return the same tokens in turns.
+fn wanted_standby(input: &GrantInput, left: f64) -> u64 {
+    let is_worth = left >= input.prepaid.0 as f64 * STANDBY_END_PART;
+    if is_worth && input.is_present && !input.is_leaving {
+        (left * use_share(input) * STANDBY_SHARE) as u64
+    } else {
+        0
+    }
 }
--- a/crates/bramleywind_gateway/src/funds/takeover.rs
+++ b/crates/bramleywind_gateway/src/funds/takeover.rs
@@ -1,7 +1,9 @@
+use std::time::Duration;
+
 use bramleywind_store::StoreVersion;
-use bramleywind_types::{IncarnationId, TokenCount};
+use bramleywind_types::IncarnationId;
 
-use super::HolderGrant;
+use super::{HolderGrant, StandbyRelease};
 use crate::link::{BudgetChange, BudgetEntry};
 
 /// What taking over from an earlier process of the same instance came to.
@@ -18,25 +20,26 @@
     AgeUnknown,
 }
 
-/// The changes that give the standby tokens of the process run `predecessor` back to their pools, but for the part that it
-/// can have spent.
+/// The changes that close the grants of the process run `predecessor`: its standby tokens go back to their pools, but for those that it
+/// can have spent if its presence record is `age` old.
 ///
 /// Only for a process of the same instance that is known to have ended, and only in writes that also require its presence
 /// record to be unchanged.
 pub fn take_over(
     predecessor: IncarnationId,
     entries: Vec<BudgetEntry>,
-    spent_part: f64,
+    age: Duration,
 ) -> Vec<BudgetChange> {
     let mut changes = Vec::new();
     for mut entry in entries {
         let grant = entry.record.grant(predecessor);
-        let spent = TokenCount((grant.standby.0 as f64 * spent_part).ceil() as u64);
-        if spent >= grant.standby || entry.version == StoreVersion::MISSING {
+        let spent = StandbyRelease::new(grant).spent_at_most(age);
+        let is_settled = HolderGrant { working: grant.working, ..HolderGrant::default() } == grant;
+        if is_settled || entry.version == StoreVersion::MISSING {
             continue;
         }
         let working = grant.working.saturating_add(spent);
-        entry.record.set_grant(predecessor, HolderGrant { working, standby: TokenCount(0) });
+        entry.record.set_grant(predecessor, HolderGrant { working, ..HolderGrant::default() });
         changes.push(BudgetChange {
             workspace: entry.workspace,
             expected: entry.version,
--- /dev/null
+++ b/crates/bramleywind_gateway/src/funds/token_rate.rs
@@ -0,0 +1,14 @@
+use std::fmt;
+
+use bramleywind_macros::domain_type;
+
+/// Tokens a second.
+#[domain_type]
+#[derive(Copy, Default, PartialOrd, Ord)]
+pub struct TokenRate(pub u64);
+
+impl fmt::Display for TokenRate {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
--- a/crates/bramleywind_gateway/src/loans/loan_port.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_port.rs
@@ -58,7 +58,7 @@
     // Requests in vain are many in an outage, and say nothing.
     if tokens > TokenCount(0) {
         info!(gateway.log(), "tokens lent"; "borrower" => %loan.borrower, "workspace" => %loan.workspace,
-            "wanted" => loan.tokens.0, "lent" => tokens.0, "standby_released" => book.released(now));
+            "wanted" => loan.tokens.0, "lent" => tokens.0, "standby" => ?book.standby_access(now));
     }
     drop(book);
     bincode::serde::encode_to_vec(LoanAnswer { tokens }, bincode::config::standard())
--- a/crates/bramleywind_gateway/src/state_dump.rs
+++ b/crates/bramleywind_gateway/src/state_dump.rs
@@ -28,7 +28,7 @@
         .accounts()
         .map(|(workspace, account)| {
             json!({
-                "workspace": workspace, "available": account.available(book.released(now)),
+                "workspace": workspace, "available": account.available(book.standby_access(now)),
                 "standby": account.granted().standby, "pool": account.pool(),
                 "record_age_ms": account.read_at().map(|at| now.saturating_duration_since(at).as_millis() as u64),
             })
--- a/crates/bramleywind_gateway/tests/budget_model/world.rs
+++ b/crates/bramleywind_gateway/tests/budget_model/world.rs
@@ -6,7 +6,7 @@
 };
 
 use bramleywind_gateway::{
-    funds::{BudgetRecord, CommitPlan, GrantBook, StandbyRelease, take_over},
+    funds::{BudgetRecord, CommitPlan, GrantBook, take_over},
     link::{BudgetChange, BudgetEntry, CommitOutcome},
 };
 use bramleywind_store::StoreVersion;
@@ -258,11 +258,11 @@
             return;
         }
         let age = self.now - presence.written_at;
-        let spent_part = match self.rule {
-            TakeoverRule::ByAge => StandbyRelease.spent_at_most(age),
-            TakeoverRule::Everything => 0.0,
+        let age = match self.rule {
+            TakeoverRule::ByAge => age,
+            TakeoverRule::Everything => Duration::ZERO,
         };
-        for change in take_over(dead.incarnation, vec![self.entry()], spent_part) {
+        for change in take_over(dead.incarnation, vec![self.entry()], age) {
             self.write(change.record);
         }
     }
--- a/crates/bramleywind_gateway/tests/grants.rs
+++ b/crates/bramleywind_gateway/tests/grants.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use bramleywind_gateway::funds::{GrantInput, GrantSizing, HolderGrant, StandbyRelease};
+use bramleywind_gateway::funds::{GrantInput, GrantSizing, HolderGrant, StandbyRelease, TokenRate};
 use bramleywind_types::TokenCount;
 use test_case::test_case;
 
@@ -16,7 +16,10 @@
         overdrawn: TokenCount(0),
         waiting: TokenCount(0),
         rate: 5_000.0,
+        others_rate: 25_000.0,
+        others_standby: TokenCount(0),
         members: 6,
+        is_present: true,
         is_joining: false,
         is_leaving: false,
     }
@@ -39,7 +42,8 @@
 #[test]
 fn waiting_requests_come_before_a_surplus() {
     let short = GrantInput { pool: TokenCount(9_000), waiting: TokenCount(9_000), ..input() };
-    assert_eq!(held(&short), HolderGrant { working: TokenCount(9_000), standby: TokenCount(0) });
+    let grant = held(&short);
+    assert_eq!((grant.working, grant.standby), (TokenCount(9_000), TokenCount(0)));
 }
 
 #[test]
@@ -48,6 +52,7 @@
     let settled = GrantInput {
         available: first.working,
         standby: first.standby,
+        others_standby: TokenCount(first.standby.0 * 5),
         pool: TokenCount(600_000 - first.total().0 * 6),
         ..input()
     };
@@ -62,7 +67,7 @@
 
 #[test]
 fn little_is_held_when_little_is_left() {
-    let tail = GrantInput { pool: TokenCount(8_000), available: TokenCount(90_000), ..input() };
+    let tail = GrantInput { pool: TokenCount(8_000), available: TokenCount(9_000), ..input() };
     let grant = held(&tail);
     assert!(grant.working < TokenCount(5_000) && grant.standby == TokenCount(0), "{grant:?}");
 }
@@ -75,7 +80,7 @@
         is_leaving: true,
         ..input()
     };
-    assert_eq!(held(&leaving), HolderGrant::default());
+    assert_eq!(held(&leaving).total(), TokenCount(0));
 }
 
 #[test]
@@ -90,6 +95,71 @@
 #[test_case(5_000, 6_000 => true ; "in an outage")]
 #[test_case(60_000, 61_000 => true ; "for ever")]
 fn successor_never_takes_less_for_spent_than_was_spendable(spent_ms: u64, judged_ms: u64) -> bool {
-    let spendable = StandbyRelease.spendable(Duration::from_millis(spent_ms));
-    spendable <= StandbyRelease.spent_at_most(Duration::from_millis(judged_ms))
+    let release = StandbyRelease::new(held(&input()));
+    let spendable = release.spendable(Duration::from_millis(spent_ms));
+    spendable <= release.spent_at_most(Duration::from_millis(judged_ms))
+}
+
+/// The loss of all processes in an outage strands what is released and was not used: a day on which the outage lasted
+/// 12 s left a workspace without a tenth of its prepaid total for the rest of it.
+#[test]
+fn outage_releases_little_more_than_the_use() {
+    let input = GrantInput { rate: 1_000.0, others_rate: 5_000.0, ..input() };
+    let outage = Duration::from_secs(10);
+    let released = StandbyRelease::new(held(&input)).spendable(outage).0 as f64;
+    let used = input.rate * outage.as_secs_f64();
+    assert!(released <= used * 2.0, "{released} tokens released, {used} used");
+}
+
+/// A workspace near its end holds standby tokens for a second or two of its use: they must be there in an outage at once.
+#[test]
+fn outage_releases_the_last_tokens_as_they_are_needed() {
+    let near_end = GrantInput { pool: TokenCount(60_000), rate: 8_000.0, ..input() };
+    let grant = held(&GrantInput { others_rate: 40_000.0, ..near_end });
+    let outage = Duration::from_millis(3_500);
+    assert_eq!(StandbyRelease::new(grant).spendable(outage), grant.standby, "{grant:?}");
+}
+
+/// Callers of a workspace may all be with one gateway. Equal parts left it short in an outage while the others' lay idle.
+#[test]
+fn process_with_most_of_the_use_holds_most_of_the_standby() {
+    let busy = held(&GrantInput { rate: 28_000.0, others_rate: 2_000.0, ..input() });
+    assert!(busy.standby >= TokenCount(300_000), "{busy:?}");
+    let idle = held(&GrantInput { rate: 400.0, others_rate: 30_000.0, ..input() });
+    assert!((1..=30_000).contains(&idle.standby.0), "{idle:?}");
+}
+
+/// While a write is in doubt, neither the old grant nor the new one may be overspent.
+#[test]
+fn grant_in_doubt_releases_no_more_than_either() {
+    let fast = held(&input());
+    let slow = HolderGrant { use_rate: TokenRate(100), standby: TokenCount(70_000), ..fast };
+    for age in (0..40).map(Duration::from_secs) {
+        let released = |grant| StandbyRelease::new(grant).spendable(age);
+        assert!(released(fast.least(slow)) <= released(fast).min(released(slow)));
+    }
+}
+
+/// Near the end of a budget, processes took standby tokens, found the pool too small for any, and gave them back, a
+/// hundred times a second.
+#[test]
+fn standby_near_the_end_is_not_taken_and_returned_in_turns() {
+    for pool in (10_000..80_000).step_by(500) {
+        let before = GrantInput { pool: TokenCount(pool), ..input() };
+        let grant = held(&before);
+        let after = GrantInput {
+            pool: TokenCount(pool - grant.total().0),
+            available: grant.working,
+            standby: grant.standby,
+            ..before
+        };
+        assert_eq!(GrantSizing::decide(&after), GrantSizing::Keep, "{after:?}");
+    }
+}
+
+/// A process that died before its first presence record took standby tokens with it: nobody could give them back.
+#[test]
+fn process_without_presence_holds_no_standby() {
+    let grant = held(&GrantInput { is_present: false, ..input() });
+    assert!(grant.working > TokenCount(0) && grant.standby == TokenCount(0), "{grant:?}");
 }
