presence: close the grants of an ended process until all are closed

Cause: a successor gave up after ten rounds of writes.

Ruled out: the age (606 ms, nothing released), the record (unchanged).

Change: up to 100 rounds with a pause after one that was not applied, in a type of its own that a test drives with a store that refuses writes (seen to fail with ten rounds).

--- a/crates/bramleywind_gateway/src/background/keep_presence.rs
+++ b/crates/bramleywind_gateway/src/background/keep_presence.rs
@@ -12,9 +12,9 @@
 
 use super::StoreContact;
 use crate::{
-    funds::{TakeoverOutcome, take_over},
+    funds::{EndedProcess, TakeoverOutcome},
     gateway::{Gateway, StopPhase},
-    link::{CommitOutcome, FleetStore, Platform},
+    link::{FleetStore, Platform},
     loans::LoanClient,
     members::{PresenceRecord, boot_millis, unix_millis},
 };
@@ -34,9 +34,6 @@
 /// Gateways that are asked for the time.
 const CLOCK_PEERS: usize = 4;
 
-/// Rounds of writes to take over before the process writes its own presence. Writes of other gateways conflict.
-const TAKEOVER_ROUNDS: usize = 10;
-
 /// The pause between two tries to learn the time from other gateways.
 const CLOCK_PAUSE: Duration = Duration::from_millis(100);
 
@@ -137,31 +134,13 @@
     let incarnation = predecessor.record.incarnation;
     info!(gateway.log(), "earlier process found"; "incarnation" => %incarnation,
         "age_ms" => u64::try_from(age.as_millis()).ok());
-    let instance = &gateway.settings().instance;
-    let mut done = 0;
-    for _ in 0..TAKEOVER_ROUNDS {
-        let budgets = gateway.store().read_budgets(true).await?;
-        let changes = take_over(incarnation, budgets, age);
-        if changes.is_empty() {
-            break;
-        }
-        // One budget a write: other gateways start at the same time and write the same records.
-        for change in changes.chunks(1) {
-            let presence = Some((instance, predecessor.version));
-            let outcome = gateway.store().commit_budgets(change, presence).await;
-            let is_done = matches!(outcome, CommitOutcome::Applied(_));
-            if let ([closed], true) = (change, is_done) {
-                let counted = closed.record.grant(incarnation).total();
-                info!(gateway.log(), "grant of the earlier process closed"; "workspace" => %closed.workspace,
-                    "counted_as_spent" => counted.0);
-            }
-            done += usize::from(is_done);
-        }
-    }
-    Ok(match done {
-        0 => TakeoverOutcome::NothingToTake,
-        budgets => TakeoverOutcome::Done { budgets },
-    })
+    let ended = EndedProcess {
+        instance: gateway.settings().instance.clone(),
+        incarnation,
+        presence_version: predecessor.version,
+        age,
+    };
+    ended.close_grants(gateway.store(), gateway.log()).await
 }
 
 /// The presence record of the instance's earlier process.
--- a/crates/bramleywind_gateway/src/funds.rs
+++ b/crates/bramleywind_gateway/src/funds.rs
@@ -6,6 +6,7 @@
 mod budget_account;
 mod budget_record;
 mod commit_plan;
+mod ended_process;
 mod funds_desk;
 mod grant_book;
 mod grant_sizing;
@@ -21,6 +22,7 @@
 pub use budget_account::BudgetAccount;
 pub use budget_record::BudgetRecord;
 pub use commit_plan::CommitPlan;
+pub use ended_process::EndedProcess;
 pub use funds_desk::{FundsDesk, ReserveOutcome};
 pub use grant_book::GrantBook;
 pub use grant_sizing::{GrantInput, GrantSizing};
