placement: avoid an endpoint whose address belongs to another instance

Ruled out: full engines (declined with 421 only), the retry budget.

An endpoint that declines for want of room stays in use. Failures of resumed streams count for health too.

--- a/crates/bramleywind_gateway/src/endpoints/endpoint_health.rs
+++ b/crates/bramleywind_gateway/src/endpoints/endpoint_health.rs
@@ -29,6 +29,13 @@
         self.avoided_until = Some(now + pause);
     }
 
+    /// Notes that another instance answers at the endpoint's address. That does not pass by itself, so it is tried again
+    /// seldom; a newer entry of the registry begins anew.
+    pub fn record_replaced(&mut self, now: Instant) {
+        self.failures_in_row += 1;
+        self.avoided_until = Some(now + LONGEST_PAUSE);
+    }
+
     /// Whether the endpoint is to be avoided now.
     pub fn is_avoided(&self, now: Instant) -> bool {
         self.avoided_until.is_some_and(|until| now < until)
--- a/crates/bramleywind_gateway/src/forward/attempt_loop.rs
+++ b/crates/bramleywind_gateway/src/forward/attempt_loop.rs
@@ -96,9 +96,7 @@
                     (FailureKind::MayHaveRun, CallFailure::new(FailureKind::MayHaveRun, reason))
                 }
                 Err(failure) => {
-                    if !matches!(failure.kind, FailureKind::Declined) {
-                        endpoint.health().borrow_mut().record_failure(Instant::now());
-                    }
+                    note_failure(&endpoint, failure.kind, Instant::now());
                     (failure.kind, failure)
                 }
             };
@@ -222,7 +220,10 @@
                     let reason = format!("answered with {}", exchange.head.status);
                     CallFailure::new(FailureKind::MayHaveRun, reason)
                 }
-                Err(failure) => failure,
+                Err(failure) => {
+                    note_failure(&endpoint, failure.kind, Instant::now());
+                    failure
+                }
             };
             self.counts.runs += u32::from(!failure.kind.is_not_run());
         }
@@ -240,6 +241,18 @@
     }
 }
 
+/// Avoids an endpoint that failed. One that declines is well, and only full.
+fn note_failure(endpoint: &Endpoint, kind: FailureKind, now: Instant) {
+    let mut health = endpoint.health().borrow_mut();
+    match kind {
+        FailureKind::Declined => {}
+        FailureKind::Replaced => health.record_replaced(now),
+        FailureKind::NotSent | FailureKind::MayHaveRun | FailureKind::TimedOut => {
+            health.record_failure(now);
+        }
+    }
+}
+
 /// What was known of an endpoint when it was chosen, for the log.
 fn describe_load(endpoint: &Endpoint, now: Instant) -> Box<str> {
     let pace = endpoint.pace_ms().unwrap_or_default();
--- a/crates/bramleywind_gateway/src/forward/call_failure.rs
+++ b/crates/bramleywind_gateway/src/forward/call_failure.rs
@@ -7,6 +7,8 @@
     NotSent,
     /// The endpoint stated that it did not run.
     Declined,
+    /// Another instance answers at the endpoint's address, and stated that it did not run.
+    Replaced,
     /// It may have run: the connection broke, or the answer can't be used.
     MayHaveRun,
     /// It may have run: no answer came in time.
@@ -16,7 +18,7 @@
 impl FailureKind {
     /// Whether the request is known not to have run.
     pub fn is_not_run(self) -> bool {
-        matches!(self, Self::NotSent | Self::Declined)
+        matches!(self, Self::NotSent | Self::Declined | Self::Replaced)
     }
 }
 
--- a/crates/bramleywind_gateway/src/forward/exchange.rs
+++ b/crates/bramleywind_gateway/src/forward/exchange.rs
@@ -5,7 +5,7 @@
 
 use bramleywind_http::{ConnectionError, HttpConnection};
 use compio::time::timeout;
-use http::{Request, header, response};
+use http::{Request, StatusCode, header, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
@@ -80,7 +80,11 @@
         }
         if answer.is_declined {
             let reason = format!("declined with {}", head.status);
-            return Err(CallFailure::new(FailureKind::Declined, reason));
+            let kind = match head.status {
+                StatusCode::MISDIRECTED_REQUEST => FailureKind::Replaced,
+                _ => FailureKind::Declined,
+            };
+            return Err(CallFailure::new(kind, reason));
         }
         if let Some(reason) = unusable(context, &head, &answer) {
             return Err(CallFailure::new(FailureKind::MayHaveRun, reason));
--- a/crates/bramleywind_gateway/src/forward/retry_rule.rs
+++ b/crates/bramleywind_gateway/src/forward/retry_rule.rs
@@ -41,7 +41,7 @@
         }
         match failure {
             FailureKind::NotSent => Self::Free,
-            FailureKind::Declined => Self::Budgeted,
+            FailureKind::Declined | FailureKind::Replaced => Self::Budgeted,
             FailureKind::MayHaveRun | FailureKind::TimedOut => {
                 if kind.is_repeatable() && counts.runs < run_limit {
                     Self::Budgeted
--- a/crates/bramleywind_gateway/src/metrics/gateway_metrics.rs
+++ b/crates/bramleywind_gateway/src/metrics/gateway_metrics.rs
@@ -97,6 +97,7 @@
         let kind = match kind {
             FailureKind::NotSent => "not sent",
             FailureKind::Declined => "declined",
+            FailureKind::Replaced => "replaced",
             FailureKind::MayHaveRun => "may have run",
             FailureKind::TimedOut => "timed out",
         };
