members: do not believe times that were told long ago

Cause, found in reading: the times that other gateways tell were taken for the present ones however long the comparison took. A successor that stands still between the answers and the comparison would take its predecessor's record for younger than it is by that time, and give tokens back that were spent.

Change: a comparison that took over 150 ms counts as none, and is made again. So a told time is at most that old, which the margin of the release covers. The test fails without the check.

--- a/crates/bramleywind_gateway/src/background/keep_presence.rs
+++ b/crates/bramleywind_gateway/src/background/keep_presence.rs
@@ -111,13 +111,14 @@
     Ok(true)
 }
 
-/// Asks some gateways for the time. False if too few answered.
+/// Asks some gateways for the time. False if too few answered in time.
 async fn compare_clocks<P: Platform>(gateway: &Gateway<P>, peers: &[SocketAddr]) -> bool {
+    let asked_at_ms = boot_millis();
     let asked: Vec<_> = peers.choose_multiple(&mut rand::rng(), CLOCK_PEERS).copied().collect();
     let told = join_all(asked.into_iter().map(|peer| LoanClient.ask_time(peer))).await;
     let mut times: Vec<_> = told.into_iter().flatten().collect();
     times.push(unix_millis());
-    gateway.fleet_clock().compare(&mut times, boot_millis())
+    gateway.fleet_clock().compare(&mut times, asked_at_ms, boot_millis())
 }
 
 /// Gives the standby tokens of the instance's earlier process back that it can't have spent. That process has ended: this
--- a/crates/bramleywind_gateway/src/members/fleet_clock.rs
+++ b/crates/bramleywind_gateway/src/members/fleet_clock.rs
@@ -6,6 +6,10 @@
 /// The fewest clocks, the own one included, whose median is believed.
 const FEWEST_CLOCKS: usize = 3;
 
+/// The longest time that a comparison may take, in milliseconds: the time that each clock has to answer, and some
+/// scheduling. What was told is older than that if the process stood still meanwhile.
+const LONGEST_COMPARISON_MS: u64 = 150;
+
 /// The time of day on which most instances agree.
 ///
 /// The time of day of a single instance may jump by seconds. The median of several is right as long as most of them
@@ -22,25 +26,26 @@
 }
 
 impl FleetClock {
-    /// Compares clocks: the times of day, the own one included, that were told at `boot_ms`, milliseconds since the
-    /// instance's start. False if they are too few.
+    /// Compares clocks: the times of day, the own one included, that were asked for at `asked_at_ms` and known at
+    /// `told_at_ms`, in milliseconds since the instance's start. False if they are too few or too old to be believed.
     ///
     /// ```
     /// use bramleywind_gateway::members::FleetClock;
     ///
     /// let clock = FleetClock::default();
     /// // One of the three has jumped ahead.
-    /// assert!(clock.compare(&mut [70_000, 1_005, 1_000], 500));
+    /// assert!(clock.compare(&mut [70_000, 1_005, 1_000], 490, 500));
     /// assert_eq!(clock.now(600), Some(1_105));
     /// assert_eq!(clock.now(60_000), None);
     /// ```
-    pub fn compare(&self, told: &mut [u64], boot_ms: u64) -> bool {
-        if told.len() < FEWEST_CLOCKS {
+    pub fn compare(&self, told: &mut [u64], asked_at_ms: u64, told_at_ms: u64) -> bool {
+        let took_ms = told_at_ms.saturating_sub(asked_at_ms);
+        if told.len() < FEWEST_CLOCKS || took_ms > LONGEST_COMPARISON_MS {
             return false;
         }
         told.sort_unstable();
         let fleet_ms = told[told.len() / 2];
-        self.comparison.set(Some(Comparison { fleet_ms, boot_ms }));
+        self.comparison.set(Some(Comparison { fleet_ms, boot_ms: told_at_ms }));
         true
     }
 
--- a/crates/bramleywind_gateway/tests/members.rs
+++ b/crates/bramleywind_gateway/tests/members.rs
@@ -60,13 +60,22 @@
 #[test]
 fn two_clocks_are_too_few() {
     let clock = FleetClock::default();
-    assert!(!clock.compare(&mut [1_000, 1_000], 0));
+    assert!(!clock.compare(&mut [1_000, 1_000], 0, 0));
     assert_eq!(clock.now(0), None);
 }
 
 #[test]
 fn minority_of_clocks_that_jumped_is_outvoted() {
     let clock = FleetClock::default();
-    assert!(clock.compare(&mut [3_400, 1_010, 1_000, 990, 3_400], 100));
+    assert!(clock.compare(&mut [3_400, 1_010, 1_000, 990, 3_400], 95, 100));
     assert_eq!(clock.now(100), Some(1_010));
 }
+
+/// A process that stands still between the answers and the comparison would take an old time for the present one, and the
+/// record of its ended predecessor for younger than it is: tokens that were spent would be given back.
+#[test]
+fn times_that_were_told_long_ago_are_not_believed() {
+    let clock = FleetClock::default();
+    assert!(!clock.compare(&mut [1_000, 1_000, 1_000], 100, 5_100));
+    assert_eq!(clock.now(5_100), None);
+}
