presence: write it each 0.6 s, and release standby tokens from 1.8 s on

Change: rounds of 0.6 s (was 1 s) in fleets of up to 16, release from 1.8 s (2.2 s) on, a margin for clocks of 0.3 s (0.5 s), which is now bounded by the time that a comparison may take, and working tokens for 2.5 s (3 s).

--- a/crates/bramleywind_gateway/src/background/keep_presence.rs
+++ b/crates/bramleywind_gateway/src/background/keep_presence.rs
@@ -20,7 +20,7 @@
 };
 
 /// The time between two presence records in a small fleet. What a process can have spent is judged by the record's age.
-const ROUND_TIME: Duration = Duration::from_secs(1);
+const ROUND_TIME: Duration = Duration::from_millis(600);
 
 /// Gateways up to which a round takes [`ROUND_TIME`]; it grows with larger fleets, since each round is a write.
 const SMALL_FLEET: usize = 16;
--- a/crates/bramleywind_gateway/src/funds/grant_sizing.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_sizing.rs
@@ -4,7 +4,7 @@
 
 /// Seconds of a process's own use that its working tokens cover: longer than it takes until standby tokens are released
 /// once the store is out of reach.
-const WORKING_SECONDS: f64 = 3.0;
+const WORKING_SECONDS: f64 = 2.5;
 
 /// The part of what is left that the working tokens of all processes hold at most. The loss of all processes strands no
 /// more than this part.
--- a/crates/bramleywind_gateway/src/funds/standby_release.rs
+++ b/crates/bramleywind_gateway/src/funds/standby_release.rs
@@ -18,7 +18,7 @@
 
 /// The age of the presence record up to which no standby token may be spent: two rounds in which the store does not
 /// answer. Working tokens bridge it.
-const DELAY: Duration = Duration::from_millis(2_200);
+const DELAY: Duration = Duration::from_millis(1_800);
 
 /// How many times the use at the time of the grant is released. Use is uneven between gateways, and a loan between them
 /// takes a moment.
@@ -28,8 +28,8 @@
 /// may need them.
 const LONGEST_SECONDS: f64 = 30.0;
 
-/// What two comparisons of clocks may differ by, and the time that a record needs to reach the store.
-const CLOCK_MARGIN: Duration = Duration::from_millis(500);
+/// What two comparisons of clocks may differ by: twice the longest time that one may take.
+const CLOCK_MARGIN: Duration = Duration::from_millis(300);
 
 impl StandbyRelease {
     /// The release of a grant.
@@ -52,8 +52,8 @@
     ///     use_rate: TokenRate(1_000),
     /// };
     /// let release = StandbyRelease::new(grant);
-    /// assert_eq!(release.spendable(Duration::from_secs(2)), TokenCount(0));
-    /// assert_eq!(release.spendable(Duration::from_millis(7_200)), TokenCount(7_500));
+    /// assert_eq!(release.spendable(Duration::from_millis(1_800)), TokenCount(0));
+    /// assert_eq!(release.spendable(Duration::from_millis(7_200)), TokenCount(8_100));
     /// assert_eq!(release.spendable(Duration::from_secs(60)), TokenCount(16_000));
     /// ```
     pub fn spendable(self, age: Duration) -> TokenCount {
