presence: take the age of a predecessor's record at the own start

The predecessor ended before this process could listen on its ports.

Change: the age is counted to the start.

--- a/crates/bramleywind_gateway/src/background/keep_presence.rs
+++ b/crates/bramleywind_gateway/src/background/keep_presence.rs
@@ -51,8 +51,9 @@
 /// Takes over from the instance's earlier process, and then writes presence records until the process leaves.
 pub(crate) async fn keep_presence<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut contact = StoreContact::new("presence records", gateway.log());
+    let started_at_ms = boot_millis();
     loop {
-        match take_over_predecessor(&gateway).await {
+        match take_over_predecessor(&gateway, started_at_ms).await {
             Ok(outcome) => {
                 info!(gateway.log(), "takeover from the instance's earlier process"; "outcome" => ?outcome);
                 break;
@@ -122,14 +123,15 @@
 }
 
 /// Gives the standby tokens of the instance's earlier process back that it can't have spent. That process has ended: this
-/// one listens on its ports.
+/// one listens on its ports since `started_at_ms`, in milliseconds since the instance's start.
 async fn take_over_predecessor<P: Platform>(
     gateway: &Gateway<P>,
+    started_at_ms: u64,
 ) -> Result<TakeoverOutcome, UnavailableReason> {
     let Some(predecessor) = find_predecessor(gateway).await? else {
         return Ok(TakeoverOutcome::NothingToTake);
     };
-    let Some(age) = record_age(gateway, &predecessor).await else {
+    let Some(age) = record_age(gateway, &predecessor, started_at_ms).await else {
         return Ok(TakeoverOutcome::AgeUnknown);
     };
     let incarnation = predecessor.record.incarnation;
@@ -160,10 +162,12 @@
     Ok(own.map(|(record, version)| Predecessor { record, version, peers }))
 }
 
-/// How old the record is by the clocks of most instances; nothing if that is not known.
+/// How old the record was at the most when the predecessor ended, by the clocks of most instances; nothing if that is not
+/// known.
 async fn record_age<P: Platform>(
     gateway: &Gateway<P>,
     predecessor: &Predecessor,
+    started_at_ms: u64,
 ) -> Option<Duration> {
     let written_at_ms = predecessor.record.written_at_ms?;
     let mut tries = 0;
@@ -174,6 +178,5 @@
         }
         sleep(CLOCK_PAUSE).await;
     }
-    let now_ms = gateway.fleet_clock().now(boot_millis())?;
-    Some(Duration::from_millis(now_ms.saturating_sub(written_at_ms)))
+    gateway.fleet_clock().age_at(written_at_ms, started_at_ms, boot_millis())
 }
--- a/crates/bramleywind_gateway/src/members/fleet_clock.rs
+++ b/crates/bramleywind_gateway/src/members/fleet_clock.rs
@@ -55,4 +55,21 @@
         let age = boot_ms.checked_sub(comparison.boot_ms)?;
         (u128::from(age) <= LONGEST_AGE.as_millis()).then(|| comparison.fleet_ms + age)
     }
+
+    /// How old something that happened at `since_ms`, in Unix milliseconds, was at the earlier moment `then_ms`. Both it and
+    /// the present moment `boot_ms` are in milliseconds since the instance's start.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use bramleywind_gateway::members::FleetClock;
+    ///
+    /// let clock = FleetClock::default();
+    /// clock.compare(&mut [20_000, 20_000, 20_000], 500, 500);
+    /// assert_eq!(clock.age_at(18_000, 200, 600), Some(Duration::from_millis(1_700)));
+    /// ```
+    pub fn age_at(&self, since_ms: u64, then_ms: u64, boot_ms: u64) -> Option<Duration> {
+        let passed_ms = boot_ms.saturating_sub(then_ms);
+        let age_ms = self.now(boot_ms)?.saturating_sub(since_ms);
+        Some(Duration::from_millis(age_ms.saturating_sub(passed_ms)))
+    }
 }
--- a/crates/bramleywind_gateway/tests/members.rs
+++ b/crates/bramleywind_gateway/tests/members.rs
@@ -79,3 +79,13 @@
     assert!(!clock.compare(&mut [1_000, 1_000, 1_000], 100, 5_100));
     assert_eq!(clock.now(5_100), None);
 }
+
+/// An outage of the store that begins before a process starts must not count as time in which its predecessor spent: all
+/// standby tokens of a day that ended so were lost.
+#[test]
+fn time_after_the_start_does_not_age_the_record_of_the_predecessor() {
+    let clock = FleetClock::default();
+    assert!(clock.compare(&mut [60_000, 60_000, 60_000], 9_000, 9_000));
+    let age = clock.age_at(51_000, 1_000, 9_000);
+    assert_eq!(age, Some(Duration::from_secs(1)));
+}
