--- a/crates/bramleywind_gateway/tests/budget_model/world.rs
+++ b/crates/bramleywind_gateway/tests/budget_model/world.rs
@@ -6,11 +6,12 @@
 };
 
 use bramleywind_gateway::{
-    funds::{BudgetRecord, CommitPlan, GrantBook, take_over},
+    funds::{Allowance, BudgetRecord, CommitPlan, GrantBook, ReserveOutcome, take_over},
     link::{BudgetChange, BudgetEntry, CommitOutcome},
 };
 use bramleywind_store::StoreVersion;
 use bramleywind_types::{IncarnationId, TokenCount, WorkspaceId};
+use futures_channel::oneshot;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 /// The prepaid total of the only workspace.
@@ -19,6 +20,9 @@
 /// Gateways of the fleet.
 const GATEWAYS: usize = 4;
 
+/// Requests of one gateway that wait for tokens.
+const MOST_WAITING: usize = 4;
+
 /// Records of one write; the same as on the platform.
 const MOST_CHANGES: usize = 15;
 
@@ -29,11 +33,23 @@
     ByAge,
     /// All standby tokens are given back, however old the presence record is.
     Everything,
+    /// All working tokens are given back too.
+    NoLimits,
 }
 
+/// The presence record of an instance, and how often it was written.
+#[derive(Clone, Default)]
 struct Presence {
-    incarnation: IncarnationId,
+    version: u64,
+    incarnation: Option<IncarnationId>,
     written_at: Duration,
+    working: BTreeMap<WorkspaceId, Allowance>,
+}
+
+struct PendingPresence {
+    due: Duration,
+    index: usize,
+    presence: Presence,
 }
 
 struct PendingWrite {
@@ -44,7 +60,11 @@
 struct Process {
     book: GrantBook,
     incarnation: IncarnationId,
+    presence_version: u64,
+    /// The earlier process of the instance, until its grants are closed, and the age of its record at its end.
+    ended: Option<(Presence, Duration)>,
     open: Vec<u64>,
+    waiting: Vec<(u64, oneshot::Receiver<ReserveOutcome>)>,
     spent: u64,
 }
 
@@ -59,7 +79,8 @@
     version: u64,
     is_down: bool,
     pending: Vec<PendingWrite>,
-    presences: BTreeMap<usize, Presence>,
+    presences: Vec<Presence>,
+    pending_presences: Vec<PendingPresence>,
     processes: Vec<Process>,
     spent_by_dead: u64,
     next_incarnation: u64,
@@ -77,13 +98,14 @@
             version: 0,
             is_down: false,
             pending: Vec::new(),
-            presences: BTreeMap::new(),
+            presences: vec![Presence::default(); GATEWAYS],
+            pending_presences: Vec::new(),
             processes: Vec::new(),
             spent_by_dead: 0,
             next_incarnation: 1,
         };
         for _ in 0..GATEWAYS {
-            let process = world.new_process();
+            let process = world.new_process(0);
             world.processes.push(process);
         }
         world
@@ -101,6 +123,7 @@
         self.now += Duration::from_millis(self.random.random_range(1..40));
         self.run_pending();
         let index = self.random.random_range(0..GATEWAYS);
+        self.take_answers(index);
         match self.random.random_range(0..1_000) {
             0..500 => self.reserve(index),
             500..700 => self.settle(index),
@@ -108,7 +131,7 @@
             860..920 => self.write_presence(index),
             920..980 => self.borrow(index),
             980..984 => self.is_down = !self.is_down,
-            984..987 => self.restart(index),
+            984..985 => self.restart(index),
             // Power is lost, and comes back after the store.
             987..988 => {
                 self.is_down = false;
@@ -123,21 +146,46 @@
         self.start + self.now
     }
 
-    fn new_process(&mut self) -> Process {
+    fn new_process(&mut self, presence_version: u64) -> Process {
         let incarnation = IncarnationId::from_number(self.next_incarnation);
         self.next_incarnation += 1;
         let mut book = GrantBook::new(incarnation);
         book.set_members(GATEWAYS);
         book.set_prepaid(&self.workspace, TokenCount(PREPAID), self.instant());
-        Process { book, incarnation, open: Vec::new(), spent: 0 }
+        Process {
+            book,
+            incarnation,
+            presence_version,
+            ended: None,
+            open: Vec::new(),
+            waiting: Vec::new(),
+            spent: 0,
+        }
     }
 
     fn reserve(&mut self, index: usize) {
-        let need = self.random.random_range(50..1_500);
+        let need = self.random.random_range(20..400);
         let now = self.instant();
         let process = &mut self.processes[index];
         if process.book.try_reserve(&self.workspace, TokenCount(need), now) {
             process.open.push(need);
+        } else if process.waiting.len() < MOST_WAITING {
+            let reply = process.book.wait(&self.workspace, TokenCount(need), now);
+            process.waiting.push((need, reply));
+        }
+    }
+
+    /// Takes the answers of requests that waited.
+    fn take_answers(&mut self, index: usize) {
+        let now = self.instant();
+        let process = &mut self.processes[index];
+        process.book.answer_waiting(now);
+        for (need, mut reply) in std::mem::take(&mut process.waiting) {
+            match reply.try_recv() {
+                Ok(Some(ReserveOutcome::Reserved)) => process.open.push(need),
+                Ok(None) => process.waiting.push((need, reply)),
+                Ok(Some(_)) | Err(_) => {}
+            }
         }
     }
 
@@ -171,7 +219,7 @@
             return;
         }
         let (now, entry) = (self.instant(), self.entry());
-        self.processes[index].book.take_entries(vec![entry], Some(now));
+        self.processes[index].book.take_entries(vec![entry], now, true);
     }
 
     fn entry(&self) -> BudgetEntry {
@@ -212,6 +260,12 @@
 
     fn run_pending(&mut self) {
         let now = self.now;
+        let due: Vec<_> = self.pending_presences.extract_if(.., |write| write.due <= now).collect();
+        for write in due {
+            if write.presence.version == self.presences[write.index].version + 1 {
+                self.presences[write.index] = write.presence;
+            }
+        }
         let due: Vec<_> = self.pending.extract_if(.., |write| write.due <= now).collect();
         for write in due {
             if write.change.expected == StoreVersion(self.version) {
@@ -222,15 +276,33 @@
 
     fn write_presence(&mut self, index: usize) {
         let (now, written_at) = (self.instant(), self.now);
+        if !self.close_grants(index) {
+            return;
+        }
         let process = &mut self.processes[index];
-        if self.is_down || !process.book.may_be_present() {
+        let expected = process.presence_version;
+        let working = process.book.begin_presence(now);
+        let incarnation = Some(process.incarnation);
+        let presence = Presence { version: expected + 1, incarnation, written_at, working };
+        let luck = self.random.random_range(0..20);
+        if self.is_down || luck < 2 {
+            // Some of the calls without an answer are done later, if their condition still holds.
+            if luck % 2 == 0 {
+                let due = self.now + Duration::from_millis(self.random.random_range(0..6_000));
+                self.pending_presences.push(PendingPresence { due, index, presence });
+            }
             return;
         }
-        process.book.set_presence(now);
-        // The write may be lost.
-        if self.random.random_range(0..10) > 0 {
-            let incarnation = process.incarnation;
-            self.presences.insert(index, Presence { incarnation, written_at });
+        let current = self.presences[index].version;
+        if current != expected {
+            self.processes[index].presence_version = current;
+            return;
+        }
+        self.presences[index] = presence;
+        // The answer may be lost.
+        if luck > 3 {
+            self.processes[index].presence_version = expected + 1;
+            self.processes[index].book.confirm_presence();
         }
     }
 
@@ -239,7 +311,7 @@
         if lender == index {
             return;
         }
-        let (now, wanted) = (self.instant(), TokenCount(self.random.random_range(100..5_000)));
+        let (now, wanted) = (self.instant(), TokenCount(self.random.random_range(20..600)));
         let lent = self.processes[lender].book.lend(&self.workspace, wanted, now);
         // The answer may be lost.
         if self.random.random_range(0..10) > 0 {
@@ -249,21 +321,40 @@
 
     /// A process dies with its requests open, all of which may have run to their end.
     fn restart(&mut self, index: usize) {
-        let successor = self.new_process();
+        self.now += Duration::from_millis(self.random.random_range(100..3_000));
+        self.run_pending();
+        let presence = self.presences[index].clone();
+        let successor = self.new_process(presence.version);
         let dead = std::mem::replace(&mut self.processes[index], successor);
         self.spent_by_dead += dead.spent + dead.open.iter().sum::<u64>();
-        self.now += Duration::from_millis(self.random.random_range(100..3_000));
-        let Some(presence) = self.presences.get(&index) else { return };
-        if self.is_down || presence.incarnation != dead.incarnation {
-            return;
+        if presence.incarnation.is_some() {
+            let age = self.now - presence.written_at;
+            self.processes[index].ended = Some((presence, age));
+        }
+    }
+
+    /// Closes the grants of the earlier process. False if that must be tried again.
+    fn close_grants(&mut self, index: usize) -> bool {
+        let Some((presence, age)) = self.processes[index].ended.clone() else { return true };
+        if self.is_down {
+            return false;
         }
-        let age = self.now - presence.written_at;
-        let age = match self.rule {
-            TakeoverRule::ByAge => age,
-            TakeoverRule::Everything => Duration::ZERO,
+        let (working, age) = match self.rule {
+            TakeoverRule::ByAge => (presence.working, age),
+            TakeoverRule::Everything => (presence.working, Duration::ZERO),
+            TakeoverRule::NoLimits => (BTreeMap::new(), age),
         };
-        for change in take_over(dead.incarnation, vec![self.entry()], age) {
-            self.write(change.record);
+        let Some(incarnation) = presence.incarnation else { return true };
+        // The successor looks again until there is nothing more to close.
+        for _ in 0..3 {
+            for change in take_over(incarnation, vec![self.entry()], &working, age) {
+                // The write requires that the presence record is unchanged.
+                if self.presences[index].version == presence.version {
+                    self.write(change.record);
+                }
+            }
         }
+        self.processes[index].ended = None;
+        true
     }
 }
