--- a/crates/bramleywind_gateway/src/background/keep_presence.rs
+++ b/crates/bramleywind_gateway/src/background/keep_presence.rs
@@ -14,7 +14,7 @@
 use crate::{
     funds::{EndedProcess, TakeoverOutcome},
     gateway::{Gateway, StopPhase},
-    link::{FleetStore, Platform, PresenceWrite},
+    link::{FleetStore, Platform},
     loans::LoanClient,
     members::{PresenceRecord, boot_millis, unix_millis},
 };
@@ -28,11 +28,8 @@
 /// The longest time between two records: shorter than the age from which standby tokens may be spent.
 const LONGEST_ROUND: Duration = Duration::from_secs(2);
 
-/// The pause before a record is written over one that an earlier write in doubt has left.
-const CONFLICT_PAUSE: Duration = Duration::from_millis(10);
-
-/// The time between two comparisons of clocks.
-const COMPARISON_TIME: Duration = Duration::from_secs(1);
+/// The time between two looks whether the spent standby tokens are written down.
+const ABSENT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Gateways that are asked for the time.
 const CLOCK_PEERS: usize = 4;
@@ -55,32 +52,21 @@
 pub(crate) async fn keep_presence<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut contact = StoreContact::new("presence records", gateway.log());
     let started_at_ms = boot_millis();
-    let mut version = loop {
+    loop {
         match take_over_predecessor(&gateway, started_at_ms).await {
-            Ok((outcome, version)) => {
+            Ok(outcome) => {
                 info!(gateway.log(), "takeover from the instance's earlier process"; "outcome" => ?outcome);
-                break version;
+                break;
             }
             Err(reason) => contact.pause_after(reason).await,
         }
-    };
-    let mut compare_at = Instant::now();
+    }
     while gateway.stop_phase() == StopPhase::Running {
-        if Instant::now() >= compare_at {
-            compare_clocks(&gateway, &peer_addresses(&gateway)).await;
-            compare_at = Instant::now() + COMPARISON_TIME;
-        }
-        match write_presence(&gateway, version).await {
-            Ok(PresenceWrite::Written(written)) => {
+        match round(&gateway).await {
+            Ok(is_present) => {
                 contact.note_answer();
-                version = written;
-                gateway.funds().confirm_presence();
                 let members = gateway.members().borrow().count();
-                gateway.funds().wait_for_presence(round_time(members)).await;
-            }
-            Ok(PresenceWrite::Conflict(found)) => {
-                version = found;
-                sleep(CONFLICT_PAUSE).await;
+                sleep(if is_present { round_time(members) } else { ABSENT_PAUSE }).await;
             }
             Err(reason) => {
                 gateway.funds().book().borrow_mut().set_store_reached(false);
@@ -95,32 +81,35 @@
     ROUND_TIME.mul_f64(growth.max(1.0)).min(LONGEST_ROUND)
 }
 
-fn peer_addresses<P: Platform>(gateway: &Gateway<P>) -> Vec<SocketAddr> {
-    let members = gateway.members().borrow();
-    members.others().iter().map(|other| other.peer_address).collect()
-}
-
-/// Writes the presence and the working limits once.
-async fn write_presence<P: Platform>(
-    gateway: &Gateway<P>,
-    version: StoreVersion,
-) -> Result<PresenceWrite, UnavailableReason> {
-    if !gateway.funds().book().borrow().is_store_reached() {
-        // A write that is sent in vain could still take effect, and would hold tokens back. A cheap read shows first whether
-        // the store answers.
-        gateway.store().list_members().await?;
+/// Writes the presence once. False if tokens that were spent out of standby are not yet written down as spent.
+async fn round<P: Platform>(gateway: &Gateway<P>) -> Result<bool, UnavailableReason> {
+    let peers: Vec<_> = {
+        let members = gateway.members().borrow();
+        members.others().iter().map(|other| other.peer_address).collect()
+    };
+    compare_clocks(gateway, &peers).await;
+    if !gateway.funds().book().borrow().may_be_present() {
+        return Ok(false);
     }
+    // A write that is sent in vain could still take effect, and would hold standby tokens back. A cheap read shows first
+    // whether the store answers.
+    gateway.store().list_members().await?;
     let record = {
         let mut book = gateway.funds().book().borrow_mut();
+        if !book.may_be_present() {
+            return Ok(false);
+        }
         // The record's time is read first, so that a successor takes it for at least as old as this process does.
         let written_at_ms = gateway.fleet_clock().now(boot_millis());
-        let allowances = book.begin_presence(Instant::now());
+        book.set_presence(Instant::now());
         let members = gateway.members().borrow();
         let own = members.own();
         let (incarnation, peer_address) = (own.incarnation, own.peer_address);
-        PresenceRecord { incarnation, peer_address, written_at_ms, allowances }
+        PresenceRecord { incarnation, peer_address, written_at_ms }
     };
-    gateway.store().write_presence(&gateway.settings().instance, &record, version).await
+    let instance = &gateway.settings().instance;
+    gateway.store().write_presence(instance, &record).await?;
+    Ok(true)
 }
 
 /// Asks some gateways for the time. False if too few answered in time.
@@ -138,13 +127,12 @@
 async fn take_over_predecessor<P: Platform>(
     gateway: &Gateway<P>,
     started_at_ms: u64,
-) -> Result<(TakeoverOutcome, StoreVersion), UnavailableReason> {
+) -> Result<TakeoverOutcome, UnavailableReason> {
     let Some(predecessor) = find_predecessor(gateway).await? else {
-        return Ok((TakeoverOutcome::NothingToTake, StoreVersion::MISSING));
+        return Ok(TakeoverOutcome::NothingToTake);
     };
-    let version = predecessor.version;
     let Some(age) = record_age(gateway, &predecessor, started_at_ms).await else {
-        return Ok((TakeoverOutcome::AgeUnknown, version));
+        return Ok(TakeoverOutcome::AgeUnknown);
     };
     let incarnation = predecessor.record.incarnation;
     info!(gateway.log(), "earlier process found"; "incarnation" => %incarnation,
@@ -152,12 +140,10 @@
     let ended = EndedProcess {
         instance: gateway.settings().instance.clone(),
         incarnation,
-        presence_version: version,
-        allowances: predecessor.record.allowances,
+        presence_version: predecessor.version,
         age,
     };
-    let outcome = ended.close_grants(gateway.store(), gateway.log()).await?;
-    Ok((outcome, version))
+    ended.close_grants(gateway.store(), gateway.log()).await
 }
 
 /// The presence record of the instance's earlier process.
--- a/crates/bramleywind_gateway/src/forward/intake.rs
+++ b/crates/bramleywind_gateway/src/forward/intake.rs
@@ -138,7 +138,7 @@
     info!(gateway.log(), "funds missing"; "request" => request_id, "workspace" => %workspace,
         "outcome" => ?outcome, "need" => need.0, "available" => account.available(book.standby_access(Instant::now())).0,
         "prepaid" => account.prepaid().0, "spent" => account.spent().0,
-        "pool" => account.pool().0, "granted" => account.granted().total.0, "working_limit" => account.working_limit().0,
+        "pool" => account.pool().0, "working" => account.granted().working.0, "standby" => account.granted().standby.0,
         "rate_per_second" => account.rate(Instant::now()),
         "record_age_ms" => age.and_then(|age| u64::try_from(age).ok()));
 }
--- a/crates/bramleywind_gateway/src/funds.rs
+++ b/crates/bramleywind_gateway/src/funds.rs
@@ -3,7 +3,6 @@
 //! Only tokens that the store already counts as granted are spent, and no process ever takes back a grant of
 //! another one. So a process that freezes, dies or writes late can't lead to overspend.
 
-mod allowance;
 mod budget_account;
 mod budget_record;
 mod commit_plan;
@@ -19,9 +18,7 @@
 mod takeover;
 mod token_rate;
 mod use_rate;
-mod working_limit;
 
-pub use allowance::Allowance;
 pub use budget_account::BudgetAccount;
 pub use budget_record::BudgetRecord;
 pub use commit_plan::CommitPlan;
@@ -36,4 +33,3 @@
 pub use takeover::{TakeoverOutcome, take_over};
 pub use token_rate::TokenRate;
 pub use use_rate::UseRate;
-pub use working_limit::WorkingLimit;
--- a/crates/bramleywind_gateway/src/funds/budget_account.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_account.rs
@@ -1,15 +1,11 @@
-use std::{
-    collections::{BTreeMap, VecDeque},
-    time::Instant,
-};
+use std::{collections::VecDeque, time::Instant};
 
 use bramleywind_store::StoreVersion;
 use bramleywind_types::{IncarnationId, TokenCount};
 use futures_channel::oneshot;
 
 use super::{
-    Allowance, BudgetRecord, GrantInput, GrantSizing, HolderGrant, ReserveOutcome, StandbyAccess,
-    TokenRate, UseRate, WorkingLimit, grant_sizing::wanted_working,
+    BudgetRecord, GrantInput, GrantSizing, HolderGrant, ReserveOutcome, StandbyAccess, UseRate,
 };
 
 /// What this process knows of one budget, and what it has spent of it.
@@ -19,8 +15,6 @@
     pub(super) prepaid: TokenCount,
     /// The own grant. While a write is in doubt, the smaller of both possible values.
     granted: HolderGrant,
-    /// What of it may be spent while the store answers.
-    working: WorkingLimit,
     /// Tokens of other processes' grants that this one may use.
     borrowed: TokenCount,
     /// Tokens of the own grant that others may use.
@@ -29,8 +23,6 @@
     reserved: TokenCount,
     record: BudgetRecord,
     version: StoreVersion,
-    /// When the others' grants were first seen as they are.
-    others_since: BTreeMap<IncarnationId, (HolderGrant, Instant)>,
     /// Whether a write has an unknown outcome.
     is_in_doubt: bool,
     /// When the record was last read from the store; never, if nothing.
@@ -50,24 +42,23 @@
 /// What concerns all grants of a process.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct HolderState {
+    pub(super) holder: IncarnationId,
     pub(super) members: usize,
     pub(super) is_present: bool,
     pub(super) is_leaving: bool,
 }
 
 impl BudgetAccount {
-    pub(super) fn new(prepaid: TokenCount, working: WorkingLimit, now: Instant) -> Self {
+    pub(super) fn new(prepaid: TokenCount, now: Instant) -> Self {
         Self {
             prepaid,
             granted: HolderGrant::default(),
-            working,
             borrowed: TokenCount(0),
             lent: TokenCount(0),
             spent: TokenCount(0),
             reserved: TokenCount(0),
             record: BudgetRecord::default(),
             version: StoreVersion::MISSING,
-            others_since: BTreeMap::new(),
             is_in_doubt: false,
             read_at: None,
             rate: UseRate::new(now),
@@ -77,20 +68,20 @@
 
     /// Tokens that may be reserved now.
     pub fn available(&self, access: StandbyAccess) -> TokenCount {
-        let granted = access.spendable(self.granted, self.working.allowance());
+        let granted = self.granted.working.saturating_add(access.spendable(self.granted));
         granted.saturating_add(self.borrowed).saturating_sub(self.bound())
     }
 
+    /// Tokens that were spent, reserved or lent beyond the working ones.
+    pub(super) fn overdrawn(&self) -> TokenCount {
+        self.bound().saturating_sub(self.granted.working.saturating_add(self.borrowed))
+    }
+
     /// Tokens that are spent, reserved or lent.
     fn bound(&self) -> TokenCount {
         self.spent.saturating_add(self.reserved).saturating_add(self.lent)
     }
 
-    /// Tokens of the own grant that are bound.
-    fn bound_of_grant(&self) -> TokenCount {
-        self.bound().saturating_sub(self.borrowed)
-    }
-
     /// Tokens that no process holds, by the last known record.
     pub fn pool(&self) -> TokenCount {
         self.record.pool(self.prepaid)
@@ -151,83 +142,42 @@
         self.waiting.iter().map(|entry| entry.need).sum()
     }
 
-    /// About what the other processes hold unspent: what they had, less their use since.
-    pub(super) fn others_unspent(&self, now: Instant) -> TokenCount {
-        let unspent = |(grant, since): &(HolderGrant, Instant)| {
-            let age = now.saturating_duration_since(*since).as_secs_f64();
-            TokenCount(grant.unspent.0.saturating_sub((grant.use_rate.0 as f64 * age) as u64))
-        };
-        self.others_since.values().map(unspent).sum()
-    }
-
-    fn sizing_input(&self, state: HolderState, is_joining: bool, now: Instant) -> GrantInput {
-        GrantInput {
+    /// The grant to ask for, if it should change.
+    pub(super) fn wanted_grant(
+        &self,
+        state: HolderState,
+        is_joining: bool,
+        now: Instant,
+    ) -> Option<HolderGrant> {
+        let others = || self.record.others(state.holder);
+        let input = GrantInput {
             prepaid: self.prepaid,
             pool: self.pool(),
-            unspent: self.available(StandbyAccess::Open),
+            available: self.available(StandbyAccess::Closed),
+            standby: self.granted.standby,
+            overdrawn: self.overdrawn(),
             waiting: self.waiting_tokens(),
             rate: self.rate.at(now),
-            others_rate: self.others_since.values().map(|(grant, _)| grant.use_rate.0 as f64).sum(),
-            others_unspent: self.others_unspent(now),
+            others_rate: others().map(|grant| grant.use_rate.0 as f64).sum(),
+            others_standby: others().map(|grant| grant.standby).sum(),
             members: state.members,
             is_present: state.is_present,
             is_joining,
             is_leaving: state.is_leaving,
-        }
-    }
-
-    /// The grant to ask for, if it should change.
-    pub(super) fn wanted_grant(
-        &self,
-        state: HolderState,
-        is_joining: bool,
-        now: Instant,
-    ) -> Option<HolderGrant> {
-        if self.bound_of_grant() > self.working_limit() {
-            // A successor judges what was spent out of standby by the grant as it was then. The presence record comes first.
-            return None;
-        }
-        let input = self.sizing_input(state, is_joining, now);
+        };
         match GrantSizing::decide(&input) {
             GrantSizing::Keep => None,
             GrantSizing::Hold(unspent) => {
-                let total = self.bound().saturating_add(unspent).saturating_sub(self.borrowed);
-                let use_rate = TokenRate(input.rate as u64);
-                let wanted = HolderGrant { total, unspent, use_rate };
-                (total != self.granted.total).then_some(wanted)
+                let bound = self.bound().saturating_add(unspent.working);
+                let working = bound.saturating_sub(self.borrowed);
+                let wanted = HolderGrant { working, ..unspent };
+                let is_equal = (wanted.working, wanted.standby)
+                    == (self.granted.working, self.granted.standby);
+                (!is_equal).then_some(wanted)
             }
         }
     }
 
-    /// Whether requests wait for a higher working limit alone.
-    pub(super) fn wants_presence(&self) -> bool {
-        let needed = self.waiting.front().map(|entry| entry.need);
-        needed.is_some_and(|need| {
-            need > self.available(StandbyAccess::Closed)
-                && need <= self.available(StandbyAccess::Open)
-        })
-    }
-
-    /// The allowance to write, which counts from now on unless the present one is smaller.
-    pub(super) fn send_working(&mut self, state: HolderState, now: Instant) -> Allowance {
-        let input = self.sizing_input(state, false, now);
-        let unspent = wanted_working(&input).saturating_add(input.waiting);
-        let working = self.bound_of_grant().saturating_add(unspent).min(self.granted.total);
-        let allowance = Allowance { working, use_rate: TokenRate(input.rate as u64) };
-        self.working.send(allowance);
-        allowance
-    }
-
-    /// Notes that the last working limit is in the store.
-    pub(super) fn confirm_working(&mut self) {
-        self.working.confirm();
-    }
-
-    /// What may be spent while the store answers.
-    pub fn working_limit(&self) -> TokenCount {
-        self.working.allowance().working
-    }
-
     /// Gives all away that is available, when the process stops.
     pub(super) fn give_away(&mut self, access: StandbyAccess) -> TokenCount {
         let tokens = self.available(access);
@@ -268,15 +218,9 @@
         holder: IncarnationId,
         record: BudgetRecord,
         version: StoreVersion,
-        now: Instant,
     ) {
         if version > self.version {
             self.granted = record.grant(holder);
-            let seen = std::mem::take(&mut self.others_since);
-            for (other, grant) in record.others(holder) {
-                let known = seen.get(&other).filter(|(before, _)| *before == grant);
-                self.others_since.insert(other, known.copied().unwrap_or((grant, now)));
-            }
             self.record = record;
             self.version = version;
             self.is_in_doubt = false;
--- a/crates/bramleywind_gateway/src/funds/budget_record.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_record.rs
@@ -13,8 +13,8 @@
 ///
 /// let mut record = BudgetRecord::default();
 /// let grant = HolderGrant {
-///     total: TokenCount(60),
-///     unspent: TokenCount(50),
+///     working: TokenCount(20),
+///     standby: TokenCount(40),
 ///     use_rate: TokenRate(5),
 /// };
 /// record.set_grant(IncarnationId::from_number(1), grant);
@@ -34,7 +34,7 @@
 
     /// Replaces a process's grant. Only that process may call this, or its successor on the same instance.
     pub fn set_grant(&mut self, holder: IncarnationId, grant: HolderGrant) {
-        if grant.total == TokenCount(0) {
+        if grant.total() == TokenCount(0) {
             self.grants.remove(&holder);
         } else {
             self.grants.insert(holder, grant);
@@ -42,18 +42,12 @@
     }
 
     /// The grants of all processes but one.
-    pub fn others(
-        &self,
-        holder: IncarnationId,
-    ) -> impl Iterator<Item = (IncarnationId, HolderGrant)> + '_ {
-        self.grants
-            .iter()
-            .filter(move |(other, _)| **other != holder)
-            .map(|(other, grant)| (*other, *grant))
+    pub fn others(&self, holder: IncarnationId) -> impl Iterator<Item = HolderGrant> + '_ {
+        self.grants.iter().filter(move |(other, _)| **other != holder).map(|(_, grant)| *grant)
     }
 
     /// What is left of a prepaid total. Zero if the total was lowered below what is granted.
     pub fn pool(&self, prepaid: TokenCount) -> TokenCount {
-        prepaid.saturating_sub(self.grants.values().map(|grant| grant.total).sum())
+        prepaid.saturating_sub(self.grants.values().map(|grant| grant.total()).sum())
     }
 }
--- a/crates/bramleywind_gateway/src/funds/ended_process.rs
+++ b/crates/bramleywind_gateway/src/funds/ended_process.rs
@@ -1,11 +1,11 @@
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use bramleywind_store::{StoreVersion, UnavailableReason};
-use bramleywind_types::{IncarnationId, InstanceId, WorkspaceId};
+use bramleywind_types::{IncarnationId, InstanceId};
 use compio::time::sleep;
 use slog::{Logger, info};
 
-use super::{Allowance, TakeoverOutcome, take_over};
+use super::{TakeoverOutcome, take_over};
 use crate::link::{CommitOutcome, FleetStore};
 
 /// Rounds of writes to close the grants, after which nothing more can be given back. Writes of other gateways conflict, and
@@ -24,14 +24,12 @@
     pub incarnation: IncarnationId,
     /// The version of its presence record.
     pub presence_version: StoreVersion,
-    /// Its allowances by that record.
-    pub allowances: BTreeMap<WorkspaceId, Allowance>,
     /// The most time that can have passed since it wrote that record.
     pub age: Duration,
 }
 
 impl EndedProcess {
-    /// Gives the tokens back that it can't have spent, and counts the others as spent.
+    /// Gives the standby tokens back that it can't have spent, and counts the others as spent.
     ///
     /// # Errors
     ///
@@ -43,12 +41,7 @@
     ) -> Result<TakeoverOutcome, UnavailableReason> {
         let mut budgets = 0;
         for _ in 0..MOST_ROUNDS {
-            let changes = take_over(
-                self.incarnation,
-                store.read_budgets(true).await?,
-                &self.allowances,
-                self.age,
-            );
+            let changes = take_over(self.incarnation, store.read_budgets(true).await?, self.age);
             if changes.is_empty() {
                 break;
             }
@@ -57,7 +50,7 @@
                 // One budget a write: other gateways start at the same time and write the same records.
                 let presence = Some((&self.instance, self.presence_version));
                 let outcome = store.commit_budgets(std::slice::from_ref(&change), presence).await;
-                let counted = change.record.grant(self.incarnation).total;
+                let counted = change.record.grant(self.incarnation).total();
                 let is_done = matches!(outcome, CommitOutcome::Applied(_));
                 info!(log, "grant of the earlier process closed"; "workspace" => %change.workspace,
                     "counted_as_spent" => counted.0, "applied" => is_done);
--- a/crates/bramleywind_gateway/src/funds/funds_desk.rs
+++ b/crates/bramleywind_gateway/src/funds/funds_desk.rs
@@ -53,8 +53,6 @@
     book: Rc<RefCell<GrantBook>>,
     wake: Sender<()>,
     woken: Receiver<()>,
-    presence_wake: Sender<()>,
-    presence_woken: Receiver<()>,
     is_reached: Cell<bool>,
     is_stopping: Cell<bool>,
 }
@@ -63,17 +61,8 @@
     /// A desk of the process run `holder`.
     pub fn new(holder: IncarnationId) -> Self {
         let (wake, woken) = async_channel::bounded(1);
-        let (presence_wake, presence_woken) = async_channel::bounded(1);
         let book = Rc::new(RefCell::new(GrantBook::new(holder)));
-        Self {
-            book,
-            wake,
-            woken,
-            presence_wake,
-            presence_woken,
-            is_reached: Cell::new(true),
-            is_stopping: Cell::new(false),
-        }
+        Self { book, wake, woken, is_reached: Cell::new(true), is_stopping: Cell::new(false) }
     }
 
     /// The book, for its figures.
@@ -104,7 +93,6 @@
         };
         // A full channel means that the desk is already woken.
         let _ = self.wake.try_send(());
-        self.wake_presence();
         PendingReservation::new(&self.book, workspace, need, reply).await
     }
 
@@ -191,27 +179,6 @@
         }
     }
 
-    /// Waits until requests need a presence record with higher working limits, at most for `most`.
-    pub async fn wait_for_presence(&self, most: Duration) {
-        // The time-out is the usual case; a closed channel would be a wake-up too.
-        let _ = timeout(most, self.presence_woken.recv()).await;
-    }
-
-    /// Notes that a presence record is in the store, and serves the requests that waited for it.
-    pub fn confirm_presence(&self) {
-        let mut book = self.book.borrow_mut();
-        book.set_store_reached(true);
-        book.confirm_presence();
-        book.answer_waiting(Instant::now());
-    }
-
-    fn wake_presence(&self) {
-        if self.book.borrow().wants_presence() {
-            // A full channel means that it is already woken.
-            let _ = self.presence_wake.try_send(());
-        }
-    }
-
     /// From now on returns what requests do not need.
     pub fn leave(&self) {
         self.book.borrow_mut().leave();
@@ -232,14 +199,13 @@
         let is_reached = match plan {
             CommitPlan::Idle => {
                 self.book.borrow_mut().answer_waiting(Instant::now());
-                self.wake_presence();
                 return false;
             }
             CommitPlan::Read => match store.read_budgets(true).await {
                 Ok(entries) => {
                     let mut book = self.book.borrow_mut();
                     let now = Instant::now();
-                    book.take_entries(entries, now, true);
+                    book.take_entries(entries, Some(now));
                     book.mark_all_read(now);
                     true
                 }
@@ -259,7 +225,6 @@
         };
         self.note_reached(is_reached, log);
         self.book.borrow_mut().answer_waiting(Instant::now());
-        self.wake_presence();
         if !is_reached {
             sleep(RETRY_PAUSE).await;
         }
@@ -277,7 +242,7 @@
         }
         // A failure needs no note: the next write shows whether the store answers.
         if let Ok(entries) = store.read_budgets(false).await {
-            self.book.borrow_mut().take_entries(entries, Instant::now(), false);
+            self.book.borrow_mut().take_entries(entries, None);
         }
     }
 
--- a/crates/bramleywind_gateway/src/funds/grant_book.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_book.rs
@@ -8,7 +8,7 @@
 use futures_channel::oneshot;
 
 use super::{
-    Allowance, BudgetAccount, CommitPlan, Reservation, ReserveOutcome, StandbyAccess, WorkingLimit,
+    BudgetAccount, CommitPlan, Reservation, ReserveOutcome, StandbyAccess,
     budget_account::{HolderState, WaitingReservation},
 };
 use crate::link::{BudgetChange, BudgetEntry, CommitOutcome};
@@ -34,7 +34,7 @@
     members: usize,
     is_leaving: bool,
     /// When the last presence record was written that may be in the store. Before the first one, no successor can give
-    /// anything back, so little is held and all of it may be spent.
+    /// standby tokens back, so none are held.
     present_at: Option<Instant>,
     /// Whether the store answers. Standby tokens are for when it does not.
     is_store_reached: bool,
@@ -73,22 +73,18 @@
         if let Some(account) = self.accounts.get_mut(workspace) {
             account.prepaid = prepaid;
         } else {
-            let working = match self.present_at {
-                None => WorkingLimit::UNBOUNDED,
-                Some(_) => WorkingLimit::NOTHING,
-            };
-            self.accounts.insert(workspace.clone(), BudgetAccount::new(prepaid, working, now));
+            self.accounts.insert(workspace.clone(), BudgetAccount::new(prepaid, now));
         }
     }
 
     /// Whether standby tokens may be spent now. None while the store answers: working tokens are drawn then, so that the
     /// process can write its presence again.
     pub fn standby_access(&self, now: Instant) -> StandbyAccess {
-        if self.is_store_reached && self.present_at.is_some() {
+        if self.is_store_reached {
             return StandbyAccess::Closed;
         }
         let age = self.present_at.map(|at| now.saturating_duration_since(at));
-        age.map_or(StandbyAccess::Open, StandbyAccess::Aged)
+        age.map_or(StandbyAccess::Closed, StandbyAccess::Aged)
     }
 
     /// Takes whether the store answers.
@@ -96,40 +92,14 @@
         self.is_store_reached = is_reached;
     }
 
-    /// Whether the store answers, as far as is known.
-    pub fn is_store_reached(&self) -> bool {
-        self.is_store_reached
+    /// Whether the process may write its presence: no standby token is spent.
+    pub fn may_be_present(&self) -> bool {
+        self.accounts.values().all(|account| account.overdrawn() == TokenCount(0))
     }
 
-    /// Whether requests wait for a presence record with higher working limits.
-    pub fn wants_presence(&self) -> bool {
-        self.present_at.is_some() && self.accounts.values().any(BudgetAccount::wants_presence)
-    }
-
-    /// The allowances of a presence record that says `now` and is about to be written.
-    pub fn begin_presence(&mut self, now: Instant) -> BTreeMap<WorkspaceId, Allowance> {
+    /// Notes, before a presence record is written, that it says `now`.
+    pub fn set_presence(&mut self, now: Instant) {
         self.present_at = Some(now);
-        let state = self.holder_state();
-        let allowances = self
-            .accounts
-            .iter_mut()
-            .map(|(workspace, account)| (workspace.clone(), account.send_working(state, now)));
-        allowances.filter(|(_, allowance)| allowance.working > TokenCount(0)).collect()
-    }
-
-    /// Notes that the last presence record is in the store.
-    pub fn confirm_presence(&mut self) {
-        for account in self.accounts.values_mut() {
-            account.confirm_working();
-        }
-    }
-
-    fn holder_state(&self) -> HolderState {
-        HolderState {
-            members: self.members,
-            is_present: self.present_at.is_some(),
-            is_leaving: self.is_leaving,
-        }
     }
 
     /// From now on holds nothing beyond what requests need.
@@ -156,8 +126,8 @@
         account.waiting.is_empty() && account.try_reserve(need, access)
     }
 
-    /// Queues a request that needs more than is available. [`Self::answer_waiting`] answers it.
-    pub fn wait(
+    /// Queues a request that needs more than is available.
+    pub(super) fn wait(
         &mut self,
         workspace: &WorkspaceId,
         need: TokenCount,
@@ -187,9 +157,14 @@
         if self.accounts.values().any(needs_read) {
             return CommitPlan::Read;
         }
-        let state = self.holder_state();
+        let fleet = HolderState {
+            holder: self.holder,
+            members: self.members,
+            is_present: self.present_at.is_some(),
+            is_leaving: self.is_leaving,
+        };
         let wanted_grant =
-            |account: &BudgetAccount, is_joining| account.wanted_grant(state, is_joining, now);
+            |account: &BudgetAccount, is_joining| account.wanted_grant(fleet, is_joining, now);
         let is_due = self.accounts.values().any(|account| wanted_grant(account, false).is_some());
         if !is_due {
             return CommitPlan::Idle;
@@ -214,12 +189,12 @@
         match outcome {
             CommitOutcome::Applied(version) => {
                 for change in changes {
-                    self.take(&change.workspace, change.record, version, now, true);
+                    self.take(&change.workspace, change.record, version, Some(now));
                 }
             }
             CommitOutcome::Conflict(entries) => {
                 self.revert(&changes);
-                self.take_entries(entries, now, true);
+                self.take_entries(entries, Some(now));
             }
             CommitOutcome::NotApplied => {
                 self.revert(&changes);
@@ -243,10 +218,10 @@
         }
     }
 
-    /// Takes records that were read. Those that are not fresh may be some seconds old.
-    pub fn take_entries(&mut self, entries: Vec<BudgetEntry>, now: Instant, is_fresh: bool) {
+    /// Takes records that were read. `fresh_at` is when, if they are not stale.
+    pub fn take_entries(&mut self, entries: Vec<BudgetEntry>, fresh_at: Option<Instant>) {
         for entry in entries {
-            self.take(&entry.workspace, entry.record, entry.version, now, is_fresh);
+            self.take(&entry.workspace, entry.record, entry.version, fresh_at);
         }
     }
 
@@ -262,13 +237,12 @@
         workspace: &WorkspaceId,
         record: super::BudgetRecord,
         version: StoreVersion,
-        now: Instant,
-        is_fresh: bool,
+        fresh_at: Option<Instant>,
     ) {
         let Some(account) = self.accounts.get_mut(workspace) else { return };
-        account.take_record(self.holder, record, version, now);
-        if is_fresh {
-            account.mark_read(now);
+        account.take_record(self.holder, record, version);
+        if let Some(at) = fresh_at {
+            account.mark_read(at);
         }
     }
 
@@ -356,9 +330,7 @@
     }
     let reachable = account.reachable();
     let is_fresh = account.read_at().is_some_and(|at| now < at + REFUSAL_RECORD_AGE);
-    // What others hold unspent can still be borrowed or given back: that is no reason to refuse for good.
-    let obtainable = reachable.saturating_add(account.others_unspent(now));
-    if entry.need > obtainable && is_fresh {
+    if entry.need > reachable && is_fresh {
         return Some(ReserveOutcome::Exhausted);
     }
     (now >= entry.since + WAIT_TIME).then_some(ReserveOutcome::Unavailable)
--- a/crates/bramleywind_gateway/src/funds/holder_grant.rs
+++ b/crates/bramleywind_gateway/src/funds/holder_grant.rs
@@ -3,35 +3,31 @@
 
 use super::TokenRate;
 
-/// The tokens of one budget that a process holds. All of them count as spent for everyone else.
+/// The tokens of one budget that a process holds, spent ones included. All of them count as spent for everyone else.
 #[domain_type]
 #[derive(Copy, Default)]
 pub struct HolderGrant {
-    /// All tokens that the process may spend, spent ones included. How many of them it may have spent at any time is in its
-    /// presence record.
-    pub total: TokenCount,
-    /// Those that were unspent when this was written; what the others take for what is left depends on it, and nothing else.
-    pub unspent: TokenCount,
-    /// The process's own use when this was written. It decides what part of the budget the others leave to this process.
+    /// Tokens that the process may spend at any time.
+    pub working: TokenCount,
+    /// Tokens that it may spend only after it has been out of reach of the store for a while, more of them the longer
+    /// that lasts. Its presence record tells since when.
+    pub standby: TokenCount,
+    /// The process's own use when the grant was written. It decides how fast standby tokens become spendable, and what part
+    /// of the budget the others leave to this process.
     pub use_rate: TokenRate,
 }
 
 impl HolderGrant {
-    /// The grant of a process that has ended, all of which counts as spent.
-    pub fn closed(total: TokenCount) -> Self {
-        Self { total, ..Self::default() }
+    /// Both parts.
+    pub fn total(self) -> TokenCount {
+        self.working.saturating_add(self.standby)
     }
 
-    /// Whether it is one of those. It must not be closed again: what was released before is no longer seen.
-    pub fn is_closed(self) -> bool {
-        self == Self::closed(self.total)
-    }
-
-    /// What may be used while it is unknown which of two grants is in force.
+    /// The smaller of each part: what may be used while it is unknown which of two grants is in force.
     pub fn least(self, other: Self) -> Self {
         Self {
-            total: self.total.min(other.total),
-            unspent: self.unspent.min(other.unspent),
+            working: self.working.min(other.working),
+            standby: self.standby.min(other.standby),
             use_rate: self.use_rate.min(other.use_rate),
         }
     }
--- a/crates/bramleywind_gateway/src/funds/standby_access.rs
+++ b/crates/bramleywind_gateway/src/funds/standby_access.rs
@@ -2,12 +2,12 @@
 
 use bramleywind_types::TokenCount;
 
-use super::{Allowance, HolderGrant, StandbyRelease};
+use super::{HolderGrant, StandbyRelease};
 
 /// Whether a process may spend standby tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StandbyAccess {
-    /// None: the store answers, so the working limit is raised instead.
+    /// None: the store answers, so working tokens are drawn.
     Closed,
     /// As many as are released at this age of the last presence record.
     Aged(Duration),
@@ -16,12 +16,12 @@
 }
 
 impl StandbyAccess {
-    /// The tokens of a grant that may be spent, spent ones included.
-    pub fn spendable(self, grant: HolderGrant, allowance: Allowance) -> TokenCount {
+    /// The standby tokens of a grant that may be spent.
+    pub fn spendable(self, grant: HolderGrant) -> TokenCount {
         match self {
-            Self::Closed => grant.total.min(allowance.working),
-            Self::Aged(age) => StandbyRelease::new(grant, allowance).spendable(age),
-            Self::Open => grant.total,
+            Self::Closed => TokenCount(0),
+            Self::Aged(age) => StandbyRelease::new(grant).spendable(age),
+            Self::Open => grant.standby,
         }
     }
 }
--- a/crates/bramleywind_gateway/src/funds/takeover.rs
+++ b/crates/bramleywind_gateway/src/funds/takeover.rs
@@ -1,9 +1,9 @@
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use bramleywind_store::StoreVersion;
-use bramleywind_types::{IncarnationId, WorkspaceId};
+use bramleywind_types::IncarnationId;
 
-use super::{Allowance, HolderGrant, StandbyRelease};
+use super::{HolderGrant, StandbyRelease};
 use crate::link::{BudgetChange, BudgetEntry};
 
 /// What taking over from an earlier process of the same instance came to.
@@ -20,26 +20,26 @@
     AgeUnknown,
 }
 
-/// The changes that close the grants of an earlier process: what it can't have spent goes back to the pools. `allowances` are from
-/// its presence record, which is `age` old at the most.
+/// The changes that close the grants of the process run `predecessor`: its standby tokens go back to their pools, but for those that it
+/// can have spent if its presence record is `age` old.
 ///
 /// Only for a process of the same instance that is known to have ended, and only in writes that also require its presence
 /// record to be unchanged.
 pub fn take_over(
     predecessor: IncarnationId,
     entries: Vec<BudgetEntry>,
-    allowances: &BTreeMap<WorkspaceId, Allowance>,
     age: Duration,
 ) -> Vec<BudgetChange> {
     let mut changes = Vec::new();
     for mut entry in entries {
         let grant = entry.record.grant(predecessor);
-        if grant.is_closed() || entry.version == StoreVersion::MISSING {
+        let spent = StandbyRelease::new(grant).spent_at_most(age);
+        let is_settled = HolderGrant { working: grant.working, ..HolderGrant::default() } == grant;
+        if is_settled || entry.version == StoreVersion::MISSING {
             continue;
         }
-        let allowance = allowances.get(&entry.workspace).copied().unwrap_or_default();
-        let total = StandbyRelease::new(grant, allowance).spent_at_most(age);
-        entry.record.set_grant(predecessor, HolderGrant::closed(total));
+        let working = grant.working.saturating_add(spent);
+        entry.record.set_grant(predecessor, HolderGrant { working, ..HolderGrant::default() });
         changes.push(BudgetChange {
             workspace: entry.workspace,
             expected: entry.version,
--- a/crates/bramleywind_gateway/src/link.rs
+++ b/crates/bramleywind_gateway/src/link.rs
@@ -20,7 +20,6 @@
 pub use prompt_shape::{PromptPart, PromptShape};
 pub use request_head::RequestHead;
 pub use store_outcomes::{
-    BudgetEntry, CommitOutcome, EntryChange, LeaseId, ListPage, LoadedConfig, PresenceWrite,
-    StoreChanges,
+    BudgetEntry, CommitOutcome, EntryChange, LeaseId, ListPage, LoadedConfig, StoreChanges,
 };
 pub use wire_dialect::WireDialect;
--- a/crates/bramleywind_gateway/src/link/fleet_store.rs
+++ b/crates/bramleywind_gateway/src/link/fleet_store.rs
@@ -5,7 +5,7 @@
 
 use super::{
     BudgetChange, BudgetEntry, CommitOutcome, EntryChange, LeaseId, ListPage, LoadedConfig,
-    PresenceWrite, StoreChanges,
+    StoreChanges,
 };
 use crate::members::{MemberRecord, PresenceRecord};
 
@@ -46,14 +46,12 @@
         &self,
     ) -> Result<Vec<(InstanceId, PresenceRecord, StoreVersion)>, UnavailableReason>;
 
-    /// Writes the own presence record, if it still has the version `expected`. So a write that takes effect late can't replace
-    /// a newer record.
+    /// Writes the own presence record.
     async fn write_presence(
         &self,
         instance: &InstanceId,
         record: &PresenceRecord,
-        expected: StoreVersion,
-    ) -> Result<PresenceWrite, UnavailableReason>;
+    ) -> Result<(), UnavailableReason>;
 
     /// Renews a lease. False if it has ended.
     async fn renew_lease(&self, lease: LeaseId) -> Result<bool, UnavailableReason>;
--- a/crates/bramleywind_gateway/src/link/store_outcomes.rs
+++ b/crates/bramleywind_gateway/src/link/store_outcomes.rs
@@ -98,12 +98,3 @@
     /// The answer was lost: all may have been written, or may still be.
     Unknown,
 }
-
-/// What the write of a presence record came to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PresenceWrite {
-    /// It is in the store, under this version.
-    Written(StoreVersion),
-    /// The record in the store has this other version: an earlier write in doubt was done.
-    Conflict(StoreVersion),
-}
--- a/crates/bramleywind_gateway/src/members/presence_record.rs
+++ b/crates/bramleywind_gateway/src/members/presence_record.rs
@@ -1,11 +1,9 @@
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::net::SocketAddr;
 
 use bramleywind_macros::domain_type;
-use bramleywind_types::{IncarnationId, WorkspaceId};
+use bramleywind_types::IncarnationId;
 
-use crate::funds::Allowance;
-
-/// A gateway's word on how many tokens of its grants it has spent at most. It outlasts the process.
+/// A gateway's word that it has spent no standby tokens so far. It outlasts the process.
 #[domain_type]
 pub struct PresenceRecord {
     /// The run of the process that wrote it.
@@ -14,7 +12,4 @@
     pub peer_address: SocketAddr,
     /// When it was written, in Unix milliseconds on which most instances agreed; nothing if they could not be asked.
     pub written_at_ms: Option<u64>,
-    /// What the process may spend of its grant of each budget; nothing of those that are missing, at first. What it may spend
-    /// grows with the age of this record.
-    pub allowances: BTreeMap<WorkspaceId, Allowance>,
 }
--- a/crates/bramleywind_gateway/src/state_dump.rs
+++ b/crates/bramleywind_gateway/src/state_dump.rs
@@ -29,7 +29,7 @@
         .map(|(workspace, account)| {
             json!({
                 "workspace": workspace, "available": account.available(book.standby_access(now)),
-                "working_limit": account.working_limit(), "pool": account.pool(),
+                "standby": account.granted().standby, "pool": account.pool(),
                 "record_age_ms": account.read_at().map(|at| now.saturating_duration_since(at).as_millis() as u64),
             })
         })
