gateway: hold callers to the configured sizes of head and body

Change: 431 by the configuration's limit, and 413 from the stated length at once. Bodies that never end, malformed heads and unknown encodings were refused correctly before.

--- a/crates/bramleywind_gateway/src/forward/intake.rs
+++ b/crates/bramleywind_gateway/src/forward/intake.rs
@@ -3,11 +3,12 @@
     time::{Duration, Instant},
 };
 
+use bramleywind_http::head_size;
 use bramleywind_types::{ServiceId, TokenCount, WorkspaceId};
 use bytes::Bytes;
 use compio::time::timeout;
 use http::{Request, Response, Uri, request::Parts};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use rand::Rng;
 use slog::info;
 
@@ -63,6 +64,9 @@
         return Err(Refusal::after(RefusalReason::NoConfiguration, SHORT_DELAY));
     };
     trace.revision = Some(table.revision());
+    if head_size(&parts.headers) > table.limits().head_bytes {
+        return Err(Refusal::new(RefusalReason::HeadTooLarge));
+    }
     let Some(request_id) = head.request_id.clone() else {
         return Err(Refusal::new(RefusalReason::BadRequest));
     };
@@ -79,6 +83,9 @@
     if gateway.stop_phase() == StopPhase::Refusing {
         return Err(Refusal::after(RefusalReason::Stopping, Duration::ZERO));
     }
+    if body.size_hint().lower() > table.limits().body_bytes as u64 {
+        return Err(Refusal::new(RefusalReason::BodyTooLarge));
+    }
     let deadline = head.deadline_within(arrival, route.timeout);
     let body = read_whole_body(body, table.limits().body_bytes, deadline).await?;
     let Some(service) = pick_service(&route) else {
--- a/crates/bramleywind_gateway/src/forward/refusal.rs
+++ b/crates/bramleywind_gateway/src/forward/refusal.rs
@@ -17,6 +17,8 @@
     NoRoute,
     /// The key is unknown or missing.
     UnknownKey,
+    /// The head is larger than allowed.
+    HeadTooLarge,
     /// The body is larger than allowed.
     BodyTooLarge,
     /// The caller did not send the whole body.
@@ -45,6 +47,7 @@
             Self::BadRequest => "bad request",
             Self::NoRoute => "no route",
             Self::UnknownKey => "unknown key",
+            Self::HeadTooLarge => "head too large",
             Self::BodyTooLarge => "body too large",
             Self::BodyBroken => "body broken",
             Self::BudgetExhausted => "budget exhausted",
@@ -63,6 +66,7 @@
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken => StatusCode::BAD_REQUEST,
             Self::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
--- a/crates/bramleywind_http/src/lib.rs
+++ b/crates/bramleywind_http/src/lib.rs
@@ -3,8 +3,10 @@
 //! hyper speaks the protocol. This crate adds what a connection's owner must decide: socket options, timeouts,
 //! and how a connection ends.
 
+mod head_size;
 mod http_connection;
 mod http_listener;
 
+pub use head_size::head_size;
 pub use http_connection::{ConnectionError, HttpConnection};
 pub use http_listener::{BoundListener, HeadLimits, HttpListener};
--- a/crates/bramleywind_router/src/caller_port.rs
+++ b/crates/bramleywind_router/src/caller_port.rs
@@ -2,6 +2,7 @@
 
 use std::{convert::Infallible, rc::Rc, time::Instant};
 
+use bramleywind_http::head_size;
 use bramleywind_routing::RouteRequest;
 use bramleywind_types::{
     BodyHash, IdempotencyKey, Refusal, RefusalCode, RepeatAdvice, RequestId, RequestKey, RunState,
@@ -97,7 +98,7 @@
 }
 
 fn check_headers(state: &RouterState, headers: &HeaderMap) -> Result<(), Refusal> {
-    let size = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum::<usize>();
+    let size = head_size(headers);
     if size <= state.limits.header_bytes {
         return Ok(());
     }
