forward: an answer whose relay gives up is never taken for whole

The caller did not read until its deadline; the relay task then returned, which closed the channel of pieces, and a closed channel was the end of the body, so hyper wrote the last chunk.

Ruled out: the process (it ran on), the endpoint (its stream was cut by the gateway 30 ms later), the event scanner (16 whole events).

Change: a body ends only with an explicit end; a channel that closes before it breaks the connection, whatever stopped the relay. The log line of such a request says `caller gone`, as before.

--- a/crates/bramleywind_gateway/src/forward.rs
+++ b/crates/bramleywind_gateway/src/forward.rs
@@ -15,7 +15,7 @@
 mod stream_relay;
 mod stream_source;
 
-pub use answer_body::{AnswerBody, TruncatedAnswer};
+pub use answer_body::{AnswerBody, AnswerPiece, TruncatedAnswer};
 pub use call_failure::{CallFailure, FailureKind};
 pub use event_scanner::{EventScanner, ScannedEvents};
 pub use intake::answer_request;
--- a/crates/bramleywind_gateway/src/forward/answer_body.rs
+++ b/crates/bramleywind_gateway/src/forward/answer_body.rs
@@ -17,16 +17,25 @@
     /// A body that is known as a whole.
     Whole(Full<Bytes>),
     /// A body that a relay task passes on in pieces. Dropping it, because the caller has gone, ends the task and with it
-    /// the endpoint's work. An error as the last piece breaks the connection, so that a truncated body is never
-    /// taken for a whole one.
+    /// the endpoint's work. If the pieces stop without an end, for whatever reason, the connection breaks, so that a
+    /// truncated body is never taken for a whole one.
     Relayed {
         /// The pieces.
-        pieces: Pin<Box<Receiver<Result<Bytes, TruncatedAnswer>>>>,
+        pieces: Pin<Box<Receiver<AnswerPiece>>>,
         /// The task that sends them.
         relay: JoinHandle<()>,
     },
 }
 
+/// What a relay task sends.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AnswerPiece {
+    /// The next bytes.
+    Data(Bytes),
+    /// The body is whole.
+    End,
+}
+
 /// The rest of a body is lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 #[snafu(display("the endpoint broke off its answer"))]
@@ -48,7 +57,13 @@
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedAnswer>>> {
         match self.get_mut() {
             Self::Whole(body) => Pin::new(body).poll_frame(context).map_err(|never| match never {}),
-            Self::Relayed { pieces, .. } => pieces.as_mut().poll_next(context).map_ok(Frame::data),
+            Self::Relayed { pieces, .. } => {
+                pieces.as_mut().poll_next(context).map(|piece| match piece {
+                    Some(AnswerPiece::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                    Some(AnswerPiece::End) => None,
+                    None => Some(Err(TruncatedAnswer)),
+                })
+            }
         }
     }
 
--- a/crates/bramleywind_gateway/src/forward/stream_relay.rs
+++ b/crates/bramleywind_gateway/src/forward/stream_relay.rs
@@ -9,8 +9,8 @@
 use http::Response;
 
 use super::{
-    AnswerBody, CallFailure, RequestContext, RequestOutcome, RequestTrace, ScannedEvents,
-    TruncatedAnswer, attempt_loop::AttemptLoop, stream_source::StreamSource,
+    AnswerBody, AnswerPiece, CallFailure, RequestContext, RequestOutcome, RequestTrace,
+    ScannedEvents, attempt_loop::AttemptLoop, stream_source::StreamSource,
 };
 use crate::{
     config::RouteKind, funds::Reservation, gateway::Gateway, link::EventId, link::Platform,
@@ -52,7 +52,7 @@
         response.map(|()| AnswerBody::Relayed { pieces: Box::pin(pieces), relay })
     }
 
-    async fn run(mut self, first: ScannedEvents, sender: &Sender<Result<Bytes, TruncatedAnswer>>) {
+    async fn run(mut self, first: ScannedEvents, sender: &Sender<AnswerPiece>) {
         let mut events = first;
         loop {
             self.count(&events);
@@ -65,13 +65,13 @@
                 Err(failure) => {
                     self.trace.log_failure(&failure, false);
                     self.trace.outcome = RequestOutcome::BrokenOff;
-                    // The connection to the caller breaks, so that the answer does not look complete.
-                    let _ = sender.send(Err(TruncatedAnswer)).await;
                     return;
                 }
             };
         }
-        self.trace.outcome = RequestOutcome::Answered;
+        if self.send(AnswerPiece::End, sender).await {
+            self.trace.outcome = RequestOutcome::Answered;
+        }
         self.source.recycle();
     }
 
@@ -87,17 +87,15 @@
         }
     }
 
-    /// False if the caller has gone, or does not read until the deadline.
-    async fn pass_on(
-        &mut self,
-        bytes: Bytes,
-        sender: &Sender<Result<Bytes, TruncatedAnswer>>,
-    ) -> bool {
-        if bytes.is_empty() {
-            return true;
-        }
+    async fn pass_on(&mut self, bytes: Bytes, sender: &Sender<AnswerPiece>) -> bool {
+        bytes.is_empty() || self.send(AnswerPiece::Data(bytes), sender).await
+    }
+
+    /// False if the caller has gone, or does not read until the deadline. The connection breaks then, since the end of the
+    /// answer was not sent.
+    async fn send(&mut self, piece: AnswerPiece, sender: &Sender<AnswerPiece>) -> bool {
         let left = self.context.deadline.saturating_duration_since(Instant::now());
-        matches!(timeout(left, sender.send(Ok(bytes))).await, Ok(Ok(())))
+        matches!(timeout(left, sender.send(piece)).await, Ok(Ok(())))
     }
 
     /// The next events, from another endpoint if this one breaks off or stalls.
