--- a/crates/bramleywind_gateway/src/background/keep_presence.rs
+++ b/crates/bramleywind_gateway/src/background/keep_presence.rs
@@ -25,7 +25,8 @@
 /// Gateways up to which a round takes [`ROUND_TIME`]; it grows with larger fleets, since each round is a write.
 const SMALL_FLEET: usize = 16;
 
-/// The longest time between two records: shorter than the age from which standby tokens may be spent.
+/// The longest time between two records, in large fleets. An outage may then release standby tokens at once, and more of them
+/// are lost with a process, since its record is older.
 const LONGEST_ROUND: Duration = Duration::from_secs(2);
 
 /// The time between two looks whether the spent standby tokens are written down.
--- a/crates/bramleywind_gateway/src/funds/grant_book.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_book.rs
@@ -157,14 +157,14 @@
         if self.accounts.values().any(needs_read) {
             return CommitPlan::Read;
         }
-        let fleet = HolderState {
+        let state = HolderState {
             holder: self.holder,
             members: self.members,
             is_present: self.present_at.is_some(),
             is_leaving: self.is_leaving,
         };
         let wanted_grant =
-            |account: &BudgetAccount, is_joining| account.wanted_grant(fleet, is_joining, now);
+            |account: &BudgetAccount, is_joining| account.wanted_grant(state, is_joining, now);
         let is_due = self.accounts.values().any(|account| wanted_grant(account, false).is_some());
         if !is_due {
             return CommitPlan::Idle;
--- a/crates/bramleywind_gateway/src/funds/takeover.rs
+++ b/crates/bramleywind_gateway/src/funds/takeover.rs
@@ -20,8 +20,8 @@
     AgeUnknown,
 }
 
-/// The changes that close the grants of the process run `predecessor`: its standby tokens go back to their pools, but for those that it
-/// can have spent if its presence record is `age` old.
+/// The changes that close the grants of the process run `predecessor`: its standby tokens go back to their pools, but for
+/// those that it can have spent if its presence record is `age` old.
 ///
 /// Only for a process of the same instance that is known to have ended, and only in writes that also require its presence
 /// record to be unchanged.
