http: one body for answers in pieces, in both daemons

The router and the gateway each had an answer body that differed in a few lines, and the fault that the gateway's was mended for, a channel that closes is taken for the end, stood in the router's too: its body said that a truncated answer breaks the connection, and nothing ever made it.

Change: `AnswerBody` and its sender live in bramleywind_http. A body is whole only if its sender says so; the router says it where it ended its streams before. What changes for callers of the router: a stream whose caller did not read within the write time now breaks, as documented, instead of ending without `[DONE]`. The test moved with its assertions, and was seen to fail with the old meaning of a closed channel.

--- a/crates/bramleywind_gateway/src/daemon.rs
+++ b/crates/bramleywind_gateway/src/daemon.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use bramleywind_http::{HeadLimits, HttpListener};
+use bramleywind_http::{AnswerBody, HeadLimits, HttpListener};
 use bytes::Bytes;
 use compio::{
     runtime::Runtime,
@@ -20,7 +20,7 @@
     Args, Gateway, StopPhase,
     background::{follow_config, follow_endpoints, keep_membership, keep_presence},
     config::CallerLimits,
-    forward::{AnswerBody, answer_request},
+    forward::answer_request,
     link::{Platform, WireDialect},
     loans::answer_peer,
     new_logger,
--- a/crates/bramleywind_gateway/src/forward.rs
+++ b/crates/bramleywind_gateway/src/forward.rs
@@ -1,6 +1,5 @@
 //! The path of a request: reading it, sending it to an endpoint, and passing the answer on.
 
-mod answer_body;
 mod attempt_loop;
 mod body_reader;
 mod call_failure;
@@ -15,7 +14,6 @@
 mod stream_relay;
 mod stream_source;
 
-pub use answer_body::{AnswerBody, AnswerPiece, TruncatedAnswer};
 pub use call_failure::{CallFailure, FailureKind};
 pub use event_scanner::{EventScanner, ScannedEvents};
 pub use intake::answer_request;
--- a/crates/bramleywind_gateway/src/forward/attempt_loop.rs
+++ b/crates/bramleywind_gateway/src/forward/attempt_loop.rs
@@ -3,6 +3,7 @@
     time::{Duration, Instant},
 };
 
+use bramleywind_http::AnswerBody;
 use bramleywind_types::{EndpointId, TokenCount};
 use bytes::{Bytes, BytesMut};
 use compio::time::timeout;
@@ -10,8 +11,8 @@
 use http_body_util::BodyExt;
 
 use super::{
-    AnswerBody, CallFailure, FailureKind, Refusal, RefusalReason, RequestContext, RequestOutcome,
-    RequestTrace, ScannedEvents,
+    CallFailure, FailureKind, Refusal, RefusalReason, RequestContext, RequestOutcome, RequestTrace,
+    ScannedEvents,
     exchange::{Exchange, exchange},
     retry_rule::{AttemptCounts, RetryRule},
     stream_relay::StreamRelay,
--- a/crates/bramleywind_gateway/src/forward/intake.rs
+++ b/crates/bramleywind_gateway/src/forward/intake.rs
@@ -3,7 +3,7 @@
     time::{Duration, Instant},
 };
 
-use bramleywind_http::head_size;
+use bramleywind_http::{AnswerBody, head_size};
 use bramleywind_types::{ServiceId, TokenCount, WorkspaceId};
 use bytes::Bytes;
 use compio::time::timeout;
@@ -13,7 +13,7 @@
 use slog::info;
 
 use super::{
-    AnswerBody, Refusal, RefusalReason, RequestContext, RequestTrace,
+    Refusal, RefusalReason, RequestContext, RequestTrace,
     attempt_loop::AttemptLoop,
     body_reader::{ReadBody, read_body},
 };
--- a/crates/bramleywind_gateway/src/forward/refusal.rs
+++ b/crates/bramleywind_gateway/src/forward/refusal.rs
@@ -1,9 +1,9 @@
 use std::time::Duration;
 
+use bramleywind_http::AnswerBody;
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
 
-use super::AnswerBody;
 use crate::link::WireDialect;
 
 /// Why a request has no answer of an endpoint.
--- a/crates/bramleywind_gateway/src/forward/request_trace.rs
+++ b/crates/bramleywind_gateway/src/forward/request_trace.rs
@@ -1,10 +1,11 @@
 use std::{cell::Cell, rc::Rc, time::Instant};
 
+use bramleywind_http::AnswerBody;
 use bramleywind_types::{ConfigRevision, EndpointId, WorkspaceId};
 use http::Response;
 use slog::{Logger, info};
 
-use super::{AnswerBody, CallFailure, Refusal, RequestOutcome};
+use super::{CallFailure, Refusal, RequestOutcome};
 use crate::{link::WireDialect, metrics::GatewayMetrics};
 
 /// Collects what decided the fate of a request, and writes it as one log line when dropped.
--- a/crates/bramleywind_gateway/src/forward/stream_relay.rs
+++ b/crates/bramleywind_gateway/src/forward/stream_relay.rs
@@ -3,14 +3,14 @@
     time::{Duration, Instant},
 };
 
-use async_channel::Sender;
+use bramleywind_http::{AnswerBody, AnswerSender};
 use bytes::Bytes;
 use compio::time::timeout;
 use http::Response;
 
 use super::{
-    AnswerBody, AnswerPiece, CallFailure, RequestContext, RequestOutcome, RequestTrace,
-    ScannedEvents, attempt_loop::AttemptLoop, stream_source::StreamSource,
+    CallFailure, RequestContext, RequestOutcome, RequestTrace, ScannedEvents,
+    attempt_loop::AttemptLoop, stream_source::StreamSource,
 };
 use crate::{
     config::RouteKind, funds::Reservation, gateway::Gateway, link::EventId, link::Platform,
@@ -47,16 +47,16 @@
         *response.headers_mut() = P::Wire::answer_headers(head);
         self.trace.status = Some(head.status.as_u16());
         self.trace.note_first_piece();
-        let (sender, pieces) = async_channel::bounded(PIECE_QUEUE);
-        let relay = compio::runtime::spawn(async move { self.run(first, &sender).await });
-        response.map(|()| AnswerBody::Relayed { pieces: Box::pin(pieces), relay })
+        let (sender, body) = AnswerBody::in_pieces(PIECE_QUEUE);
+        let relay = compio::runtime::spawn(self.run(first, sender));
+        response.map(|()| body.ending(relay))
     }
 
-    async fn run(mut self, first: ScannedEvents, sender: &Sender<AnswerPiece>) {
+    async fn run(mut self, first: ScannedEvents, sender: AnswerSender) {
         let mut events = first;
         loop {
             self.count(&events);
-            if !self.pass_on(events.bytes, sender).await {
+            if !self.pass_on(events.bytes, &sender).await {
                 return;
             }
             events = match self.next().await {
@@ -69,9 +69,8 @@
                 }
             };
         }
-        if self.send(AnswerPiece::End, sender).await {
-            self.trace.outcome = RequestOutcome::Answered;
-        }
+        sender.finish();
+        self.trace.outcome = RequestOutcome::Answered;
         self.source.recycle();
     }
 
@@ -87,15 +86,14 @@
         }
     }
 
-    async fn pass_on(&mut self, bytes: Bytes, sender: &Sender<AnswerPiece>) -> bool {
-        bytes.is_empty() || self.send(AnswerPiece::Data(bytes), sender).await
-    }
-
-    /// False if the caller has gone, or does not read until the deadline. The connection breaks then, since the end of the
-    /// answer was not sent.
-    async fn send(&mut self, piece: AnswerPiece, sender: &Sender<AnswerPiece>) -> bool {
+    /// False if the caller has gone, or does not read until the deadline. The connection breaks then, since the body is not
+    /// finished.
+    async fn pass_on(&mut self, bytes: Bytes, sender: &AnswerSender) -> bool {
+        if bytes.is_empty() {
+            return true;
+        }
         let left = self.context.deadline.saturating_duration_since(Instant::now());
-        matches!(timeout(left, sender.send(piece)).await, Ok(Ok(())))
+        matches!(timeout(left, sender.send(bytes)).await, Ok(Ok(())))
     }
 
     /// The next events, from another endpoint if this one breaks off or stalls.
--- a/crates/bramleywind_gateway/src/loans/loan_port.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_port.rs
@@ -1,5 +1,6 @@
 use std::time::Instant;
 
+use bramleywind_http::AnswerBody;
 use bramleywind_types::TokenCount;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -9,7 +10,7 @@
 use slog::{info, warn};
 
 use super::{LoanAnswer, LoanRequest, TokenGift};
-use crate::{forward::AnswerBody, gateway::Gateway, link::Platform, members::unix_millis};
+use crate::{gateway::Gateway, link::Platform, members::unix_millis};
 
 /// Where a gateway is asked for a loan.
 pub(super) const LOAN_PATH: &str = "/loan";
--- a/crates/bramleywind_gateway/tests/answer_body.rs
+++ b/crates/bramleywind_http/tests/answer_body.rs
@@ -2,21 +2,23 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
-use bramleywind_gateway::forward::{AnswerBody, AnswerPiece, TruncatedAnswer};
+use bramleywind_http::{AnswerBody, TruncatedAnswer};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use test_case::test_case;
 
-/// What is read of a body whose relay task sends these pieces and then stops.
-fn read(pieces: Vec<AnswerPiece>) -> (usize, Result<(), TruncatedAnswer>) {
+/// What is read of a body whose sender sends these pieces, and then finishes it or not.
+fn read(pieces: Vec<&'static [u8]>, is_finished: bool) -> (usize, Result<(), TruncatedAnswer>) {
     compio::runtime::Runtime::new().unwrap().block_on(async {
-        let (sender, receiver) = async_channel::bounded(8);
-        let relay = compio::runtime::spawn(async move {
-            for piece in pieces {
-                sender.send(piece).await.unwrap();
-            }
-        });
-        let mut body = AnswerBody::Relayed { pieces: Box::pin(receiver), relay };
+        let (sender, mut body) = AnswerBody::in_pieces(8);
+        for piece in pieces {
+            sender.send(Bytes::from_static(piece)).await.unwrap();
+        }
+        if is_finished {
+            sender.finish();
+        } else {
+            drop(sender);
+        }
         let mut length = 0;
         loop {
             match body.frame().await {
@@ -30,8 +32,7 @@
 
 #[test]
 fn body_with_its_end_is_whole() {
-    let pieces = vec![AnswerPiece::Data(Bytes::from_static(b"whole")), AnswerPiece::End];
-    assert_eq!(read(pieces), (5, Ok(())));
+    assert_eq!(read(vec![b"whole"], true), (5, Ok(())));
 }
 
 /// A relay that gave up, because its caller did not read until the deadline, left a body that ended as if it were whole.
@@ -39,6 +40,5 @@
 #[test_case(1; "after a piece")]
 #[test_case(3; "after some pieces")]
 fn body_whose_relay_stops_is_truncated(count: usize) {
-    let pieces = vec![AnswerPiece::Data(Bytes::from_static(b"part")); count];
-    assert_eq!(read(pieces), (4 * count, Err(TruncatedAnswer)));
+    assert_eq!(read(vec![b"part"; count], false), (4 * count, Err(TruncatedAnswer)));
 }
--- a/crates/bramleywind_router/src/attempt_runner.rs
+++ b/crates/bramleywind_router/src/attempt_runner.rs
@@ -1,12 +1,11 @@
 use std::net::SocketAddr;
 
 use bramleywind_claims::RecordedOutcome;
+use bramleywind_http::AnswerBody;
 use bramleywind_types::{EndpointId, Refusal, TokenCount};
 use http::Response;
 
-use crate::{
-    AnswerBody, BillDecision, CallerLink, FailedCall, ReportedUsage, RequestContext, RouterState,
-};
+use crate::{BillDecision, CallerLink, FailedCall, ReportedUsage, RequestContext, RouterState};
 
 /// What an attempt at an endpoint came to.
 #[derive(Debug)]
--- a/crates/bramleywind_router/src/caller_link.rs
+++ b/crates/bramleywind_router/src/caller_link.rs
@@ -1,12 +1,11 @@
 use std::time::Duration;
 
+use bramleywind_http::{AnswerBody, AnswerSender};
 use bytes::Bytes;
 use futures_channel::oneshot;
 use futures_util::future::Either;
 use http::Response;
 
-use crate::{AnswerBody, TruncatedAnswer};
-
 /// The caller's connection has ended, or the caller stopped reading.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerGone;
@@ -23,7 +22,7 @@
 #[derive(Debug)]
 enum LinkState {
     Waiting(oneshot::Sender<Response<AnswerBody>>),
-    Streaming(async_channel::Sender<Result<Bytes, TruncatedAnswer>>),
+    Streaming(AnswerSender),
     Ended,
 }
 
@@ -60,8 +59,8 @@
     /// Sends the head of a response whose body follows in pieces.
     pub fn begin_stream(&mut self, head: Response<()>) -> Result<(), CallerGone> {
         // One piece waits in the channel; hyper holds a bounded buffer of its own.
-        let (sender, receiver) = async_channel::bounded(1);
-        self.finish(head.map(|()| AnswerBody::Pieces(Box::pin(receiver))))?;
+        let (sender, body) = AnswerBody::in_pieces(1);
+        self.finish(head.map(|()| body))?;
         self.state = LinkState::Streaming(sender);
         Ok(())
     }
@@ -69,7 +68,7 @@
     /// Sends a piece of the body, and waits until there is room for it.
     pub async fn send(&mut self, piece: Bytes) -> Result<(), CallerGone> {
         let LinkState::Streaming(sender) = &self.state else { return Err(CallerGone) };
-        match compio::time::timeout(self.write_time, sender.send(Ok(piece))).await {
+        match compio::time::timeout(self.write_time, sender.send(piece)).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) | Err(_) => Err(CallerGone),
         }
@@ -77,7 +76,9 @@
 
     /// Ends the body.
     pub fn end_stream(&mut self) {
-        self.state = LinkState::Ended;
+        if let LinkState::Streaming(sender) = std::mem::replace(&mut self.state, LinkState::Ended) {
+            sender.finish();
+        }
     }
 
     /// Runs `work` until it ends or the caller is gone.
--- a/crates/bramleywind_router/src/caller_port.rs
+++ b/crates/bramleywind_router/src/caller_port.rs
@@ -2,7 +2,7 @@
 
 use std::{convert::Infallible, rc::Rc, time::Instant};
 
-use bramleywind_http::head_size;
+use bramleywind_http::{AnswerBody, head_size};
 use bramleywind_routing::RouteRequest;
 use bramleywind_types::{
     BodyHash, IdempotencyKey, Refusal, RefusalCode, RepeatAdvice, RequestId, RequestKey, RunState,
@@ -17,10 +17,9 @@
 use slog::info;
 
 use crate::{
-    AnswerBody, AttemptRunner, CallerLink, ChatAttempts, ChatRequest, DrainPhase, KeyOwner,
-    LEAVING_HEADER, RequestContext, RequestOutcome, RequestTask, RouteTarget, RouterState,
-    ServiceAttempts, ServiceRequest, bearer_key, entry_list, has_one_reading, json_response,
-    refusal_response,
+    AttemptRunner, CallerLink, ChatAttempts, ChatRequest, DrainPhase, KeyOwner, LEAVING_HEADER,
+    RequestContext, RequestOutcome, RequestTask, RouteTarget, RouterState, ServiceAttempts,
+    ServiceRequest, bearer_key, entry_list, has_one_reading, json_response, refusal_response,
 };
 
 /// Carries the key under which a request may be repeated.
--- a/crates/bramleywind_router/src/chat_attempts.rs
+++ b/crates/bramleywind_router/src/chat_attempts.rs
@@ -1,6 +1,7 @@
 use std::time::Instant;
 
 use bramleywind_claims::{MAX_HOME_BODY_BYTES, RecordedOutcome};
+use bramleywind_http::AnswerBody;
 use bramleywind_types::{Refusal, RefusalCode, RepeatAdvice, TokenCount};
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
@@ -8,9 +9,9 @@
 use serde::Serialize;
 
 use crate::{
-    AnswerBody, AttemptEnd, AttemptFailure, AttemptRunner, AttemptTarget, BillDecision, CallTimes,
-    CallerGone, CallerLink, ChatRequest, DeclineRule, EndpointAnswer, EngineEvent, EventScanner,
-    ReportedUsage, RequestContext, RouterState, call_endpoint, insert_request_id, json_response,
+    AttemptEnd, AttemptFailure, AttemptRunner, AttemptTarget, BillDecision, CallTimes, CallerGone,
+    CallerLink, ChatRequest, DeclineRule, EndpointAnswer, EngineEvent, EventScanner, ReportedUsage,
+    RequestContext, RouterState, call_endpoint, insert_request_id, json_response,
 };
 
 /// How much of an engine's own error is passed on, in bytes.
--- a/crates/bramleywind_router/src/lib.rs
+++ b/crates/bramleywind_router/src/lib.rs
@@ -5,7 +5,6 @@
 //! an await.
 
 mod admission;
-mod answer_body;
 mod args;
 mod attempt_runner;
 pub mod background;
@@ -50,7 +49,6 @@
 mod state_dump;
 
 pub use admission::{Admission, AdmissionRequest, EndpointSlot};
-pub use answer_body::{AnswerBody, TruncatedAnswer};
 pub use args::Args;
 pub use attempt_runner::{AttemptEnd, AttemptRunner, AttemptTarget};
 pub use bill_rule::{AnswerEnding, BillDecision, BillInput, ReportedUsage, decide_bill};
--- a/crates/bramleywind_router/src/operator_port.rs
+++ b/crates/bramleywind_router/src/operator_port.rs
@@ -2,6 +2,7 @@
 
 use std::{convert::Infallible, rc::Rc};
 
+use bramleywind_http::AnswerBody;
 use bramleywind_peer::LinkFault;
 use bramleywind_settings::Secret;
 use bramleywind_types::{
@@ -14,9 +15,7 @@
 use hyper::body::Incoming;
 use serde::Serialize;
 
-use crate::{
-    AnswerBody, RouterState, StateDump, bearer_key, json_response, refusal_response, secrets_match,
-};
+use crate::{RouterState, StateDump, bearer_key, json_response, refusal_response, secrets_match};
 
 /// The type of the metrics text.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
--- a/crates/bramleywind_router/src/refusal_answer.rs
+++ b/crates/bramleywind_router/src/refusal_answer.rs
@@ -1,11 +1,10 @@
 //! How refusals look on the wire, the same on every port and route.
 
+use bramleywind_http::AnswerBody;
 use bramleywind_types::{Refusal, RefusalBody, RequestId};
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Response, StatusCode, header};
 
-use crate::AnswerBody;
-
 /// Carries the id of the request in every response.
 pub const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
 
--- a/crates/bramleywind_router/src/request_task.rs
+++ b/crates/bramleywind_router/src/request_task.rs
@@ -7,6 +7,7 @@
 };
 
 use bramleywind_claims::{RecordedOutcome, RequestFingerprint, StrikeVerdict};
+use bramleywind_http::AnswerBody;
 use bramleywind_ledger::{Reservation, ReserveOutcome};
 use bramleywind_routing::RouteRequest;
 use bramleywind_types::{EndpointId, Refusal, RefusalCode, RepeatAdvice, RunState, TokenCount};
@@ -15,10 +16,10 @@
 use slog::{info, warn};
 
 use crate::{
-    AdmissionRequest, AnswerBody, AnswerEnding, AttemptEnd, AttemptFailure, AttemptRunner,
-    AttemptTarget, BillDecision, BillInput, BilledRepeat, CallerGone, CallerLink, EndpointSlot,
-    FailedCall, KeyEnd, KeyStart, KeyTicket, RequestContext, RequestOutcome, RetryDecision,
-    RetryInput, RouteTarget, RouterState, RunningGuard, decide_bill, decide_retry, failure_refusal,
+    AdmissionRequest, AnswerEnding, AttemptEnd, AttemptFailure, AttemptRunner, AttemptTarget,
+    BillDecision, BillInput, BilledRepeat, CallerGone, CallerLink, EndpointSlot, FailedCall,
+    KeyEnd, KeyStart, KeyTicket, RequestContext, RequestOutcome, RetryDecision, RetryInput,
+    RouteTarget, RouterState, RunningGuard, decide_bill, decide_retry, failure_refusal,
     funds_refusal, insert_request_id, refusal_event, refusal_response,
 };
 
--- a/crates/bramleywind_router/src/service_attempts.rs
+++ b/crates/bramleywind_router/src/service_attempts.rs
@@ -1,6 +1,7 @@
 use std::time::Instant;
 
 use bramleywind_claims::{MAX_HOME_BODY_BYTES, RecordedOutcome};
+use bramleywind_http::AnswerBody;
 use bramleywind_types::TokenCount;
 use bytes::Bytes;
 use http::{
@@ -9,8 +10,8 @@
 use http_body_util::Full;
 
 use crate::{
-    AnswerBody, AttemptEnd, AttemptFailure, AttemptRunner, AttemptTarget, BillDecision, CallTimes,
-    CallerGone, CallerLink, DeclineRule, ReportedUsage, RequestContext, RouterState, call_endpoint,
+    AttemptEnd, AttemptFailure, AttemptRunner, AttemptTarget, BillDecision, CallTimes, CallerGone,
+    CallerLink, DeclineRule, ReportedUsage, RequestContext, RouterState, call_endpoint,
     insert_request_id,
 };
 
