placement: hash the beginnings of a prompt once a request

The chain of hashes stood in two places, and was computed anew for each endpoint that a request could go to and once more for the call: with 90 engines, 92 times a request. It is now part of the request, made when the request is admitted. No change of what is chosen.

--- a/crates/bramleywind_gateway/src/endpoints/prefix_memory.rs
+++ b/crates/bramleywind_gateway/src/endpoints/prefix_memory.rs
@@ -3,9 +3,7 @@
     time::{Duration, Instant},
 };
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
-use crate::link::PromptPart;
+use crate::link::PromptBeginning;
 
 /// How long an engine is taken to hold what it read. Its cache drops what was used least recently; a prefix that comes back
 /// within this time is mostly still there.
@@ -22,36 +20,23 @@
 
 impl PrefixMemory {
     /// The tokens of the longest beginning of a prompt that the engine holds.
-    pub fn cached_tokens(&self, parts: &[PromptPart], now: Instant) -> u64 {
-        let mut cached = 0;
-        let mut total = 0;
-        for (hash, part) in beginnings(parts) {
-            total += u64::from(part.tokens);
-            if self.held_until.get(&hash).is_some_and(|until| now < *until) {
-                cached = total;
-            }
-        }
-        cached
+    pub fn cached_tokens(&self, beginnings: &[PromptBeginning], now: Instant) -> u64 {
+        let is_held = |beginning: &&PromptBeginning| {
+            self.held_until.get(&beginning.hash).is_some_and(|until| now < *until)
+        };
+        beginnings.iter().rfind(is_held).map_or(0, |beginning| beginning.tokens)
     }
 
     /// Notes that the engine reads a prompt.
-    pub fn insert(&mut self, parts: &[PromptPart], now: Instant) {
+    pub fn insert(&mut self, beginnings: &[PromptBeginning], now: Instant) {
         if self.held_until.len() >= MOST_PREFIXES {
             self.held_until.retain(|_, until| now < *until);
         }
         if self.held_until.len() >= MOST_PREFIXES {
             self.held_until.clear();
         }
-        for (hash, _) in beginnings(parts) {
-            self.held_until.insert(hash, now + HOLD_TIME);
+        for beginning in beginnings {
+            self.held_until.insert(beginning.hash, now + HOLD_TIME);
         }
     }
 }
-
-/// Each beginning of a prompt with its last part.
-fn beginnings(parts: &[PromptPart]) -> impl Iterator<Item = (u64, &PromptPart)> {
-    parts.iter().scan(0, |seed, part| {
-        *seed = xxh3_64_with_seed(&part.id.to_le_bytes(), *seed);
-        Some((*seed, part))
-    })
-}
--- a/crates/bramleywind_gateway/src/forward/exchange.rs
+++ b/crates/bramleywind_gateway/src/forward/exchange.rs
@@ -39,8 +39,8 @@
     let now = Instant::now();
     let to_read = context.prompt.as_ref().map(|prompt| {
         let mut prefixes = endpoint.prefixes().borrow_mut();
-        let cached = prefixes.cached_tokens(&prompt.parts, now);
-        prefixes.insert(&prompt.parts, now);
+        let cached = prefixes.cached_tokens(&context.beginnings, now);
+        prefixes.insert(&context.beginnings, now);
         prompt.prompt_tokens.0.saturating_sub(cached)
     });
     let work = endpoint.begin_work(to_read, now);
--- a/crates/bramleywind_gateway/src/forward/intake.rs
+++ b/crates/bramleywind_gateway/src/forward/intake.rs
@@ -21,7 +21,7 @@
     config::{RouteConfig, RouteTable},
     funds::{Reservation, ReserveOutcome},
     gateway::{Gateway, StopPhase},
-    link::{Platform, RequestHead, WireDialect},
+    link::{Platform, PromptShape, RequestHead, WireDialect},
 };
 
 /// When to come back to a gateway that has no configuration or no endpoint yet. The store answers within
@@ -124,6 +124,7 @@
         rank: workspace.as_ref().and_then(|workspace| workspace.rank).unwrap_or(route.rank),
         workspace: workspace.map(|workspace| workspace.id.clone()),
         route,
+        beginnings: head.prompt.as_ref().map(PromptShape::beginnings).unwrap_or_default(),
         prompt: head.prompt,
         resume_after: head.resume_after,
         deadline,
--- a/crates/bramleywind_gateway/src/forward/request_context.rs
+++ b/crates/bramleywind_gateway/src/forward/request_context.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     config::RouteConfig,
-    link::{EventId, PromptShape},
+    link::{EventId, PromptBeginning, PromptShape},
 };
 
 /// A request that was read, routed and authorized.
@@ -32,6 +32,8 @@
     pub rank: u32,
     /// What it asks of a model.
     pub prompt: Option<PromptShape>,
+    /// The beginnings of its prompt, by which engines that hold them are found.
+    pub beginnings: Vec<PromptBeginning>,
     /// The last event that the caller already has.
     pub resume_after: Option<EventId>,
     /// When the caller must have its answer.
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -15,7 +15,7 @@
     endpoints::{Endpoint, EndpointBook},
     forward::{RequestContext, RequestTrace},
     funds::FundsDesk,
-    link::{Platform, PromptPart},
+    link::Platform,
     members::{FleetClock, MemberBook, MemberRecord},
     metrics::GatewayMetrics,
     placement::{Candidate, LatencyPlacement, PlacementPolicy, PlacementRequest},
@@ -206,9 +206,10 @@
         let now = Instant::now();
         let book = self.endpoints.borrow();
         let prompt = context.prompt.as_ref();
-        let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
-        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        let prefix = hash_parts(shared);
+        let beginnings = &context.beginnings;
+        // All parts but the last are shared between requests.
+        let shared = beginnings.split_last().and_then(|(_, shared)| shared.last());
+        let prefix = shared.map_or(0, |shared| shared.hash);
         let usable = |endpoint: &&Rc<Endpoint>| {
             !tried.contains(&endpoint.record().id) && endpoint.in_flight() < context.endpoint_limit
         };
@@ -221,7 +222,7 @@
                     affinity: xxh3_64_with_seed(record.id.as_str().as_bytes(), prefix),
                     in_flight: endpoint.in_flight(),
                     backlog_tokens: endpoint.backlog_tokens(),
-                    cached_tokens: endpoint.prefixes().borrow().cached_tokens(parts, now),
+                    cached_tokens: endpoint.prefixes().borrow().cached_tokens(beginnings, now),
                     reported: endpoint.load().map(|(load, _)| load.accepted()),
                     slots: record.slots,
                     pace_ms: endpoint.pace_ms(),
@@ -232,15 +233,10 @@
             .collect();
         let request = PlacementRequest {
             prompt_tokens: prompt.map_or(0, |prompt| prompt.prompt_tokens.0),
-            shared_tokens: shared.iter().map(|part| u64::from(part.tokens)).sum(),
+            shared_tokens: shared.map_or(0, |shared| shared.tokens),
             tie_break: rand::random(),
         };
         let chosen = self.placement.choose(&request, &candidates)?;
         endpoints.get(chosen).map(|endpoint| Rc::clone(endpoint))
     }
 }
-
-/// Identifies a beginning of prompts.
-fn hash_parts(parts: &[PromptPart]) -> u64 {
-    parts.iter().fold(0, |seed, part| xxh3_64_with_seed(&part.id.to_le_bytes(), seed))
-}
--- a/crates/bramleywind_gateway/src/link.rs
+++ b/crates/bramleywind_gateway/src/link.rs
@@ -17,7 +17,7 @@
 pub use event_id::EventId;
 pub use fleet_store::FleetStore;
 pub use platform::Platform;
-pub use prompt_shape::{PromptPart, PromptShape};
+pub use prompt_shape::{PromptBeginning, PromptPart, PromptShape};
 pub use request_head::RequestHead;
 pub use store_outcomes::{
     BudgetEntry, CommitOutcome, EntryChange, LeaseId, ListPage, LoadedConfig, StoreChanges,
