placement: one constant for what a request costs besides its prompt

An endpoint's pace was measured with one copy and times were predicted with another; a change of one alone would have made the two disagree.

--- a/crates/bramleywind_gateway/src/endpoints.rs
+++ b/crates/bramleywind_gateway/src/endpoints.rs
@@ -14,4 +14,4 @@
 pub use endpoint_health::EndpointHealth;
 pub use endpoint_record::EndpointRecord;
 pub use prefix_memory::PrefixMemory;
-pub use work_guard::WorkGuard;
+pub use work_guard::{FIXED_KILOTOKENS, WorkGuard};
--- a/crates/bramleywind_gateway/src/endpoints/work_guard.rs
+++ b/crates/bramleywind_gateway/src/endpoints/work_guard.rs
@@ -2,8 +2,9 @@
 
 use super::Endpoint;
 
-/// Thousands of tokens that a request costs besides its prompt, in samples of the pace.
-const FIXED_KILOTOKENS: f64 = 0.5;
+/// Thousands of tokens that every request costs besides its prompt: the round trip and the step that it joins. An endpoint's
+/// pace is measured with them, and times are predicted with them.
+pub const FIXED_KILOTOKENS: f64 = 0.5;
 
 /// Counts a request at its endpoint until it is dropped.
 #[derive(Debug)]
--- a/crates/bramleywind_gateway/src/placement/latency_placement.rs
+++ b/crates/bramleywind_gateway/src/placement/latency_placement.rs
@@ -1,12 +1,10 @@
 use super::{Candidate, PlacementPolicy, PlacementRequest};
+use crate::endpoints::FIXED_KILOTOKENS;
 
 /// Milliseconds for a thousand prompt tokens at an engine that has not answered yet: that of a usual engine. A new one is
 /// then neither shunned nor swamped.
 const UNKNOWN_PACE_MS: f64 = 35.0;
 
-/// Thousands of tokens that every request costs besides its prompt: the round trip and the step that it joins.
-const FIXED_KILOTOKENS: f64 = 0.5;
-
 /// Thousands of tokens that each running request adds, since prompts are read between their tokens.
 const RUNNING_KILOTOKENS: f64 = 0.03;
 
