--- a/crates/bramleywind_gateway/src/funds/grant_sizing.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_sizing.rs
@@ -100,8 +100,9 @@
         let own = (input.available.0 + input.standby.0).saturating_sub(input.overdrawn.0);
         let reachable = own + input.pool.0;
         let left = reachable as f64 + input.others_standby.0 as f64;
-        let surplus = wanted_working(input, left);
-        let standby = wanted_standby(input, left);
+        let part = left * use_share(input);
+        let surplus = wanted_working(input, left, part);
+        let standby = wanted_standby(input, left, part);
         let working = (input.waiting.0.saturating_add(surplus)).min(reachable);
         let held = HolderGrant {
             working: TokenCount(working),
@@ -134,12 +135,12 @@
     if total > 0.0 { (input.rate / total).max(equal * LEAST_SHARE) } else { equal }
 }
 
-/// The working tokens that a process should hold unspent besides what waits. `left` is what is left of the budget.
-fn wanted_working(input: &GrantInput, left: f64) -> u64 {
+/// The working tokens that a process should hold unspent besides what waits. `left` is what is left of the budget, and
+/// `part` what of it is left to this process.
+fn wanted_working(input: &GrantInput, left: f64, part: f64) -> u64 {
     if input.is_leaving {
         return 0;
     }
-    let part = left * use_share(input);
     if left < input.prepaid.0 as f64 * TAIL_PART {
         return (input.rate * TAIL_SECONDS).min(part * TAIL_SHARE) as u64;
     }
@@ -148,12 +149,11 @@
 
 /// The standby tokens that a process should hold. What is left decides, which does not depend on who holds it: a bound on
 /// the pool alone would let processes take and return the same tokens in turns.
-fn wanted_standby(input: &GrantInput, left: f64) -> u64 {
+fn wanted_standby(input: &GrantInput, left: f64, part: f64) -> u64 {
     let is_worth = left >= input.prepaid.0 as f64 * STANDBY_END_PART;
     if !is_worth || !input.is_present || input.is_leaving {
         return 0;
     }
-    let part = left * use_share(input);
     let standby = (input.rate * STANDBY_SECONDS).max(part * LEAST_STANDBY_SHARE);
     standby.min(part * STANDBY_SHARE) as u64
 }
