--- a/crates/bramleywind_gateway/src/loans.rs
+++ b/crates/bramleywind_gateway/src/loans.rs
@@ -6,6 +6,7 @@
 mod loan_client;
 mod loan_messages;
 mod loan_port;
+mod message_codec;
 
 pub use loan_client::{GiftError, LoanClient};
 pub use loan_messages::{LoanAnswer, LoanRequest, TokenGift};
--- a/crates/bramleywind_gateway/src/loans/loan_client.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_client.rs
@@ -10,6 +10,7 @@
 use super::{
     LoanAnswer, LoanRequest, TokenGift,
     loan_port::{CLOCK_PATH, GIFT_PATH, LOAN_PATH},
+    message_codec::{decode_message, encode_message},
 };
 
 /// How long a loan may take. Gateways of a region are milliseconds apart.
@@ -44,16 +45,13 @@
             Ok(Err(error)) => return Err(error.reason),
             Err(_) => return Err("no answer in time".into()),
         };
-        bincode::serde::decode_from_slice(&body, bincode::config::standard())
-            .map(|(answer, _)| answer)
-            .map_err(|error| error.to_string().into())
+        decode_message(&body).map_err(|error| error.to_string().into())
     }
 
     /// Asks one gateway for its time of day, in Unix milliseconds. Nothing if it does not answer.
     pub async fn ask_time(&self, peer: SocketAddr) -> Option<u64> {
         let body = timeout(LOAN_TIME, call(peer, CLOCK_PATH, &())).await.ok()?.ok()?;
-        let decoded = bincode::serde::decode_from_slice(&body, bincode::config::standard());
-        decoded.ok().map(|(millis, _)| millis)
+        decode_message(&body).ok()
     }
 
     /// Offers one gateway a gift.
@@ -84,11 +82,10 @@
         is_not_sent,
         reason: reason.to_string().into(),
     };
-    let body = bincode::serde::encode_to_vec(body, bincode::config::standard())
-        .map_err(|error| failed(true, &error))?;
+    let body = encode_message(body).map_err(|error| failed(true, &error))?;
     let mut connection =
         HttpConnection::connect(peer, LOAN_TIME).await.map_err(|error| failed(true, &error))?;
-    let mut request = Request::new(Full::new(Bytes::from(body)));
+    let mut request = Request::new(Full::new(body));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::from_static(path);
     request.headers_mut().insert(header::HOST, HeaderValue::from_static("gateway"));
--- a/crates/bramleywind_gateway/src/loans/loan_port.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_port.rs
@@ -6,10 +6,13 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use serde::de::DeserializeOwned;
+use serde::{Serialize, de::DeserializeOwned};
 use slog::{info, warn};
 
-use super::{LoanAnswer, LoanRequest, TokenGift};
+use super::{
+    LoanAnswer, LoanRequest, TokenGift,
+    message_codec::{decode_message, encode_message},
+};
 use crate::{gateway::Gateway, link::Platform, members::unix_millis};
 
 /// Where a gateway is asked for a loan.
@@ -32,7 +35,7 @@
     let answer = match request.uri().path() {
         LOAN_PATH => decode(request).await.and_then(|loan| lend(gateway, &loan)),
         GIFT_PATH => decode(request).await.map(|gift| take_gift(gateway, gift)),
-        CLOCK_PATH => tell_time(),
+        CLOCK_PATH => answer(&unix_millis()),
         _ => return refused(StatusCode::NOT_FOUND),
     };
     answer.unwrap_or_else(|error| {
@@ -44,9 +47,7 @@
 async fn decode<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, String> {
     let body = Limited::new(request.into_body(), MOST_MESSAGE_BYTES).collect().await;
     let body = body.map_err(|error| error.to_string())?.to_bytes();
-    bincode::serde::decode_from_slice(&body, bincode::config::standard())
-        .map(|(message, _)| message)
-        .map_err(|error| error.to_string())
+    decode_message(&body).map_err(|error| error.to_string())
 }
 
 fn lend<P: Platform>(
@@ -62,14 +63,12 @@
             "wanted" => loan.tokens.0, "lent" => tokens.0, "standby" => ?book.standby_access(now));
     }
     drop(book);
-    bincode::serde::encode_to_vec(LoanAnswer { tokens }, bincode::config::standard())
-        .map(|body| Response::new(AnswerBody::from(Bytes::from(body))))
-        .map_err(|error| error.to_string())
+    answer(&LoanAnswer { tokens })
 }
 
-fn tell_time() -> Result<Response<AnswerBody>, String> {
-    bincode::serde::encode_to_vec(unix_millis(), bincode::config::standard())
-        .map(|body| Response::new(AnswerBody::from(Bytes::from(body))))
+fn answer(message: &impl Serialize) -> Result<Response<AnswerBody>, String> {
+    encode_message(message)
+        .map(|body| Response::new(AnswerBody::from(body)))
         .map_err(|error| error.to_string())
 }
 
--- /dev/null
+++ b/crates/bramleywind_gateway/src/loans/message_codec.rs
@@ -0,0 +1,19 @@
+//! How gateways write what they tell each other: bincode.
+
+use bincode::{
+    config::standard,
+    error::{DecodeError, EncodeError},
+    serde::{decode_from_slice, encode_to_vec},
+};
+use bytes::Bytes;
+use serde::{Serialize, de::DeserializeOwned};
+
+/// The bytes of a message.
+pub(super) fn encode_message(message: &impl Serialize) -> Result<Bytes, EncodeError> {
+    encode_to_vec(message, standard()).map(Bytes::from)
+}
+
+/// The message in some bytes.
+pub(super) fn decode_message<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
+    decode_from_slice(bytes, standard()).map(|(message, _)| message)
+}
