background: one rule for pauses that grow with the fleet

Presence records and the registry's watch each had the same formula with constants of their own, both watches their own copy of the time they wait, and three places gathered the other gateways' addresses.

--- a/crates/bramleywind_gateway/src/background/follow_config.rs
+++ b/crates/bramleywind_gateway/src/background/follow_config.rs
@@ -1,18 +1,14 @@
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use bramleywind_store::{StoreVersion, UnavailableReason};
 use slog::{info, warn};
 
-use super::StoreContact;
+use super::{StoreContact, WATCH_TIME};
 use crate::{
     gateway::Gateway,
     link::{FleetStore, LoadedConfig, Platform, StoreChanges},
 };
 
-/// How long one watch waits. A connection that is silently dead is noticed by the kernel's probes within three
-/// seconds; this bounds the time if the probes are answered all the same.
-const WATCH_TIME: Duration = Duration::from_secs(5);
-
 /// Keeps the configuration up to date.
 pub(crate) async fn follow_config<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut contact = StoreContact::new("configuration", gateway.log());
--- a/crates/bramleywind_gateway/src/background/follow_endpoints.rs
+++ b/crates/bramleywind_gateway/src/background/follow_endpoints.rs
@@ -9,28 +9,23 @@
 use compio::time::sleep;
 use slog::{info, warn};
 
-use super::StoreContact;
+use super::{FleetPause, StoreContact, WATCH_TIME};
 use crate::{
     endpoints::EntryEffect,
     gateway::Gateway,
     link::{EntryChange, FleetStore, Platform, StoreChanges},
 };
 
-/// How long one watch waits; see the configuration's.
-const WATCH_TIME: Duration = Duration::from_secs(5);
-
 /// The shortest time that a watch waits.
 const SHORTEST_WATCH: Duration = Duration::from_millis(50);
 
-/// The pause between two watches in a small fleet, which collects changes that come together, such as the start of all
-/// endpoints.
-const COLLECT_TIME: Duration = Duration::from_millis(250);
-
-/// The longest pause: below the seconds within which a leaving endpoint must be known.
-const LONGEST_COLLECT_TIME: Duration = Duration::from_secs(1);
-
-/// Gateways up to which the pause is the shortest. Each change wakes all of them, so it grows with larger fleets.
-const SMALL_FLEET: f64 = 12.0;
+/// The pause between two watches, which collects changes that come together, such as the start of all endpoints. Each change
+/// wakes all gateways. The longest is below the seconds within which a leaving endpoint must be known.
+const COLLECT_TIME: FleetPause = FleetPause {
+    shortest: Duration::from_millis(250),
+    small_fleet: 12,
+    longest: Duration::from_secs(1),
+};
 
 /// How long entries that vanished with a store outage are still believed after its return. Endpoints that live are
 /// back in the registry within about two seconds.
@@ -60,15 +55,10 @@
         }
         drop_doubted(&gateway);
         let members = gateway.members().borrow().count();
-        sleep(collect_time(members)).await;
+        sleep(COLLECT_TIME.at(members)).await;
     }
 }
 
-fn collect_time(members: usize) -> Duration {
-    let growth = (members as f64 / SMALL_FLEET).max(1.0);
-    COLLECT_TIME.mul_f64(growth).min(LONGEST_COLLECT_TIME)
-}
-
 /// Reads the registry, or waits for changes. Returns the version to watch from.
 async fn next_version<P: Platform>(
     gateway: &Gateway<P>,
--- a/crates/bramleywind_gateway/src/background/keep_presence.rs
+++ b/crates/bramleywind_gateway/src/background/keep_presence.rs
@@ -10,7 +10,7 @@
 use rand::seq::IndexedRandom;
 use slog::info;
 
-use super::StoreContact;
+use super::{FleetPause, StoreContact};
 use crate::{
     funds::{EndedProcess, TakeoverOutcome},
     gateway::{Gateway, StopPhase},
@@ -19,15 +19,13 @@
     members::{PresenceRecord, boot_millis, unix_millis},
 };
 
-/// The time between two presence records in a small fleet. What a process can have spent is judged by the record's age.
-const ROUND_TIME: Duration = Duration::from_millis(600);
-
-/// Gateways up to which a round takes [`ROUND_TIME`]; it grows with larger fleets, since each round is a write.
-const SMALL_FLEET: usize = 16;
-
-/// The longest time between two records, in large fleets. An outage may then release standby tokens at once, and more of them
-/// are lost with a process, since its record is older.
-const LONGEST_ROUND: Duration = Duration::from_secs(2);
+/// The time between two presence records. What a process can have spent is judged by the record's age. In a large fleet an
+/// outage may release standby tokens at once, and more of them are lost with a process, since its record is older.
+const ROUND_TIME: FleetPause = FleetPause {
+    shortest: Duration::from_millis(600),
+    small_fleet: 16,
+    longest: Duration::from_secs(2),
+};
 
 /// The time between two looks whether the spent standby tokens are written down.
 const ABSENT_PAUSE: Duration = Duration::from_millis(50);
@@ -67,7 +65,7 @@
             Ok(is_present) => {
                 contact.note_answer();
                 let members = gateway.members().borrow().count();
-                sleep(if is_present { round_time(members) } else { ABSENT_PAUSE }).await;
+                sleep(if is_present { ROUND_TIME.at(members) } else { ABSENT_PAUSE }).await;
             }
             Err(reason) => {
                 gateway.funds().book().borrow_mut().set_store_reached(false);
@@ -77,17 +75,9 @@
     }
 }
 
-fn round_time(members: usize) -> Duration {
-    let growth = members as f64 / SMALL_FLEET as f64;
-    ROUND_TIME.mul_f64(growth.max(1.0)).min(LONGEST_ROUND)
-}
-
 /// Writes the presence once. False if tokens that were spent out of standby are not yet written down as spent.
 async fn round<P: Platform>(gateway: &Gateway<P>) -> Result<bool, UnavailableReason> {
-    let peers: Vec<_> = {
-        let members = gateway.members().borrow();
-        members.others().iter().map(|other| other.peer_address).collect()
-    };
+    let peers = gateway.members().borrow().peer_addresses();
     compare_clocks(gateway, &peers).await;
     if !gateway.funds().book().borrow().may_be_present() {
         return Ok(false);
--- a/crates/bramleywind_gateway/src/daemon.rs
+++ b/crates/bramleywind_gateway/src/daemon.rs
@@ -156,8 +156,7 @@
     });
     let state = Rc::clone(&gateway);
     let loans = compio::runtime::spawn(async move {
-        let lenders =
-            || state.members().borrow().others().iter().map(|other| other.peer_address).collect();
+        let lenders = || state.members().borrow().peer_addresses();
         state.funds().run_loans(&state.settings().instance, lenders, state.log()).await;
     });
     let pools = compio::runtime::spawn(review_pools(Rc::clone(&gateway)));
@@ -171,8 +170,7 @@
     if timeout(RETURN_TIME, funds).await.is_err() {
         info!(gateway.log(), "not all grants could be returned to the store");
     }
-    let takers =
-        gateway.members().borrow().others().iter().map(|other| other.peer_address).collect();
+    let takers = gateway.members().borrow().peer_addresses();
     let hand_over = gateway.funds().hand_over(&gateway.settings().instance, takers, gateway.log());
     if timeout(HAND_OVER_TIME, hand_over).await.is_err() {
         info!(gateway.log(), "no gateway took the grants; they stay counted as spent");
--- a/crates/bramleywind_gateway/src/members/member_book.rs
+++ b/crates/bramleywind_gateway/src/members/member_book.rs
@@ -1,4 +1,7 @@
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use super::MemberRecord;
 
@@ -58,6 +61,11 @@
         &self.others
     }
 
+    /// Where the other gateways are reached by this one.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        self.others.iter().map(|other| other.peer_address).collect()
+    }
+
     /// Gateways that are alive, this one included.
     pub fn count(&self) -> usize {
         self.others.len() + 1
@@ -65,7 +73,7 @@
 
     /// Where callers should connect, those of the caller's data centre first. Never empty: a leaving gateway that
     /// knows no other names itself.
-    pub fn entries(&self) -> Vec<std::net::SocketAddr> {
+    pub fn entries(&self) -> Vec<SocketAddr> {
         let own = (!self.is_own_leaving || self.others.is_empty()).then_some(&self.own);
         let members = own.into_iter().chain(&self.others);
         members.map(|member| member.caller_address).take(MOST_ENTRIES).collect()
