forward: one reader of whole bodies, one place that begins a call

The answers of plain services were collected by a second copy of the loop that reads callers' bodies, and calls and resumed calls each noted the endpoint in the same four lines.

--- a/crates/bramleywind_gateway/src/forward/attempt_loop.rs
+++ b/crates/bramleywind_gateway/src/forward/attempt_loop.rs
@@ -5,14 +5,14 @@
 
 use bramleywind_http::AnswerBody;
 use bramleywind_types::{EndpointId, TokenCount};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use compio::time::timeout;
 use http::{Response, response};
-use http_body_util::BodyExt;
 
 use super::{
     CallFailure, FailureKind, Refusal, RefusalReason, RequestContext, RequestOutcome, RequestTrace,
     ScannedEvents,
+    body_reader::{ReadBody, read_body},
     exchange::{Exchange, exchange},
     retry_rule::{AttemptCounts, RetryRule},
     stream_relay::StreamRelay,
@@ -130,10 +130,7 @@
         endpoint: &Rc<Endpoint>,
         resume_after: Option<EventId>,
     ) -> Result<CallEnd, CallFailure> {
-        self.counts.calls += 1;
-        self.tried.push(endpoint.record().id.clone());
-        trace.endpoints.push(endpoint.record().id.clone());
-        let patience = self.patience(context);
+        let patience = self.begin_call(context, trace, endpoint);
         let result = async {
             let resume_after = resume_after.or(context.resume_after);
             let exchange = exchange::<P::Wire>(context, endpoint, resume_after, patience).await?;
@@ -153,6 +150,19 @@
         result
     }
 
+    /// Notes a call to an endpoint. Returns until when it may take.
+    fn begin_call(
+        &mut self,
+        context: &RequestContext,
+        trace: &mut RequestTrace,
+        endpoint: &Endpoint,
+    ) -> Instant {
+        self.counts.calls += 1;
+        self.tried.push(endpoint.record().id.clone());
+        trace.endpoints.push(endpoint.record().id.clone());
+        self.patience(context)
+    }
+
     /// Until when one call may take.
     fn patience(&self, context: &RequestContext) -> Instant {
         let is_last = self.counts.runs + 1 >= context.route.attempt_limit;
@@ -208,10 +218,7 @@
             let Some(endpoint) = gateway.choose_endpoint(context, &self.tried) else {
                 return Err(failure);
             };
-            self.counts.calls += 1;
-            self.tried.push(endpoint.record().id.clone());
-            trace.endpoints.push(endpoint.record().id.clone());
-            let patience = self.patience(context);
+            let patience = self.begin_call(context, trace, &endpoint);
             failure = match exchange::<P::Wire>(context, &endpoint, resume_after, patience).await {
                 Ok(exchange) if exchange.head.status.is_success() => {
                     self.counts.runs += 1;
@@ -287,32 +294,21 @@
 
 async fn collect(mut exchange: Exchange, patience: Instant) -> Result<WholeAnswer, CallFailure> {
     let failed = |reason: &dyn std::fmt::Display| CallFailure::new(FailureKind::MayHaveRun, reason);
-    let mut body = BytesMut::new();
-    loop {
-        let left = patience.saturating_duration_since(Instant::now());
-        let frame = match timeout(left, exchange.body.frame()).await {
-            Ok(None) => break,
-            Ok(Some(frame)) => frame.map_err(|error| failed(&error))?,
-            Err(_) => {
-                return Err(CallFailure::new(
-                    FailureKind::TimedOut,
-                    "the answer did not end in time",
-                ));
-            }
-        };
-        // Trailers carry nothing that is passed on.
-        let Ok(data) = frame.into_data() else { continue };
-        if body.len() + data.len() > MOST_ANSWER_BYTES {
-            return Err(failed(&"the answer is larger than 4 MiB"));
+    let left = patience.saturating_duration_since(Instant::now());
+    let body = match timeout(left, read_body(&mut exchange.body, MOST_ANSWER_BYTES)).await {
+        Ok(ReadBody::Whole(body)) => body,
+        Ok(ReadBody::TooLarge) => return Err(failed(&"the answer is larger than 4 MiB")),
+        Ok(ReadBody::Broken(error)) => return Err(failed(&error)),
+        Err(_) => {
+            return Err(CallFailure::new(FailureKind::TimedOut, "the answer did not end in time"));
         }
-        body.extend_from_slice(&data);
-    }
+    };
     let head = exchange.head.clone();
     if head.status.is_success() {
         exchange.work.note_answer(Instant::now());
     }
     exchange.recycle();
-    Ok(WholeAnswer { head, body: body.freeze() })
+    Ok(WholeAnswer { head, body })
 }
 
 fn finish<P: Platform>(answer: WholeAnswer, mut trace: RequestTrace) -> Response<AnswerBody> {
--- a/crates/bramleywind_gateway/src/forward/body_reader.rs
+++ b/crates/bramleywind_gateway/src/forward/body_reader.rs
@@ -10,16 +10,16 @@
     /// It is larger than the limit.
     TooLarge,
     /// The connection broke before its end.
-    Broken,
+    Broken(hyper::Error),
 }
 
 /// Reads a body of at most `limit` bytes. The caller bounds the time.
-pub async fn read_body(mut body: Incoming, limit: usize) -> ReadBody {
+pub async fn read_body(body: &mut Incoming, limit: usize) -> ReadBody {
     let mut whole = BytesMut::new();
     loop {
         match body.frame().await {
             None => return ReadBody::Whole(whole.freeze()),
-            Some(Err(_)) => return ReadBody::Broken,
+            Some(Err(error)) => return ReadBody::Broken(error),
             Some(Ok(frame)) => {
                 // Trailers carry nothing that is passed on.
                 let Ok(data) = frame.into_data() else { continue };
--- a/crates/bramleywind_gateway/src/forward/intake.rs
+++ b/crates/bramleywind_gateway/src/forward/intake.rs
@@ -152,15 +152,15 @@
 }
 
 async fn read_whole_body(
-    body: Incoming,
+    mut body: Incoming,
     limit: usize,
     deadline: Instant,
 ) -> Result<Bytes, Refusal> {
     let left = deadline.saturating_duration_since(Instant::now());
-    match timeout(left, read_body(body, limit)).await {
+    match timeout(left, read_body(&mut body, limit)).await {
         Ok(ReadBody::Whole(bytes)) => Ok(bytes),
         Ok(ReadBody::TooLarge) => Err(Refusal::new(RefusalReason::BodyTooLarge)),
-        Ok(ReadBody::Broken) => Err(Refusal::new(RefusalReason::BodyBroken)),
+        Ok(ReadBody::Broken(_)) => Err(Refusal::new(RefusalReason::BodyBroken)),
         Err(_) => Err(Refusal::new(RefusalReason::TimedOut)),
     }
 }
