funds: log what was tried for a request that lacks tokens, and where the tokens are

The incident's hypotheses (lost writes, shares below one request, late loans) could not be told apart: `funds missing` had the process's own tokens only.

--- a/crates/bramleywind_gateway/src/forward/request_handler.rs
+++ b/crates/bramleywind_gateway/src/forward/request_handler.rs
@@ -19,7 +19,7 @@
 };
 use crate::{
     config::{RouteConfig, RouteTable},
-    funds::{Reservation, ReserveOutcome},
+    funds::{BudgetAccount, FundsEffort, Reservation, ReserveOutcome},
     gateway::{Gateway, StopPhase},
     platform_api::{Platform, PromptProfile, RequestHead, WireCodec},
 };
@@ -95,9 +95,12 @@
         (Some(workspace), Some(prompt)) => match workspace.prepaid {
             Some(prepaid) => {
                 let need = prompt.max_tokens();
+                let asked_at = Instant::now();
+                let effort = funds_effort(gateway, &workspace.id);
                 let result = gateway.funds().reserve(&workspace.id, prepaid, need).await;
                 if let Err(outcome) = &result {
-                    log_missing_funds(gateway, &workspace.id, need, *outcome, &trace.request_id);
+                    let shortage = FundsShortage { need, asked_at, effort, outcome: *outcome };
+                    log_missing_funds(gateway, &workspace.id, &shortage, &trace.request_id);
                 }
                 let reservation = result.map_err(|outcome| match outcome {
                     ReserveOutcome::Exhausted => Refusal::new(RefusalReason::BudgetExhausted),
@@ -132,23 +135,46 @@
     Ok((context, reservation))
 }
 
-/// Logs the state of a budget that did not cover a request.
+/// A request that its budget did not cover.
+struct FundsShortage {
+    need: TokenCount,
+    asked_at: Instant,
+    /// What had been done to obtain tokens before the request arrived.
+    effort: FundsEffort,
+    outcome: ReserveOutcome,
+}
+
+/// Returns what this process has done so far to obtain tokens of a workspace.
+fn funds_effort<P: Platform>(gateway: &Gateway<P>, workspace: &WorkspaceId) -> FundsEffort {
+    let ledger = gateway.funds().ledger().borrow();
+    ledger.account(workspace).map_or_else(FundsEffort::default, BudgetAccount::effort)
+}
+
+/// Logs where the tokens of a budget were that did not cover a request, and what was tried while the request waited.
 fn log_missing_funds<P: Platform>(
     gateway: &Gateway<P>,
     workspace: &WorkspaceId,
-    need: TokenCount,
-    outcome: ReserveOutcome,
+    shortage: &FundsShortage,
     request_id: &str,
 ) {
     let ledger = gateway.funds().ledger().borrow();
     let Some(account) = ledger.account(workspace) else { return };
-    let age = account.read_at().map(|at| at.elapsed().as_millis());
+    let now = Instant::now();
+    let millis = |duration: Duration| u64::try_from(duration.as_millis()).ok();
+    let tried = account.effort() - shortage.effort;
+    let (others, holders) = account.others_granted(ledger.holder());
     info!(gateway.log(), "funds missing"; "request" => request_id, "workspace" => %workspace,
-        "outcome" => ?outcome, "need" => need.0, "available" => account.available(ledger.standby_access(Instant::now())).0,
-        "prepaid" => account.prepaid().0, "spent" => account.spent().0,
+        "outcome" => ?shortage.outcome, "need" => shortage.need.0,
+        "waited_ms" => millis(now.saturating_duration_since(shortage.asked_at)),
+        "writes_applied" => tried.applied, "writes_conflicting" => tried.conflicts, "writes_failed" => tried.failures,
+        "loans_asked" => tried.loans_asked, "loans_received" => tried.loans_received,
+        "available" => account.available(ledger.standby_access(now)).0,
+        "prepaid" => account.prepaid().0, "spent" => account.spent().0, "reserved" => account.reserved().0,
+        "borrowed" => account.borrowed().0, "lent" => account.lent().0,
         "pool" => account.pool().0, "working" => account.granted().working.0, "standby" => account.granted().standby.0,
-        "rate_per_second" => account.rate(Instant::now()),
-        "record_age_ms" => age.and_then(|age| u64::try_from(age).ok()));
+        "other_holders" => holders, "others_working" => others.working.0, "others_standby" => others.standby.0,
+        "rate_per_second" => account.rate(now),
+        "record_age_ms" => account.read_at().and_then(|at| millis(now.saturating_duration_since(at))));
 }
 
 /// Reads a caller's body until the deadline, and refuses one that is too large or incomplete.
--- a/crates/bramleywind_gateway/src/funds/budget_account.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_account.rs
@@ -5,7 +5,8 @@
 use futures_channel::oneshot;
 
 use super::{
-    BudgetRecord, GrantInput, GrantSizing, HolderGrant, ReserveOutcome, StandbyAccess, UseRate,
+    BudgetRecord, FundsEffort, GrantInput, GrantSizing, HolderGrant, ReserveOutcome, StandbyAccess,
+    UseRate,
 };
 
 /// The state of one workspace's budget as known to this process, and this process's spending.
@@ -29,6 +30,7 @@
     read_at: Option<Instant>,
     pub(super) rate: UseRate,
     pub(super) waiting: VecDeque<WaitingReservation>,
+    pub(super) effort: FundsEffort,
 }
 
 /// A queued request that waits for tokens.
@@ -63,6 +65,7 @@
             read_at: None,
             rate: UseRate::new(now),
             waiting: VecDeque::new(),
+            effort: FundsEffort::default(),
         }
     }
 
@@ -97,6 +100,38 @@
         self.granted
     }
 
+    /// Returns the tokens from other processes' grants that this process may use.
+    pub fn borrowed(&self) -> TokenCount {
+        self.borrowed
+    }
+
+    /// Returns the tokens of this process's grant that other processes may use.
+    pub fn lent(&self) -> TokenCount {
+        self.lent
+    }
+
+    /// Returns the tokens reserved for open requests.
+    pub fn reserved(&self) -> TokenCount {
+        self.reserved
+    }
+
+    /// Returns the sum of the other processes' grants, spent tokens included, and their number.
+    pub fn others_granted(&self, holder: IncarnationId) -> (HolderGrant, usize) {
+        let mut sum = HolderGrant::default();
+        let mut count = 0;
+        for grant in self.record.others(holder) {
+            sum.working = sum.working.saturating_add(grant.working);
+            sum.standby = sum.standby.saturating_add(grant.standby);
+            count += 1;
+        }
+        (sum, count)
+    }
+
+    /// Returns what this process has done so far to obtain tokens.
+    pub fn effort(&self) -> FundsEffort {
+        self.effort
+    }
+
     /// Returns the workspace's prepaid total in the newest configuration.
     pub fn prepaid(&self) -> TokenCount {
         self.prepaid
--- a/crates/bramleywind_gateway/src/funds/budget_ledger.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_ledger.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Returns the process whose grants this ledger holds.
+    pub fn holder(&self) -> IncarnationId {
+        self.holder
+    }
+
     /// Returns the account of a workspace, or `None` if this process has none for it.
     pub fn account(&self, workspace: &WorkspaceId) -> Option<&BudgetAccount> {
         self.accounts.get(workspace)
@@ -191,6 +196,14 @@
         outcome: CommitOutcome,
         now: Instant,
     ) {
+        for change in &changes {
+            let Some(account) = self.accounts.get_mut(&change.workspace) else { continue };
+            match outcome {
+                CommitOutcome::Applied(_) => account.effort.applied += 1,
+                CommitOutcome::Conflict(_) => account.effort.conflicts += 1,
+                CommitOutcome::NotApplied | CommitOutcome::Unknown => account.effort.failures += 1,
+            }
+        }
         match outcome {
             CommitOutcome::Applied(version) => {
                 for change in changes {
@@ -263,6 +276,14 @@
         account.map_or(TokenCount(0), |account| account.lend(wanted, access))
     }
 
+    /// Counts the answer of another process to a request for a loan.
+    pub(super) fn count_loan(&mut self, workspace: &WorkspaceId, lent: TokenCount) {
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.effort.loans_asked += 1;
+            account.effort.loans_received += u64::from(lent > TokenCount(0));
+        }
+    }
+
     /// Adds tokens that another process lent or gave away. Returns `false`, and adds nothing, if this process has no
     /// account for the workspace.
     pub fn accept_loan(&mut self, workspace: &WorkspaceId, tokens: TokenCount) -> bool {
--- a/crates/bramleywind_gateway/src/funds/funds_manager.rs
+++ b/crates/bramleywind_gateway/src/funds/funds_manager.rs
@@ -151,11 +151,14 @@
     async fn borrow_tokens(&self, mut loan: LoanRequest, lenders: Vec<SocketAddr>, log: &Logger) {
         let (wanted, mut failures) = (loan.tokens, 0);
         for lender in lenders {
-            let Ok(answer) = LoanClient.request_loan(lender, &loan).await else {
+            let answer = LoanClient.request_loan(lender, &loan).await;
+            let mut ledger = self.ledger.borrow_mut();
+            let lent = answer.as_ref().map_or(TokenCount(0), |answer| answer.tokens);
+            ledger.count_loan(&loan.workspace, lent);
+            let Ok(answer) = answer else {
                 failures += 1;
                 continue;
             };
-            let mut ledger = self.ledger.borrow_mut();
             ledger.accept_loan(&loan.workspace, answer.tokens);
             ledger.resolve_waiting(Instant::now());
             loan.tokens = loan.tokens.saturating_sub(answer.tokens);
--- a/crates/bramleywind_gateway/src/state_dump.rs
+++ b/crates/bramleywind_gateway/src/state_dump.rs
@@ -29,7 +29,9 @@
         .map(|(workspace, account)| {
             json!({
                 "workspace": workspace, "available": account.available(ledger.standby_access(now)),
-                "standby": account.granted().standby, "pool": account.pool(),
+                "working": account.granted().working, "standby": account.granted().standby, "pool": account.pool(),
+                "spent": account.spent(), "reserved": account.reserved(), "borrowed": account.borrowed(),
+                "lent": account.lent(), "effort": account.effort(),
                 "record_age_ms": account.read_at().map(|at| now.saturating_duration_since(at).as_millis() as u64),
             })
         })
