funds: leave standby tokens alone when only working tokens are refilled, and probe the store before a write in an outage

Callers saw 503 in the second cut of the store on six machines: the primary of a budget held 479,664 standby tokens as the cut began and 155,001 after it. Cause: each refill also set the standby tokens to the exact target, and a write whose answer is lost leaves the smaller of both numbers. Now standby tokens near the target stay as they are, and while the store does not answer, a cheap read comes before each write, as it does for presence records.

--- a/crates/bramleywind_gateway/src/funds/funds_manager.rs
+++ b/crates/bramleywind_gateway/src/funds/funds_manager.rs
@@ -329,6 +329,16 @@
     /// Makes one call to the store if one is due. Returns `true` if another call may be due.
     async fn call_store<S: FleetStore>(&self, store: &S, log: &Logger) -> bool {
         let action = self.ledger.borrow_mut().plan_call(S::MAX_CHANGES, Instant::now());
+        if !self.is_store_reachable.get() && matches!(action, StoreAction::Write(_)) {
+            // A write without an answer leaves the smaller of two grants. A cheap read checks first that the store
+            // answers.
+            if store.read_budgets(false).await.is_err() {
+                self.revert_writes(action);
+                self.ledger.borrow_mut().resolve_waiting(Instant::now());
+                sleep(RETRY_DELAY).await;
+                return true;
+            }
+        }
         let is_store_reachable = match action {
             StoreAction::Idle => {
                 self.ledger.borrow_mut().resolve_waiting(Instant::now());
@@ -364,6 +374,14 @@
         true
     }
 
+    /// Drops planned writes that were not sent.
+    fn revert_writes(&self, action: StoreAction) {
+        if let StoreAction::Write(changes) = action {
+            let now = Instant::now();
+            self.ledger.borrow_mut().apply_outcome(changes, CommitOutcome::NotApplied, now);
+        }
+    }
+
     /// Reads the grants of other processes, so that this process's unused tokens shrink with the pool.
     async fn refresh_records(&self, store: &impl FleetStore) {
         let has_grants = {
--- a/crates/bramleywind_gateway/src/funds/grant_sizing.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_sizing.rs
@@ -174,6 +174,12 @@
     }
     let standby = (input.rate * MAX_STANDBY_SECONDS).max(own_part * MIN_STANDBY_SHARE);
     let standby = standby.min(own_part * MAX_STANDBY_SHARE) as u64;
+    // Held tokens near the target are kept: a write that also reduces them leaves the smaller number until it is confirmed,
+    // and the store may go away before that.
+    let held = input.standby.0 as f64;
+    let is_near =
+        held >= standby as f64 * REFILL_THRESHOLD && held <= standby as f64 * STANDBY_RETURN_FACTOR;
+    let standby = if is_near { input.standby.0 } else { standby };
     // In an outage, the presence record grows old while the standby tokens are needed, so those that are held are kept.
     if input.has_presence { standby } else { standby.min(input.standby.0) }
 }
