funds: draw for oneself only if no lender answers, ask no second lender after an answer, and count standby tokens as unspent

Callers saw `budget exhausted` while a third of the budget was unspent (one workspace at 66% of its prepaid total, in the second after a cut of the store): the lender that was asked counted its own tokens and the pool, not the standby tokens of the gateway that had been primary.

After a cut a quarter of the writes of grants conflicted again (232 of 981): a borrower whose primary had nothing to lend at the moment also made the next gateway draw, and then drew itself. Now only a gateway that does not answer is passed over, for two seconds, and a process draws for itself only if none answers.

--- a/crates/bramleywind_gateway/src/funds/budget_account.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_account.rs
@@ -38,6 +38,8 @@
     primary_since: Option<Instant>,
     /// Until when this process draws grants because other processes have asked it for loans.
     lends_until: Option<Instant>,
+    /// Until when this process draws grants for its own waiting requests, since no lender answers.
+    draws_own_until: Option<Instant>,
     /// Whether a request for a loan is outstanding.
     pub(super) is_borrowing: bool,
     /// When the next request for a loan may be made.
@@ -50,14 +52,14 @@
 
 /// How long a process that was asked for a loan goes on to draw grants. Processes that disagree on the primary, or do not
 /// reach it, ask another one again within this time.
-const LENDING_TIME: Duration = Duration::from_secs(5);
+const LENDING_TIME: Duration = Duration::from_secs(2);
 
-/// How long a request waits for a loan before this process draws a grant for it.
-const OWN_DRAW_DELAY: Duration = Duration::from_millis(130);
+/// How long a process draws grants for its own waiting requests after no lender has answered.
+const OWN_DRAW_TIME: Duration = Duration::from_secs(1);
 
-/// Seconds of the process's own use that it borrows ahead of its requests. All processes together then hold less than
-/// half a second of the fleet's use where the others cannot reach it.
-const BORROW_SECONDS: f64 = 0.5;
+/// Seconds of the process's own use that it borrows ahead of its requests. All processes together then hold a fraction of
+/// a second of the fleet's use where the others cannot reach it.
+const BORROW_SECONDS: f64 = 0.2;
 
 /// The multiple of the tokens held ahead of use above which a process returns borrowed tokens.
 const RETURN_LOAN_FACTOR: u64 = 2;
@@ -99,6 +101,7 @@
             effort: FundsEffort::default(),
             primary_since: None,
             lends_until: None,
+            draws_own_until: None,
             is_borrowing: false,
             next_loan_at: None,
         }
@@ -130,6 +133,12 @@
         self.available(StandbyAccess::Open).saturating_add(self.pool())
     }
 
+    /// Returns the tokens that are certainly unspent according to the last known record: those that this process can obtain,
+    /// and the other processes' standby tokens.
+    pub(super) fn unspent(&self, holder: IncarnationId) -> TokenCount {
+        self.reachable().saturating_add(self.record.others(holder).map(|grant| grant.standby).sum())
+    }
+
     /// Returns this process's grant, which includes spent tokens.
     pub fn granted(&self) -> HolderGrant {
         self.granted
@@ -233,13 +242,15 @@
         self.primary_since.is_some() || self.is_drawing(now)
     }
 
+    /// Records that no other process answers a request for a loan.
+    pub(super) fn begin_own_draws(&mut self, now: Instant) {
+        self.draws_own_until = Some(now + OWN_DRAW_TIME);
+    }
+
     /// Returns the tokens that waiting requests need from a grant of this process.
     fn waiting_for_grant(&self, now: Instant) -> TokenCount {
-        if self.is_lender(now) {
-            return self.waiting_tokens();
-        }
-        let is_overdue = |entry: &&WaitingReservation| now >= entry.since + OWN_DRAW_DELAY;
-        self.waiting.iter().filter(is_overdue).map(|entry| entry.need).sum()
+        let is_drawn = self.is_lender(now) || self.draws_own_until.is_some_and(|until| now < until);
+        if is_drawn { self.waiting_tokens() } else { TokenCount(0) }
     }
 
     /// Returns the tokens to hold ahead of use.
--- a/crates/bramleywind_gateway/src/funds/budget_ledger.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_ledger.rs
@@ -41,6 +41,17 @@
     pub(super) wanted: TokenCount,
 }
 
+/// How a request for a loan ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LoanOutcome {
+    /// A lender answered.
+    Answered,
+    /// A lender answered that the budget does not cover what is needed.
+    Exhausted,
+    /// No lender answered.
+    NoAnswer,
+}
+
 /// The budget accounts of all workspaces that this process has served. Makes decisions only; it performs no I/O.
 #[derive(Debug)]
 pub struct BudgetLedger {
@@ -344,18 +355,21 @@
         self.accounts.iter_mut().filter_map(wanted_loan).collect()
     }
 
-    /// Records the end of a loan that lacks `missing` of the wanted tokens. `is_exhausted` tells that the lender found the
-    /// budget to be used up, so the first waiting request is refused if it still lacks tokens.
+    /// Records the end of a loan that lacks `missing` of the wanted tokens. If the lender found the budget to be exhausted, the
+    /// first waiting request is refused if it still lacks tokens.
     pub(super) fn end_loan(
         &mut self,
         loan: &WantedLoan,
         missing: TokenCount,
-        is_exhausted: bool,
+        outcome: LoanOutcome,
         now: Instant,
     ) {
         let access = self.standby_access(now);
         let Some(account) = self.accounts.get_mut(&loan.workspace) else { return };
         account.is_borrowing = false;
+        if outcome == LoanOutcome::NoAnswer {
+            account.begin_own_draws(now);
+        }
         let available = account.available(access);
         let is_short = account.waiting.front().is_some_and(|entry| entry.need > available);
         account.next_loan_at = match (is_short, missing > TokenCount(0)) {
@@ -363,6 +377,7 @@
             (false, true) => Some(now + REFILL_RETRY_DELAY),
             (false, false) => None,
         };
+        let is_exhausted = outcome == LoanOutcome::Exhausted;
         if is_short
             && is_exhausted
             && let Some(entry) = account.waiting.pop_front()
@@ -390,7 +405,7 @@
         let mut answered = 0;
         for account in self.accounts.values_mut() {
             for entry in std::mem::take(&mut account.waiting) {
-                let outcome = decide_waiting(account, &entry, access, now);
+                let outcome = decide_waiting(self.holder, account, &entry, access, now);
                 let Some(outcome) = outcome else {
                     account.waiting.push_back(entry);
                     continue;
@@ -418,6 +433,7 @@
 
 /// Returns the outcome for a waiting request, or `None` if it keeps waiting.
 fn decide_waiting(
+    holder: IncarnationId,
     account: &mut BudgetAccount,
     entry: &WaitingReservation,
     access: StandbyAccess,
@@ -429,9 +445,8 @@
     if account.try_reserve(entry.need, access) {
         return Some(ReserveOutcome::Reserved);
     }
-    let reachable = account.reachable();
     let is_fresh = account.read_at().is_some_and(|at| now < at + MAX_RECORD_AGE);
-    if account.is_lender(now) && entry.need > reachable && is_fresh {
+    if account.is_lender(now) && entry.need > account.unspent(holder) && is_fresh {
         return Some(ReserveOutcome::Exhausted);
     }
     (now >= entry.since + STORE_WAIT_TIME).then_some(ReserveOutcome::Unavailable)
--- a/crates/bramleywind_gateway/src/funds/funds_manager.rs
+++ b/crates/bramleywind_gateway/src/funds/funds_manager.rs
@@ -17,7 +17,8 @@
 use slog::{Logger, info, warn};
 
 use super::{
-    BudgetAccount, BudgetLedger, HolderGrant, Reservation, StoreAction, budget_ledger::WantedLoan,
+    BudgetAccount, BudgetLedger, HolderGrant, Reservation, StoreAction,
+    budget_ledger::{LoanOutcome, WantedLoan},
     pending_reservation::PendingReservation,
 };
 use crate::{
@@ -208,7 +209,7 @@
         }
     }
 
-    /// Asks lenders in turn until the tokens that the first waiting request needs are borrowed.
+    /// Asks lenders in turn until one answers.
     async fn borrow_tokens(
         &self,
         borrower: &InstanceId,
@@ -217,8 +218,8 @@
         log: &Logger,
     ) {
         let (mut needed, mut wanted, mut failures) = (loan.needed, loan.wanted, 0);
-        let mut is_exhausted = false;
-        for lender in lenders {
+        let mut outcome = LoanOutcome::NoAnswer;
+        for lender in self.loan_client.order_by_health(lenders) {
             let (workspace, borrower) = (loan.workspace.clone(), borrower.clone());
             let request = LoanRequest { borrower, workspace, tokens: wanted, needed };
             let answer = self.loan_client.request_loan(lender, &request).await;
@@ -233,17 +234,22 @@
             ledger.resolve_waiting(Instant::now());
             (needed, wanted) =
                 (needed.saturating_sub(answer.tokens), wanted.saturating_sub(answer.tokens));
-            is_exhausted = answer.is_exhausted;
-            if needed == TokenCount(0) || is_exhausted {
-                break;
-            }
+            // Another lender would draw from the same pool, and its writes would conflict with this one's.
+            outcome = match answer.is_exhausted {
+                true => LoanOutcome::Exhausted,
+                false => LoanOutcome::Answered,
+            };
+            break;
         }
         if wanted < loan.wanted || needed > TokenCount(0) {
             info!(log, "tokens borrowed"; "workspace" => %loan.workspace, "needed" => loan.needed.0,
-                "wanted" => loan.wanted.0, "missing" => needed.0, "is_exhausted" => is_exhausted,
+                "wanted" => loan.wanted.0, "missing" => needed.0, "outcome" => ?outcome,
                 "lenders_without_answer" => failures);
         }
-        self.ledger.borrow_mut().end_loan(&loan, wanted, is_exhausted, Instant::now());
+        self.ledger.borrow_mut().end_loan(&loan, wanted, outcome, Instant::now());
+        if outcome == LoanOutcome::NoAnswer {
+            self.wake_run();
+        }
     }
 
     /// Returns borrowed tokens that this process does not need. `lenders` is the same as in [`Self::run_loans`].
--- a/crates/bramleywind_gateway/src/loans/loan_client.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_client.rs
@@ -24,6 +24,10 @@
 /// for [`LEND_PATIENCE`](crate::funds::LEND_PATIENCE).
 const CALL_TIMEOUT: Duration = Duration::from_millis(120);
 
+/// How long a gateway that did not answer is asked after the others. A gateway that ended leaves the member list a few
+/// seconds later.
+const AVOIDANCE_TIME: Duration = Duration::from_secs(2);
+
 /// The reason why a gift was not confirmed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GiftError {
@@ -38,6 +42,8 @@
 #[derive(Debug, Default)]
 pub struct LoanClient {
     pools: RefCell<HashMap<SocketAddr, ConnectionPool>>,
+    /// Until when a gateway that did not answer is asked after the others.
+    avoided_until: RefCell<HashMap<SocketAddr, Instant>>,
 }
 
 impl LoanClient {
@@ -54,10 +60,12 @@
     ) -> Result<LoanAnswer, Box<str>> {
         let body = match timeout(CALL_TIMEOUT, self.call(lender, LOAN_PATH, request)).await {
             Ok(Ok(body)) => body,
-            Ok(Err(error)) => return Err(error.reason),
+            Ok(Err(error)) => {
+                self.avoid(lender);
+                return Err(error.reason);
+            }
             Err(_) => {
-                // The other idle connections have most likely gone silent too.
-                self.pools.borrow_mut().remove(&lender);
+                self.avoid(lender);
                 return Err("the lender did not answer in time".into());
             }
         };
@@ -65,6 +73,19 @@
             .map_err(|error| error.to_string().into())
     }
 
+    /// Returns the gateways in the same order, except that those that lately did not answer come last.
+    pub fn order_by_health(&self, mut lenders: Vec<SocketAddr>) -> Vec<SocketAddr> {
+        let (avoided_until, now) = (self.avoided_until.borrow(), Instant::now());
+        lenders.sort_by_key(|lender| avoided_until.get(lender).is_some_and(|until| now < *until));
+        lenders
+    }
+
+    /// Asks a gateway after the others for a while. Its idle connections have most likely gone silent too.
+    fn avoid(&self, peer: SocketAddr) {
+        self.pools.borrow_mut().remove(&peer);
+        self.avoided_until.borrow_mut().insert(peer, Instant::now() + AVOIDANCE_TIME);
+    }
+
     /// Asks a gateway for its time of day in Unix milliseconds. Returns `None` if it does not answer.
     pub async fn fetch_time(&self, peer: SocketAddr) -> Option<u64> {
         let body = timeout(CALL_TIMEOUT, self.call(peer, CLOCK_PATH, &())).await.ok()?.ok()?;
@@ -90,6 +111,7 @@
 
     /// Closes the connections that have been idle for too long, and forgets peers without connections.
     pub fn close_expired(&self, now: Instant) {
+        self.avoided_until.borrow_mut().retain(|_, until| now < *until);
         self.pools.borrow_mut().retain(|_, pool| {
             pool.close_expired(now);
             !pool.is_empty()
@@ -125,7 +147,9 @@
                 }
             };
             if response.status() != StatusCode::OK {
-                return Err(failed(false, &response.status()));
+                // A stopping gateway takes no message.
+                let is_not_taken = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+                return Err(failed(is_not_taken, &response.status()));
             }
             let answer =
                 response.into_body().collect().await.map_err(|error| failed(false, &error))?;
--- a/crates/bramleywind_gateway/src/loans/loan_server.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_server.rs
@@ -13,7 +13,11 @@
     loan_messages::EarlierLoanRequest,
     message_codec::{decode_either, decode_message, encode_message},
 };
-use crate::{gateway::Gateway, members::unix_millis, platform_api::Platform};
+use crate::{
+    gateway::{Gateway, StopPhase},
+    members::unix_millis,
+    platform_api::Platform,
+};
 
 /// The path of loan requests.
 pub(super) const LOAN_PATH: &str = "/loan";
@@ -32,7 +36,12 @@
     gateway: &Gateway<P>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let response = match request.uri().path() {
+    let path = request.uri().path();
+    if gateway.stop_phase() != StopPhase::Running && path != CLOCK_PATH {
+        // Tokens that change hands now could be lost when the process ends.
+        return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let response = match path {
         LOAN_PATH => match read_body(request).await {
             Ok(body) => match decode_either::<LoanRequest, EarlierLoanRequest>(&body) {
                 Ok(loan) => lend_tokens(gateway, loan).await,
