members: send callers of a large fleet to its largest gateways

Callers were sent to 64 of 78 gateways at random, so each saw few requests of each kind: it opened a connection for most of them, knew no endpoint's pace, and shared prompts were read again. The small ones (0.09 cores) were also primaries of budgets.

Change: the member record states the processor capacity from the settings; the entries name the largest members that hold at least a quarter of the fleet's capacity, at least twelve and two in each data centre, the same on all gateways. They are also the first lenders of the budgets. Fleets of up to twelve serve with all members, as before. Records of earlier builds count as one core.

--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -63,6 +63,7 @@
             data_centre: settings.data_centre.clone(),
             caller_address: settings.listen.callers,
             peer_address: settings.listen.peers,
+            capacity: settings.capacity,
         };
         Self {
             settings,
--- a/crates/bramleywind_gateway/src/members.rs
+++ b/crates/bramleywind_gateway/src/members.rs
@@ -6,10 +6,13 @@
 mod member_record;
 mod member_registry;
 mod presence_record;
+mod processor_capacity;
+mod serving_set;
 
 pub use clocks::{boot_millis, unix_millis};
 pub use fleet_clock::FleetClock;
 pub use lender_order::lender_order;
-pub use member_record::MemberRecord;
+pub use member_record::{EarlierMemberRecord, MemberRecord};
 pub use member_registry::MemberRegistry;
 pub use presence_record::PresenceRecord;
+pub use processor_capacity::ProcessorCapacity;
--- a/crates/bramleywind_gateway/src/members/member_registry.rs
+++ b/crates/bramleywind_gateway/src/members/member_registry.rs
@@ -1,11 +1,12 @@
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
-use bramleywind_types::WorkspaceId;
+use bramleywind_types::{InstanceId, WorkspaceId};
 
-use super::{MemberRecord, lender_order::lender_score};
+use super::{MemberRecord, lender_order::lender_score, serving_set::serving_set};
 
 /// How long the known members are kept after most of them vanish at once. Leases expire together in an outage of the
 /// store, and are taken again within a second of its return.
@@ -23,12 +24,22 @@
     is_own_leaving: bool,
     /// Whether a list that contains this process was accepted. Until then, nothing is known about the others.
     is_joined: bool,
+    /// The instances to which callers are sent.
+    serving: BTreeSet<InstanceId>,
 }
 
 impl MemberRegistry {
     /// Creates a registry that contains only this process.
     pub fn new(own: MemberRecord) -> Self {
-        Self { own, others: Vec::new(), shrunk_at: None, is_own_leaving: false, is_joined: false }
+        let serving = BTreeSet::from([own.instance.clone()]);
+        Self {
+            own,
+            others: Vec::new(),
+            shrunk_at: None,
+            is_own_leaving: false,
+            is_joined: false,
+            serving,
+        }
     }
 
     /// Returns the record of this process.
@@ -54,12 +65,19 @@
         self.shrunk_at = None;
         self.others = others;
         self.is_joined |= is_joined;
+        self.update_serving();
         true
     }
 
     /// Marks this process as stopping, so that callers are no longer sent to it.
     pub fn leave(&mut self) {
         self.is_own_leaving = true;
+        self.update_serving();
+    }
+
+    fn update_serving(&mut self) {
+        let own = (!self.is_own_leaving).then_some(&self.own);
+        self.serving = serving_set(own.into_iter().chain(&self.others));
     }
 
     /// Returns the other gateways.
@@ -73,8 +91,13 @@
         if !self.is_joined || self.is_own_leaving {
             return false;
         }
-        let own = lender_score(workspace, &self.own.instance);
-        self.others.iter().all(|other| own < lender_score(workspace, &other.instance))
+        let own = self.lender_rank(workspace, &self.own.instance);
+        self.others.iter().all(|other| own < self.lender_rank(workspace, &other.instance))
+    }
+
+    /// Returns the place of an instance among those to ask for tokens of a workspace's budget. Serving instances come first.
+    fn lender_rank(&self, workspace: &WorkspaceId, instance: &InstanceId) -> (bool, u64) {
+        (!self.serving.contains(instance), lender_score(workspace, instance))
     }
 
     /// Returns the addresses of the first `count` other gateways to ask for tokens of a workspace's budget.
@@ -82,7 +105,7 @@
         let mut ranked: Vec<_> = self
             .others
             .iter()
-            .map(|other| (lender_score(workspace, &other.instance), other.peer_address))
+            .map(|other| (self.lender_rank(workspace, &other.instance), other.peer_address))
             .collect();
         ranked.sort_unstable();
         ranked.into_iter().take(count).map(|(_, address)| address).collect()
@@ -98,11 +121,12 @@
         self.others.len() + 1
     }
 
-    /// Returns the addresses to which callers should connect. This gateway's own address comes first unless the gateway
-    /// is leaving. The list is never empty: a leaving gateway that knows no other one returns its own address.
+    /// Returns the addresses to which callers should connect: those of the serving gateways. The list is never empty: a
+    /// leaving gateway that knows no other one returns its own address.
     pub fn entries(&self) -> Vec<SocketAddr> {
-        let own = (!self.is_own_leaving || self.others.is_empty()).then_some(&self.own);
-        let members = own.into_iter().chain(&self.others);
+        let is_alone = self.is_own_leaving && self.others.is_empty();
+        let is_named = |member: &&MemberRecord| self.serving.contains(&member.instance) || is_alone;
+        let members = std::iter::once(&self.own).chain(&self.others).filter(is_named);
         members.map(|member| member.caller_address).take(MAX_ENTRIES).collect()
     }
 }
--- a/crates/bramleywind_gateway/src/settings/gateway_settings.rs
+++ b/crates/bramleywind_gateway/src/settings/gateway_settings.rs
@@ -6,10 +6,14 @@
 
 use super::{
     GatewaySettingsError, ListenAddresses, RetryLimits, StopTimes,
-    raw_gateway_options::RawGatewayOptions,
-    settings_error::{RetryShareSnafu, SameAddressSnafu, StopGraceSnafu, UnreadableSnafu},
+    raw_gateway_options::{RawGatewayOptions, RawProcessor},
+    settings_error::{
+        ProcessorSnafu, RetryShareSnafu, SameAddressSnafu, StopGraceSnafu, UnreadableSnafu,
+    },
 };
 
+use crate::members::ProcessorCapacity;
+
 /// Fraction of the grace time after which new requests are refused. Callers refresh their list of gateways within
 /// seconds, and streams that start later may not end before the process must exit.
 const REFUSE_FRACTION: f64 = 0.3;
@@ -33,6 +37,8 @@
     pub store_address: SocketAddr,
     /// The limits on retries.
     pub retries: RetryLimits,
+    /// The processor capacity of the instance. Callers of a large fleet are sent to its largest instances.
+    pub capacity: ProcessorCapacity,
     /// The timing of a planned stop.
     pub stop: StopTimes,
     /// The least severe level that is logged.
@@ -82,6 +88,8 @@
         ensure!(is_usable, StopGraceSnafu { value: grace });
         let share = raw.retries.share;
         let retries = raw.retries.resolve().context(RetryShareSnafu { value: share })?;
+        let RawProcessor { share, cores } = raw.processor;
+        let capacity = raw.processor.resolve().context(ProcessorSnafu { share, cores })?;
         let listen = raw.listen;
         let addresses =
             [listen.callers, listen.readiness, listen.entries, listen.peers, listen.metrics];
@@ -96,6 +104,7 @@
             listen,
             store_address: raw.store_address,
             retries,
+            capacity,
             stop: StopTimes {
                 refuse_after: grace.mul_f64(REFUSE_FRACTION),
                 end_after: grace.saturating_sub(GRANT_RETURN_MARGIN),
--- a/crates/bramleywind_gateway/src/settings/raw_gateway_options.rs
+++ b/crates/bramleywind_gateway/src/settings/raw_gateway_options.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 
 use super::{ListenAddresses, RetryLimits};
+use crate::members::ProcessorCapacity;
 
 /// The settings file before validation.
 #[derive(Debug, Clone, Deserialize)]
@@ -16,9 +17,33 @@
     pub stop_grace_seconds: f64,
     pub retries: RawRetryLimits,
     #[serde(default)]
+    pub processor: RawProcessor,
+    #[serde(default)]
     pub log_level: LogLevel,
 }
 
+/// The instance's processor before validation: `cores` cores, of which the process gets `share` each.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RawProcessor {
+    pub share: f64,
+    pub cores: f64,
+}
+
+impl Default for RawProcessor {
+    fn default() -> Self {
+        Self { share: 1.0, cores: 1.0 }
+    }
+}
+
+impl RawProcessor {
+    /// Converts the capacity. Returns `None` if it is not positive and finite.
+    pub(super) fn resolve(self) -> Option<ProcessorCapacity> {
+        let cores = self.share * self.cores;
+        (cores.is_finite() && cores > 0.0).then(|| ProcessorCapacity::from_cores(cores))
+    }
+}
+
 /// The retry limits before validation: the share is a fraction.
 #[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/bramleywind_gateway/src/settings/settings_error.rs
+++ b/crates/bramleywind_gateway/src/settings/settings_error.rs
@@ -33,6 +33,16 @@
         /// The value.
         value: f64,
     },
+    /// The processor capacity is not positive.
+    #[snafu(display(
+        "`processor` has a share of {share} and {cores} cores; give positive numbers"
+    ))]
+    Processor {
+        /// The share of each core.
+        share: f64,
+        /// The number of cores.
+        cores: f64,
+    },
     /// Two listeners have the same address.
     #[snafu(display("`listen` has {address} twice; give each listener its own address"))]
     SameAddress {
