funds: let an earlier lender use up its grant instead of returning it bit by bit

Cause, from the workspaces that `grants changed` names now: the gateway that had been primary borrowed from the new one, and each borrowed token let it return one of its own grant, in a write of its own. It keeps what it holds for its next requests now, and returns only a larger excess at once.

--- a/crates/bramleywind_gateway/src/funds.rs
+++ b/crates/bramleywind_gateway/src/funds.rs
@@ -26,7 +26,7 @@
 pub use ended_process::EndedProcess;
 pub use funds_effort::FundsEffort;
 pub use funds_manager::{FundsManager, LEND_PATIENCE, ReserveOutcome};
-pub use grant_sizing::{GrantInput, GrantSizing};
+pub use grant_sizing::{GrantInput, GrantSizing, HoldPurpose};
 pub use holder_grant::HolderGrant;
 pub use reservation::Reservation;
 pub use standby_access::StandbyAccess;
--- a/crates/bramleywind_gateway/src/funds/budget_account.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_account.rs
@@ -8,8 +8,8 @@
 use futures_channel::oneshot;
 
 use super::{
-    BudgetRecord, FundsEffort, GrantInput, GrantSizing, HolderGrant, ReserveOutcome, StandbyAccess,
-    UseRate,
+    BudgetRecord, FundsEffort, GrantInput, GrantSizing, HoldPurpose, HolderGrant, ReserveOutcome,
+    StandbyAccess, UseRate,
 };
 
 /// The state of one workspace's budget as known to this process, and this process's spending.
@@ -299,7 +299,11 @@
         is_batched: bool,
         now: Instant,
     ) -> Option<HolderGrant> {
-        let is_drawing = self.is_drawing(now);
+        let purpose = match (state.is_leaving, self.is_drawing(now)) {
+            (true, _) => HoldPurpose::Leaving,
+            (false, true) => HoldPurpose::Lending,
+            (false, false) => HoldPurpose::Borrowing(self.borrow_target(now)),
+        };
         let others = || self.record.others(state.holder);
         let input = GrantInput {
             prepaid: self.prepaid,
@@ -314,7 +318,7 @@
             others_standby: others().map(|grant| grant.standby).sum(),
             has_presence: state.has_presence,
             is_batched,
-            is_spare_held: is_drawing && !state.is_leaving,
+            purpose,
         };
         match GrantSizing::decide(&input) {
             GrantSizing::Keep => None,
--- a/crates/bramleywind_gateway/src/funds/funds_manager.rs
+++ b/crates/bramleywind_gateway/src/funds/funds_manager.rs
@@ -365,7 +365,9 @@
             },
             StoreAction::Write(changes) => {
                 let outcome = store.commit_budgets(&changes, None).await;
-                info!(log, "grants changed"; "budgets" => changes.len(), "outcome" => outcome_name(&outcome));
+                let workspaces: Vec<_> =
+                    changes.iter().map(|change| change.workspace.as_str()).collect();
+                info!(log, "grants changed"; "workspaces" => workspaces.join(","), "outcome" => outcome_name(&outcome));
                 let is_store_reachable =
                     !matches!(outcome, CommitOutcome::NotApplied | CommitOutcome::Unknown);
                 self.ledger.borrow_mut().apply_outcome(changes, outcome, Instant::now());
--- a/crates/bramleywind_gateway/src/funds/grant_sizing.rs
+++ b/crates/bramleywind_gateway/src/funds/grant_sizing.rs
@@ -92,9 +92,20 @@
     pub has_presence: bool,
     /// Whether a write is made for another budget anyway.
     pub is_batched: bool,
-    /// Whether the process holds tokens ahead of use. One that borrows from another process, or leaves, holds only the
-    /// tokens that waiting requests need.
-    pub is_spare_held: bool,
+    /// Why the process holds tokens.
+    pub purpose: HoldPurpose,
+}
+
+/// Why a process holds tokens of a budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HoldPurpose {
+    /// It draws grants ahead of its own use and of loans to others.
+    Lending,
+    /// It borrows from another process. It keeps up to this many tokens of an earlier grant for its next requests, and draws
+    /// only what waiting requests need.
+    Borrowing(TokenCount),
+    /// It leaves, and holds only what waiting requests need.
+    Leaving,
 }
 
 /// The decision on how many unspent tokens to hold.
@@ -112,6 +123,7 @@
         // The tokens that this process can obtain: its own unspent tokens and the pool.
         let own = (input.available.0 + input.standby.0).saturating_sub(input.overdrawn.0);
         let reachable = own + input.pool.0;
+        let is_lending = input.purpose == HoldPurpose::Lending;
         let remaining = reachable as f64 + input.others_standby.0 as f64;
         let own_part = remaining * use_share(input);
         let spare = wanted_working(input, remaining, own_part);
@@ -120,7 +132,7 @@
         let target = HolderGrant {
             working: TokenCount(working),
             standby: TokenCount(standby.min(reachable - working)),
-            use_rate: TokenRate(if input.is_spare_held { input.rate as u64 } else { 0 }),
+            use_rate: TokenRate(if is_lending { input.rate as u64 } else { 0 }),
         };
         let (available, held_standby) = (input.available.0 as f64, input.standby.0 as f64);
         let refill_threshold =
@@ -131,9 +143,9 @@
             || held_standby < standby as f64 * REFILL_THRESHOLD && target.standby > input.standby
             || target.standby > TokenCount(0)
                 && input.rate > input.granted_rate.0 as f64 * RATE_RENEWAL_FACTOR + 1.0;
-        let min_excess = match input.is_spare_held {
-            true => input.prepaid.0 as f64 * MIN_RETURN_SHARE,
-            false => 0.0,
+        let min_excess = match input.purpose {
+            HoldPurpose::Leaving => 0.0,
+            _ => input.prepaid.0 as f64 * MIN_RETURN_SHARE,
         };
         let is_excessive = available > working as f64 * RETURN_FACTOR
             && available - working as f64 > min_excess
@@ -154,8 +166,10 @@
 /// Returns the working tokens that a process should hold unspent in addition to those that waiting requests need.
 /// `remaining` is the remaining budget, and `own_part` the part of it that is left to this process.
 fn wanted_working(input: &GrantInput, remaining: f64, own_part: f64) -> u64 {
-    if !input.is_spare_held {
-        return 0;
+    match input.purpose {
+        HoldPurpose::Lending => {}
+        HoldPurpose::Borrowing(kept) => return kept.min(input.available).0,
+        HoldPurpose::Leaving => return 0,
     }
     if remaining < input.prepaid.0 as f64 * LOW_BUDGET_THRESHOLD {
         return (input.rate * LOW_BUDGET_SECONDS).min(own_part * LOW_BUDGET_SHARE) as u64;
@@ -169,7 +183,7 @@
 /// process holds it: a bound on the pool alone would make processes take and return the same tokens in turns.
 fn wanted_standby(input: &GrantInput, remaining: f64, own_part: f64) -> u64 {
     let is_sufficient = remaining >= input.prepaid.0 as f64 * STANDBY_THRESHOLD;
-    if !is_sufficient || !input.is_spare_held {
+    if !is_sufficient || input.purpose != HoldPurpose::Lending {
         return 0;
     }
     let standby = (input.rate * MAX_STANDBY_SECONDS).max(own_part * MIN_STANDBY_SHARE);
--- a/crates/bramleywind_gateway/tests/grants.rs
+++ b/crates/bramleywind_gateway/tests/grants.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 
-use bramleywind_gateway::funds::{GrantInput, GrantSizing, HolderGrant, StandbyRelease, TokenRate};
+use bramleywind_gateway::funds::{
+    GrantInput, GrantSizing, HoldPurpose, HolderGrant, StandbyRelease, TokenRate,
+};
 use bramleywind_types::TokenCount;
 use test_case::test_case;
 
@@ -21,7 +23,7 @@
         others_standby: TokenCount(0),
         has_presence: true,
         is_batched: false,
-        is_spare_held: true,
+        purpose: HoldPurpose::Lending,
     }
 }
 
@@ -78,7 +80,7 @@
     let leaving = GrantInput {
         available: TokenCount(10_000),
         standby: TokenCount(50_000),
-        is_spare_held: false,
+        purpose: HoldPurpose::Leaving,
         ..input()
     };
     assert_eq!(size_grant(&leaving).total(), TokenCount(0));
@@ -190,3 +192,16 @@
     };
     assert_eq!(GrantSizing::decide(&in_outage), GrantSizing::Keep);
 }
+
+/// A gateway that had been primary returned its grant bit by bit, a write for each request, while it borrowed the same
+/// tokens again. Its writes collided with those of the new primary.
+#[test]
+fn earlier_lender_uses_up_its_grant_instead_of_returning_it_bit_by_bit() {
+    let purpose = HoldPurpose::Borrowing(TokenCount(2_000));
+    let borrowing = GrantInput { available: TokenCount(2_400), purpose, ..input() };
+    assert_eq!(GrantSizing::decide(&borrowing), GrantSizing::Keep);
+    let excess =
+        GrantInput { available: TokenCount(60_000), standby: TokenCount(90_000), ..borrowing };
+    let grant = size_grant(&excess);
+    assert_eq!((grant.working, grant.standby), (TokenCount(2_000), TokenCount(0)));
+}
