funds: a refused write leaves a grant in doubt as it was

Callers saw 503 in the second half of a cut of the store. The primary of a budget held 225,396 standby tokens before the cut and 0 after four seconds of it, with the same working tokens. Cause: the first write of the cut had no answer, so its smaller grant applied, rightly. Each later write was refused, or not even sent, but the grant stayed at the smaller of its numbers too, since a grant in doubt was not restored. Now the grant before the refused write applies again; an earlier write that is still in doubt keeps its effect.

Test: refused_write_does_not_reduce_a_grant_in_doubt failed before (the grant shrank with each refused write).

--- a/crates/bramleywind_gateway/src/funds/budget_account.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_account.rs
@@ -19,6 +19,8 @@
     pub(super) prepaid: TokenCount,
     /// This process's grant. While the outcome of a write is unknown, the smaller of the two possible values.
     granted: HolderGrant,
+    /// The grant before the latest write, which applies again if that write is refused.
+    granted_before: HolderGrant,
     /// Tokens from other processes' grants that this process may use.
     borrowed: TokenCount,
     /// Tokens from this process's grant that other processes may use.
@@ -88,6 +90,7 @@
         Self {
             prepaid,
             granted: HolderGrant::default(),
+            granted_before: HolderGrant::default(),
             borrowed: TokenCount(0),
             lent: TokenCount(0),
             spent: TokenCount(0),
@@ -378,6 +381,7 @@
     ) -> BudgetRecord {
         let mut record = self.record.clone();
         record.set_grant(holder, granted);
+        self.granted_before = self.granted;
         self.granted = self.granted.component_min(granted);
         record
     }
@@ -411,10 +415,8 @@
         self.is_in_doubt = true;
     }
 
-    /// Records that a write was not applied.
-    pub(super) fn revert_change(&mut self, holder: IncarnationId) {
-        if !self.is_in_doubt {
-            self.granted = self.record.grant(holder);
-        }
+    /// Records that the latest write was not applied. An earlier one may still be in doubt.
+    pub(super) fn revert_change(&mut self) {
+        self.granted = self.granted_before;
     }
 }
--- a/crates/bramleywind_gateway/src/funds/budget_ledger.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_ledger.rs
@@ -267,7 +267,7 @@
     fn revert_changes(&mut self, changes: &[BudgetChange]) {
         for change in changes {
             if let Some(account) = self.accounts.get_mut(&change.workspace) {
-                account.revert_change(self.holder);
+                account.revert_change();
             }
         }
     }
--- /dev/null
+++ b/crates/bramleywind_gateway/tests/grants_in_doubt.rs
@@ -0,0 +1,54 @@
+//! Checks what a process may spend while the outcome of a write of its grant is unknown. Guards against tokens that become
+//! unusable through writes which were never applied.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use std::time::{Duration, Instant};
+
+use bramleywind_gateway::{
+    funds::{BudgetLedger, HolderGrant, StoreAction},
+    platform_api::{BudgetChange, CommitOutcome},
+};
+use bramleywind_store::StoreVersion;
+use bramleywind_types::{IncarnationId, TokenCount, WorkspaceId};
+
+const MAX_CHANGES: usize = 15;
+
+fn plan_write(ledger: &mut BudgetLedger, now: Instant) -> Vec<BudgetChange> {
+    match ledger.plan_call(MAX_CHANGES, now) {
+        StoreAction::Write(changes) => changes,
+        action => panic!("no write is due: {action:?}"),
+    }
+}
+
+fn granted(ledger: &BudgetLedger, workspace: &WorkspaceId) -> HolderGrant {
+    ledger.account(workspace).unwrap().granted()
+}
+
+/// In a cut of the store, the first write had no answer, and each later one that was refused left the smaller of two grants
+/// again, until no standby tokens were left.
+#[test]
+fn refused_write_does_not_reduce_a_grant_in_doubt() {
+    let workspace: WorkspaceId = "menders".parse().unwrap();
+    let start = Instant::now();
+    let mut ledger = BudgetLedger::new(IncarnationId::from_number(1));
+    ledger.set_prepaid(&workspace, TokenCount(1_000_000), start);
+    ledger.set_primary(|_| true, start);
+    let now = start + Duration::from_secs(3);
+    ledger.record_presence(now);
+    ledger.try_reserve(&workspace, TokenCount(5_000), now);
+    let changes = plan_write(&mut ledger, now);
+    ledger.apply_outcome(changes, CommitOutcome::Applied(StoreVersion(1)), now);
+    let available = granted(&ledger, &workspace).working.0;
+    assert!(ledger.try_reserve(&workspace, TokenCount(available), now));
+    let changes = plan_write(&mut ledger, now);
+    ledger.apply_outcome(changes, CommitOutcome::Unknown, now);
+    let in_doubt = granted(&ledger, &workspace);
+    assert!(in_doubt.standby > TokenCount(0));
+    for second in 1..20 {
+        // The use falls, so each write asks for fewer standby tokens.
+        let changes = plan_write(&mut ledger, now + Duration::from_secs(second));
+        ledger.apply_outcome(changes, CommitOutcome::NotApplied, now);
+        assert_eq!(granted(&ledger, &workspace), in_doubt);
+    }
+}
