--- a/crates/bramleywind_gateway/tests/budget_model/world.rs
+++ b/crates/bramleywind_gateway/tests/budget_model/world.rs
@@ -64,6 +64,8 @@
     processes: Vec<Process>,
     spent_by_ended: u64,
     next_incarnation: u64,
+    /// Whether all processes borrow from the first one, as they do while they agree on the primary.
+    has_one_lender: bool,
 }
 
 impl World {
@@ -82,9 +84,10 @@
             processes: Vec::new(),
             spent_by_ended: 0,
             next_incarnation: 1,
+            has_one_lender: seed % 2 == 1,
         };
-        for _ in 0..GATEWAYS {
-            let process = world.new_process();
+        for index in 0..GATEWAYS {
+            let process = world.new_process(index);
             world.processes.push(process);
         }
         world
@@ -129,12 +132,13 @@
         self.start + self.now
     }
 
-    fn new_process(&mut self) -> Process {
+    fn new_process(&mut self, index: usize) -> Process {
         let incarnation = IncarnationId::from_number(self.next_incarnation);
         self.next_incarnation += 1;
         let mut ledger = BudgetLedger::new(incarnation);
         ledger.set_prepaid(&self.workspace, TokenCount(PREPAID), self.instant());
-        ledger.set_primary(|_| true, self.instant());
+        let is_primary = self.draw_is_primary(index);
+        ledger.set_primary(|_| is_primary, self.instant());
         Process { ledger, incarnation, reserved: Vec::new(), spent: 0 }
     }
 
@@ -241,7 +245,7 @@
     }
 
     fn borrow(&mut self, index: usize) {
-        let lender = self.random.random_range(0..GATEWAYS);
+        let lender = if self.has_one_lender { 0 } else { self.random.random_range(0..GATEWAYS) };
         if lender == index {
             return;
         }
@@ -265,15 +269,23 @@
         }
     }
 
+    fn draw_is_primary(&mut self, index: usize) -> bool {
+        let odds = match (self.has_one_lender, index) {
+            (true, 0) | (false, _) => 7,
+            (true, _) => 1,
+        };
+        self.random.random_range(0..8) < odds
+    }
+
     fn change_primary(&mut self, index: usize) {
-        let (now, is_primary) = (self.instant(), self.random.random_range(0..8) > 0);
+        let (now, is_primary) = (self.instant(), self.draw_is_primary(index));
         self.processes[index].ledger.set_primary(|_| is_primary, now);
     }
 
     /// Crashes a process with open requests, all of which may have used their full reservation, and starts its
     /// successor.
     fn restart(&mut self, index: usize) {
-        let successor = self.new_process();
+        let successor = self.new_process(index);
         let ended = std::mem::replace(&mut self.processes[index], successor);
         self.spent_by_ended += ended.spent + ended.reserved.iter().sum::<u64>();
         self.now += Duration::from_millis(self.random.random_range(100..3_000));
