--- a/crates/bramleywind_gateway/src/funds/budget_account.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_account.rs
@@ -1,15 +1,12 @@
-use std::{
-    collections::VecDeque,
-    time::{Duration, Instant},
-};
+use std::{collections::VecDeque, time::Instant};
 
 use bramleywind_store::StoreVersion;
 use bramleywind_types::{IncarnationId, TokenCount};
 use futures_channel::oneshot;
 
 use super::{
-    BudgetRecord, FundsEffort, GrantInput, GrantSizing, HoldPurpose, HolderGrant, ReserveOutcome,
-    StandbyAccess, UseRate,
+    BudgetRecord, FundsEffort, GrantInput, GrantSizing, HoldPurpose, HolderGrant, LenderRole,
+    ReserveOutcome, StandbyAccess, UseRate,
 };
 
 /// The state of one workspace's budget as known to this process, and this process's spending.
@@ -36,29 +33,13 @@
     pub(super) rate: UseRate,
     pub(super) waiting: VecDeque<WaitingReservation>,
     pub(super) effort: FundsEffort,
-    /// Since when this process has been the primary of the budget, which draws grants for the whole fleet.
-    primary_since: Option<Instant>,
-    /// Until when this process draws grants because other processes have asked it for loans.
-    lends_until: Option<Instant>,
-    /// Until when this process draws grants for its own waiting requests, since no lender answers.
-    draws_own_until: Option<Instant>,
+    pub(super) role: LenderRole,
     /// Whether a request for a loan is outstanding.
     pub(super) is_borrowing: bool,
     /// When the next request for a loan may be made.
     pub(super) next_loan_at: Option<Instant>,
 }
 
-/// How long a process must have been the primary of a budget before it draws grants ahead of use. While gateways start
-/// together, each of them is the primary for a moment.
-const PRIMARY_DELAY: Duration = Duration::from_millis(1_500);
-
-/// How long a process that was asked for a loan goes on to draw grants. Processes that disagree on the primary, or do not
-/// reach it, ask another one again within this time.
-const LENDING_TIME: Duration = Duration::from_secs(2);
-
-/// How long a process draws grants for its own waiting requests after no lender has answered.
-const OWN_DRAW_TIME: Duration = Duration::from_secs(1);
-
 /// Seconds of the process's own use that it borrows ahead of its requests. All processes together then hold a fraction of
 /// a second of the fleet's use where the others cannot reach it.
 const BORROW_SECONDS: f64 = 0.2;
@@ -102,9 +83,7 @@
             rate: UseRate::new(now),
             waiting: VecDeque::new(),
             effort: FundsEffort::default(),
-            primary_since: None,
-            lends_until: None,
-            draws_own_until: None,
+            role: LenderRole::default(),
             is_borrowing: false,
             next_loan_at: None,
         }
@@ -224,36 +203,9 @@
         self.waiting.iter().map(|entry| entry.need).sum()
     }
 
-    /// Sets whether this process is the primary of the budget.
-    pub(super) fn set_primary(&mut self, is_primary: bool, now: Instant) {
-        self.primary_since = is_primary.then(|| self.primary_since.unwrap_or(now));
-    }
-
-    /// Records that another process asks this one for a loan.
-    pub(super) fn begin_lending(&mut self, now: Instant) {
-        self.lends_until = Some(now + LENDING_TIME);
-    }
-
-    /// Reports whether this process draws grants from the store ahead of use, rather than borrow.
-    pub fn is_drawing(&self, now: Instant) -> bool {
-        self.primary_since.is_some_and(|since| now >= since + PRIMARY_DELAY)
-            || self.lends_until.is_some_and(|until| now < until)
-    }
-
-    /// Reports whether this process is the primary of the budget or draws grants for another reason.
-    pub(super) fn is_lender(&self, now: Instant) -> bool {
-        self.primary_since.is_some() || self.is_drawing(now)
-    }
-
-    /// Records that no other process answers a request for a loan.
-    pub(super) fn begin_own_draws(&mut self, now: Instant) {
-        self.draws_own_until = Some(now + OWN_DRAW_TIME);
-    }
-
     /// Returns the tokens that waiting requests need from a grant of this process.
     fn waiting_for_grant(&self, now: Instant) -> TokenCount {
-        let is_drawn = self.is_lender(now) || self.draws_own_until.is_some_and(|until| now < until);
-        if is_drawn { self.waiting_tokens() } else { TokenCount(0) }
+        if self.role.draws_for_waiting(now) { self.waiting_tokens() } else { TokenCount(0) }
     }
 
     /// Returns the tokens to hold ahead of use.
@@ -269,7 +221,7 @@
         now: Instant,
     ) -> Option<(TokenCount, TokenCount)> {
         let is_paused = self.next_loan_at.is_some_and(|at| now < at);
-        if self.is_lender(now) || self.is_borrowing || is_paused {
+        if self.role.is_lender(now) || self.is_borrowing || is_paused {
             return None;
         }
         let available = self.available(access);
@@ -288,7 +240,7 @@
         let excess = self.available(access).saturating_sub(target).min(self.borrowed);
         let min_excess = (self.prepaid.0 as f64 * MIN_LOAN_RETURN_SHARE) as u64;
         let is_due = excess.0 > min_excess && excess.0 > target.0 * (RETURN_LOAN_FACTOR - 1);
-        if self.is_lender(now) || !self.waiting.is_empty() || !is_due {
+        if self.role.is_lender(now) || !self.waiting.is_empty() || !is_due {
             return TokenCount(0);
         }
         self.borrowed = self.borrowed.saturating_sub(excess);
@@ -302,7 +254,7 @@
         is_batched: bool,
         now: Instant,
     ) -> Option<HolderGrant> {
-        let purpose = match (state.is_leaving, self.is_drawing(now)) {
+        let purpose = match (state.is_leaving, self.role.is_drawing(now)) {
             (true, _) => HoldPurpose::Leaving,
             (false, true) => HoldPurpose::Lending,
             (false, false) => HoldPurpose::Borrowing(self.borrow_target(now)),
--- a/crates/bramleywind_gateway/src/funds/budget_ledger.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_ledger.rs
@@ -8,7 +8,8 @@
 use futures_channel::oneshot;
 
 use super::{
-    BudgetAccount, Reservation, ReserveOutcome, StandbyAccess, StoreAction,
+    BudgetAccount, LoanOutcome, Reservation, ReserveOutcome, StandbyAccess, StoreAction,
+    WantedLoan,
     budget_account::{HolderState, WaitingReservation},
 };
 use crate::platform_api::{BudgetChange, BudgetEntry, CommitOutcome};
@@ -31,27 +32,6 @@
 /// every two seconds while it holds any.
 const MAX_PRESENCE_AGE: Duration = Duration::from_secs(4);
 
-/// A loan to ask another process for.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct WantedLoan {
-    pub(super) workspace: WorkspaceId,
-    /// The tokens that the first waiting request lacks.
-    pub(super) needed: TokenCount,
-    /// The tokens wanted in all, for waiting requests and ahead of use.
-    pub(super) wanted: TokenCount,
-}
-
-/// How a request for a loan ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum LoanOutcome {
-    /// A lender answered.
-    Answered,
-    /// A lender answered that the budget does not cover what is needed.
-    Exhausted,
-    /// No lender answered.
-    NoAnswer,
-}
-
 /// The budget accounts of all workspaces that this process has served. Makes decisions only; it performs no I/O.
 #[derive(Debug)]
 pub struct BudgetLedger {
@@ -96,14 +76,14 @@
     /// from it.
     pub fn set_primary(&mut self, is_primary: impl Fn(&WorkspaceId) -> bool, now: Instant) {
         for (workspace, account) in &mut self.accounts {
-            account.set_primary(is_primary(workspace), now);
+            account.role.set_primary(is_primary(workspace), now);
         }
     }
 
     /// Reports whether this process holds tokens of any budget ahead of use, or standby tokens.
     pub fn is_holder(&self, now: Instant) -> bool {
         let is_holder = |account: &BudgetAccount| {
-            account.is_drawing(now) || account.granted().standby > TokenCount(0)
+            account.role.is_drawing(now) || account.granted().standby > TokenCount(0)
         };
         self.accounts.values().any(is_holder)
     }
@@ -193,7 +173,7 @@
             let is_old = account.read_at().is_none_or(|at| now >= at + MAX_RECORD_AGE);
             let reachable = account.reachable();
             is_old
-                && account.is_lender(now)
+                && account.role.is_lender(now)
                 && account.waiting.iter().any(|entry| entry.need > reachable)
         };
         if self.accounts.values().any(needs_read) {
@@ -311,7 +291,7 @@
     ) -> TokenCount {
         let access = self.standby_access(now);
         let Some(account) = self.accounts.get_mut(workspace) else { return TokenCount(0) };
-        account.begin_lending(now);
+        account.role.begin_lending(now);
         let tokens = account.lend(needed, wanted, access);
         // Loans count as use, since the grants must cover them.
         account.rate.add(tokens.0, now);
@@ -368,7 +348,7 @@
         let Some(account) = self.accounts.get_mut(&loan.workspace) else { return };
         account.is_borrowing = false;
         if outcome == LoanOutcome::NoAnswer {
-            account.begin_own_draws(now);
+            account.role.begin_own_draws(now);
         }
         let available = account.available(access);
         let is_short = account.waiting.front().is_some_and(|entry| entry.need > available);
@@ -446,7 +426,7 @@
         return Some(ReserveOutcome::Reserved);
     }
     let is_fresh = account.read_at().is_some_and(|at| now < at + MAX_RECORD_AGE);
-    if account.is_lender(now) && entry.need > account.unspent(holder) && is_fresh {
+    if account.role.is_lender(now) && entry.need > account.unspent(holder) && is_fresh {
         return Some(ReserveOutcome::Exhausted);
     }
     (now >= entry.since + STORE_WAIT_TIME).then_some(ReserveOutcome::Unavailable)
