presence: write no record without a time while enough clocks can be asked

A gateway that had just become primary wrote its first record before it had compared clocks; the record let it hold standby tokens that no successor could return. It waits for the time now; a fleet with too few clocks writes as before.

--- a/crates/bramleywind_gateway/src/background/maintain_presence.rs
+++ b/crates/bramleywind_gateway/src/background/maintain_presence.rs
@@ -87,7 +87,7 @@
 }
 
 /// Writes the presence record once. Returns `false` if the store's record does not yet count all spent standby tokens
-/// as spent.
+/// as spent, or if the time is unknown.
 async fn refresh_presence<P: Platform>(gateway: &Gateway<P>) -> Result<bool, UnavailableReason> {
     let peers = gateway.members().borrow().peer_addresses();
     compare_clocks(gateway, &peers).await;
@@ -104,11 +104,15 @@
         }
         // The record's time is read first, so that a successor judges the record at least as old as this process does.
         let written_at_ms = gateway.fleet_clock().now(boot_millis());
-        ledger.record_presence(Instant::now());
         let members = gateway.members().borrow();
         let own = members.own();
         let (incarnation, peer_address) = (own.incarnation, own.peer_address);
-        PresenceRecord { incarnation, peer_address, written_at_ms }
+        let record = PresenceRecord { incarnation, peer_address, written_at_ms };
+        if !record.is_useful(members.count()) {
+            return Ok(false);
+        }
+        ledger.record_presence(Instant::now());
+        record
     };
     let instance = &gateway.settings().instance;
     gateway.store().write_presence(instance, &record).await?;
--- a/crates/bramleywind_gateway/src/members/fleet_clock.rs
+++ b/crates/bramleywind_gateway/src/members/fleet_clock.rs
@@ -5,7 +5,7 @@
 const MAX_COMPARISON_AGE: Duration = Duration::from_secs(10);
 
 /// The minimum number of clocks, including the own one, whose median is trusted.
-const MIN_CLOCKS: usize = 3;
+pub(super) const MIN_CLOCKS: usize = 3;
 
 /// The maximum duration of a comparison: the timeout for each clock's answer plus some scheduling delay. It is exceeded
 /// if the process was paused in the meantime, and the answers are outdated.
