--- a/crates/bramleywind_gateway/src/funds/funds_manager.rs
+++ b/crates/bramleywind_gateway/src/funds/funds_manager.rs
@@ -41,7 +41,8 @@
     Unavailable,
 }
 
-/// Reserves tokens for requests, and obtains grants from the store in the background.
+/// Reserves tokens for requests, and obtains them in the background: as grants from the store, or as loans from other
+/// gateways.
 #[derive(Debug)]
 pub struct FundsManager {
     pub(super) ledger: Rc<RefCell<BudgetLedger>>,
--- a/crates/bramleywind_gateway/src/loans/loan_server.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_server.rs
@@ -104,8 +104,13 @@
 fn accept_gift<P: Platform>(gateway: &Gateway<P>, gift: TokenGift) -> Response<ResponseBody> {
     for (workspace, tokens) in gift.gifts {
         let is_taken = gateway.funds().accept_gift(&workspace, tokens);
-        debug!(gateway.log(), "gift"; "donor" => %gift.donor, "workspace" => %workspace,
-            "tokens" => tokens.0, "taken" => is_taken);
+        if is_taken {
+            debug!(gateway.log(), "tokens received"; "donor" => %gift.donor, "workspace" => %workspace,
+                "tokens" => tokens.0);
+        } else {
+            info!(gateway.log(), "tokens of an unknown workspace stay counted as spent"; "donor" => %gift.donor,
+                "workspace" => %workspace, "tokens" => tokens.0);
+        }
     }
     Response::new(ResponseBody::from(Bytes::new()))
 }
