--- a/crates/bramleywind_gateway/src/funds/funds_manager.rs
+++ b/crates/bramleywind_gateway/src/funds/funds_manager.rs
@@ -103,7 +103,7 @@
             ledger.enqueue(workspace, need, now)
         };
         self.wake_run();
-        let _ = self.loan_wake.0.try_send(());
+        self.wake_loans();
         PendingReservation::new(&self.ledger, workspace, need, reply).await
     }
 
@@ -142,6 +142,12 @@
         self.wake_run();
     }
 
+    /// Wakes the task that borrows tokens.
+    fn wake_loans(&self) {
+        // A full channel means that a wake-up is already pending.
+        let _ = self.loan_wake.0.try_send(());
+    }
+
     /// Wakes the task that calls the store.
     pub(super) fn wake_run(&self) {
         // A full channel means that a wake-up is already pending.
