presence: hold standby tokens only while the store has confirmed a recent presence record

Now standby tokens are taken only after the store's answer. Their release still follows the record that was sent last, which is the safe side.

Test: unconfirmed_presence_record_allows_no_standby_tokens; its first assertion is what the code before did not keep (the ledger asked whether a record had been sent).

--- a/crates/bramleywind_gateway/src/background/maintain_presence.rs
+++ b/crates/bramleywind_gateway/src/background/maintain_presence.rs
@@ -116,6 +116,7 @@
     };
     let instance = &gateway.settings().instance;
     gateway.store().write_presence(instance, &record).await?;
+    gateway.funds().ledger().borrow_mut().confirm_presence();
     Ok(true)
 }
 
--- a/crates/bramleywind_gateway/src/funds/budget_ledger.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_ledger.rs
@@ -38,9 +38,11 @@
     holder: IncarnationId,
     accounts: BTreeMap<WorkspaceId, BudgetAccount>,
     is_leaving: bool,
-    /// When the latest presence record that may be in the store was written. Without a recent one, no successor could
-    /// return standby tokens, so the process takes none.
+    /// When the latest presence record that may be in the store was written. Standby tokens are released by its age.
     presence_written_at: Option<Instant>,
+    /// When the latest presence record that is certainly in the store was written. Without a recent one, no successor could
+    /// return standby tokens, so the process takes none.
+    presence_confirmed_at: Option<Instant>,
     /// Whether the store answers. Standby tokens are spent only while it does not.
     is_store_reachable: bool,
 }
@@ -53,6 +55,7 @@
             accounts: BTreeMap::new(),
             is_leaving: false,
             presence_written_at: None,
+            presence_confirmed_at: None,
             is_store_reachable: true,
         }
     }
@@ -122,6 +125,11 @@
         self.presence_written_at = Some(now);
     }
 
+    /// Records that the store has confirmed the latest presence record.
+    pub fn confirm_presence(&mut self) {
+        self.presence_confirmed_at = self.presence_written_at;
+    }
+
     /// Marks the process as leaving: it no longer holds tokens that requests do not need.
     pub fn leave(&mut self) {
         self.is_leaving = true;
@@ -181,7 +189,7 @@
         }
         let state = HolderState {
             holder: self.holder,
-            has_presence: self.presence_written_at.is_some_and(|at| now < at + MAX_PRESENCE_AGE),
+            has_presence: self.presence_confirmed_at.is_some_and(|at| now < at + MAX_PRESENCE_AGE),
             is_leaving: self.is_leaving,
         };
         let wanted_grant =
--- a/crates/bramleywind_gateway/tests/budget_model/world.rs
+++ b/crates/bramleywind_gateway/tests/budget_model/world.rs
@@ -239,6 +239,7 @@
         process.ledger.record_presence(now);
         // The write may fail.
         if self.random.random_range(0..10) > 0 {
+            process.ledger.confirm_presence();
             let incarnation = process.incarnation;
             self.presences.insert(index, Presence { incarnation, written_at });
         }
--- a/crates/bramleywind_gateway/tests/grants_in_doubt.rs
+++ b/crates/bramleywind_gateway/tests/grants_in_doubt.rs
@@ -36,6 +36,7 @@
     ledger.set_primary(|_| true, start);
     let now = start + Duration::from_secs(3);
     ledger.record_presence(now);
+    ledger.confirm_presence();
     ledger.try_reserve(&workspace, TokenCount(5_000), now);
     let changes = plan_write(&mut ledger, now);
     ledger.apply_outcome(changes, CommitOutcome::Applied(StoreVersion(1)), now);
@@ -52,3 +53,24 @@
         assert_eq!(granted(&ledger, &workspace), in_doubt);
     }
 }
+
+/// A process took standby tokens while the answers to its presence records were lost. It died, its successor found no record of
+/// it, and a third of the budget stayed counted as spent.
+#[test]
+fn unconfirmed_presence_record_allows_no_standby_tokens() {
+    let workspace: WorkspaceId = "menders".parse().unwrap();
+    let start = Instant::now();
+    let mut ledger = BudgetLedger::new(IncarnationId::from_number(1));
+    ledger.set_prepaid(&workspace, TokenCount(1_000_000), start);
+    ledger.set_primary(|_| true, start);
+    let now = start + Duration::from_secs(3);
+    ledger.record_presence(now);
+    ledger.try_reserve(&workspace, TokenCount(5_000), now);
+    let changes = plan_write(&mut ledger, now);
+    ledger.apply_outcome(changes, CommitOutcome::Applied(StoreVersion(1)), now);
+    assert_eq!(granted(&ledger, &workspace).standby, TokenCount(0));
+    ledger.confirm_presence();
+    let changes = plan_write(&mut ledger, now);
+    ledger.apply_outcome(changes, CommitOutcome::Applied(StoreVersion(2)), now);
+    assert!(granted(&ledger, &workspace).standby > TokenCount(0));
+}
