admission: refuse what the instance's link or memory cannot carry

Change: settings name the memory and the link. Requests beyond the memory, or while bytes wait too long for the link, are refused with 503 'instance overloaded' before their body is read, the most urgent ones last. While the link is saturated the port is closed for 300 ms at a time, so that callers turn to another address before they send anything.

--- a/crates/bramleywind_gateway/src/daemon.rs
+++ b/crates/bramleywind_gateway/src/daemon.rs
@@ -114,13 +114,16 @@
         header_bytes: limits.head_bytes,
         timeout_response,
     };
-    let state = Rc::clone(&gateway);
-    let callers = callers.serve(limits, move |request| {
-        let gateway = Rc::clone(&state);
+    let (state, connections) = (Rc::clone(&gateway), callers.connection_count());
+    let admission = Rc::clone(&gateway);
+    let takes_connections = move || admission.takes_connections(Instant::now());
+    let callers = callers.serve_while(limits, takes_connections, move |request| {
+        let (gateway, connections) = (Rc::clone(&state), connections.clone());
         async move {
-            let is_leaving = gateway.stop_phase() != StopPhase::Running;
+            let is_closed = gateway.stop_phase() != StopPhase::Running
+                || !gateway.admission().keeps_connection(connections.get(), Instant::now());
             let mut response = handle_request(gateway, request).await;
-            if is_leaving {
+            if is_closed {
                 let headers = response.headers_mut();
                 headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
--- a/crates/bramleywind_gateway/src/forward/refusal.rs
+++ b/crates/bramleywind_gateway/src/forward/refusal.rs
@@ -27,6 +27,8 @@
     BudgetExhausted,
     /// The process has too few granted tokens, and the store does not answer a request for more.
     FundsUnavailable,
+    /// The instance's link or memory cannot carry another request.
+    Overloaded,
     /// No endpoint of the service accepts requests.
     NoEndpoint,
     /// All endpoints that were tried declined the request or could not be reached. The request did not run.
@@ -52,6 +54,7 @@
             Self::BodyBroken => "body broken",
             Self::BudgetExhausted => "budget exhausted",
             Self::FundsUnavailable => "funds unavailable",
+            Self::Overloaded => "instance overloaded",
             Self::NoEndpoint => "no endpoint",
             Self::NotPlaced => "not placed",
             Self::Stopping => "stopping",
@@ -72,6 +75,7 @@
             Self::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
             Self::NoConfiguration
             | Self::FundsUnavailable
+            | Self::Overloaded
             | Self::NoEndpoint
             | Self::NotPlaced
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/bramleywind_gateway/src/forward/request_handler.rs
+++ b/crates/bramleywind_gateway/src/forward/request_handler.rs
@@ -3,7 +3,7 @@
     time::{Duration, Instant},
 };
 
-use bramleywind_http::{ResponseBody, head_size};
+use bramleywind_http::{ResponseBody, TrafficTotals, head_size};
 use bramleywind_types::{ServiceId, TokenCount, WorkspaceId};
 use bytes::Bytes;
 use compio::time::timeout;
@@ -18,6 +18,7 @@
     request_forwarder::RequestForwarder,
 };
 use crate::{
+    admission::AdmissionDecision,
     config::{RouteConfig, RouteTable},
     funds::{BudgetAccount, FundsEffort, Reservation, ReserveOutcome},
     gateway::{Gateway, StopPhase},
@@ -83,6 +84,18 @@
     if gateway.stop_phase() == StopPhase::Refusing {
         return Err(Refusal::after(RefusalReason::Stopping, Duration::ZERO));
     }
+    let rank = workspace.as_ref().and_then(|workspace| workspace.rank).unwrap_or(route.rank);
+    // The trace already counts this request as open.
+    let others = gateway.open_requests().saturating_sub(1);
+    let delays = gateway.admission().record_traffic(TrafficTotals::current(), arrival);
+    if let AdmissionDecision::Refuse { retry_after } =
+        gateway.admission().decide(rank, others, delays)
+    {
+        let delay_ms = u64::try_from(delays.longest().as_millis()).ok();
+        info!(gateway.log(), "instance overloaded"; "request" => &*request_id, "rank" => rank,
+            "open_requests" => others, "link_delay_ms" => delay_ms);
+        return Err(Refusal::after(RefusalReason::Overloaded, retry_after));
+    }
     if body.size_hint().lower() > table.limits().body_bytes as u64 {
         return Err(Refusal::new(RefusalReason::BodyTooLarge));
     }
@@ -124,7 +137,7 @@
         tokens_per_event: tokens_per_event(&table, &service),
         endpoint_limit: gateway.endpoint_limit(&table, &service),
         service,
-        rank: workspace.as_ref().and_then(|workspace| workspace.rank).unwrap_or(route.rank),
+        rank,
         workspace: workspace.map(|workspace| workspace.id.clone()),
         route,
         prefixes: head.prompt.as_ref().map(PromptProfile::prefixes).unwrap_or_default(),
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -2,15 +2,17 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
+use bramleywind_http::TrafficTotals;
 use bramleywind_routing::RetryBudget;
 use bramleywind_types::{EndpointId, IncarnationId, ServiceId};
-use slog::Logger;
+use slog::{Logger, info};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
+    admission::AdmissionControl,
     config::{FleetConfig, RouteTable},
     endpoints::{Endpoint, EndpointSet},
     forward::{RequestContext, RequestTrace},
@@ -51,6 +53,9 @@
     stop_phase: Cell<StopPhase>,
     fleet_clock: FleetClock,
     placement: LatencyPlacement,
+    admission: AdmissionControl,
+    /// Whether new connections were accepted when this was last decided.
+    took_connections: Cell<bool>,
 }
 
 impl<P: Platform> Gateway<P> {
@@ -65,6 +70,7 @@
             peer_address: settings.listen.peers,
             capacity: settings.capacity,
         };
+        let admission = AdmissionControl::new(settings.limits, Instant::now());
         Self {
             settings,
             log,
@@ -79,6 +85,8 @@
             stop_phase: Cell::new(StopPhase::Running),
             fleet_clock: FleetClock::default(),
             placement: LatencyPlacement,
+            admission,
+            took_connections: Cell::new(true),
         }
     }
 
@@ -155,6 +163,25 @@
         &self.fleet_clock
     }
 
+    /// The load of this instance's link and memory.
+    pub fn admission(&self) -> &AdmissionControl {
+        &self.admission
+    }
+
+    /// Returns whether new connections of callers are accepted. An overloaded instance refuses them, so that callers turn to
+    /// another one.
+    pub fn takes_connections(&self, now: Instant) -> bool {
+        let delays = self.admission.record_traffic(TrafficTotals::current(), now);
+        let takes_connections = self.admission.takes_connections(delays, now);
+        if self.took_connections.replace(takes_connections) != takes_connections {
+            let millis = |delay: Duration| u64::try_from(delay.as_millis()).ok();
+            info!(self.log, "new connections of callers"; "accepted" => takes_connections,
+                "received_delay_ms" => millis(delays.received), "sent_delay_ms" => millis(delays.sent),
+                "open_requests" => self.open_requests.get());
+        }
+        takes_connections
+    }
+
     /// Number of requests that have not ended.
     pub fn open_requests(&self) -> usize {
         self.open_requests.get()
--- a/crates/bramleywind_gateway/src/lib.rs
+++ b/crates/bramleywind_gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! sockets. The platform's names and wire formats are behind the traits of [`platform_api`]. Everything runs on one
 //! thread, and shared state is never borrowed across an await.
 
+pub mod admission;
 mod args;
 mod background;
 pub mod config;
--- a/crates/bramleywind_gateway/src/settings/gateway_settings.rs
+++ b/crates/bramleywind_gateway/src/settings/gateway_settings.rs
@@ -6,13 +6,14 @@
 
 use super::{
     GatewaySettingsError, ListenAddresses, RetryLimits, StopTimes,
-    raw_gateway_options::{RawGatewayOptions, RawProcessor},
+    raw_gateway_options::{RawGatewayOptions, RawInstanceLimits, RawProcessor},
     settings_error::{
-        ProcessorSnafu, RetryShareSnafu, SameAddressSnafu, StopGraceSnafu, UnreadableSnafu,
+        InstanceLimitsSnafu, ProcessorSnafu, RetryShareSnafu, SameAddressSnafu, StopGraceSnafu,
+        UnreadableSnafu,
     },
 };
 
-use crate::members::ProcessorCapacity;
+use crate::{admission::InstanceLimits, members::ProcessorCapacity};
 
 /// Fraction of the grace time after which new requests are refused. Callers refresh their list of gateways within
 /// seconds, and streams that start later may not end before the process must exit.
@@ -39,6 +40,8 @@
     pub retries: RetryLimits,
     /// The processor capacity of the instance. Callers of a large fleet are sent to its largest instances.
     pub capacity: ProcessorCapacity,
+    /// What the instance has for its requests.
+    pub limits: InstanceLimits,
     /// The timing of a planned stop.
     pub stop: StopTimes,
     /// The least severe level that is logged.
@@ -90,6 +93,11 @@
         let retries = raw.retries.resolve().context(RetryShareSnafu { value: share })?;
         let RawProcessor { share, cores } = raw.processor;
         let capacity = raw.processor.resolve().context(ProcessorSnafu { share, cores })?;
+        let RawInstanceLimits { memory_megabytes, link_megabits } = raw.limits;
+        let limits = raw
+            .limits
+            .resolve()
+            .context(InstanceLimitsSnafu { memory_megabytes, link_megabits })?;
         let listen = raw.listen;
         let addresses =
             [listen.callers, listen.readiness, listen.entries, listen.peers, listen.metrics];
@@ -105,6 +113,7 @@
             store_address: raw.store_address,
             retries,
             capacity,
+            limits,
             stop: StopTimes {
                 refuse_after: grace.mul_f64(REFUSE_FRACTION),
                 end_after: grace.saturating_sub(GRANT_RETURN_MARGIN),
--- a/crates/bramleywind_gateway/src/settings/raw_gateway_options.rs
+++ b/crates/bramleywind_gateway/src/settings/raw_gateway_options.rs
@@ -4,7 +4,10 @@
 use serde::Deserialize;
 
 use super::{ListenAddresses, RetryLimits};
-use crate::members::ProcessorCapacity;
+use crate::{
+    admission::{InstanceLimits, LinkRate, MemorySize},
+    members::ProcessorCapacity,
+};
 
 /// The settings file before validation.
 #[derive(Debug, Clone, Deserialize)]
@@ -19,6 +22,8 @@
     #[serde(default)]
     pub processor: RawProcessor,
     #[serde(default)]
+    pub limits: RawInstanceLimits,
+    #[serde(default)]
     pub log_level: LogLevel,
 }
 
@@ -44,6 +49,28 @@
     }
 }
 
+/// The instance's limits before validation; a limit that is missing does not apply.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RawInstanceLimits {
+    pub memory_megabytes: Option<f64>,
+    pub link_megabits: Option<f64>,
+}
+
+impl RawInstanceLimits {
+    /// Converts the limits. Returns `None` if one of them is not positive and finite.
+    pub(super) fn resolve(self) -> Option<InstanceLimits> {
+        let is_valid = |value: &f64| value.is_finite() && *value > 0.0;
+        if ![self.memory_megabytes, self.link_megabits].iter().flatten().all(is_valid) {
+            return None;
+        }
+        Some(InstanceLimits {
+            memory: self.memory_megabytes.map(MemorySize::from_megabytes),
+            link: self.link_megabits.map(LinkRate::from_megabits),
+        })
+    }
+}
+
 /// The retry limits before validation: the share is a fraction.
 #[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/bramleywind_gateway/src/settings/settings_error.rs
+++ b/crates/bramleywind_gateway/src/settings/settings_error.rs
@@ -43,6 +43,17 @@
         /// The number of cores.
         cores: f64,
     },
+    /// A limit of the instance is not positive.
+    #[snafu(display(
+        "`limits` has {memory_megabytes:?} MB of memory and a link of {link_megabits:?} Mbit/s; give positive numbers or \
+         leave them out"
+    ))]
+    InstanceLimits {
+        /// The memory, if it is given.
+        memory_megabytes: Option<f64>,
+        /// The rate of the link, if it is given.
+        link_megabits: Option<f64>,
+    },
     /// Two listeners have the same address.
     #[snafu(display("`listen` has {address} twice; give each listener its own address"))]
     SameAddress {
