funds: refuse a request for good only if its budget is used up

Cause: 402 compared a request with the tokens that nobody had reserved.

Change: a reservation tells the ledger what its request is charged in any case (the prompt once it was sent, and delivered events). A borrower states with each request for a loan how many of its tokens open requests may leave unused. A lender says that a budget is exhausted only if the need exceeds the tokens that nobody reserved plus what its own and its borrowers' open requests may leave; statements count for two seconds. Otherwise the request waits as before and gets 503 with a time to come back.

--- a/crates/bramleywind_gateway/src/admission/instance_limits.rs
+++ b/crates/bramleywind_gateway/src/admission/instance_limits.rs
@@ -35,7 +35,7 @@
     /// use bramleywind_gateway::admission::{InstanceLimits, MemorySize};
     ///
     /// let memory = Some(MemorySize::from_megabytes(110.0));
-    /// assert_eq!(InstanceLimits { memory, link: None }.max_requests(), 503);
+    /// assert_eq!(InstanceLimits { memory, link: None }.max_requests(), 457);
     /// assert_eq!(InstanceLimits::default().max_requests(), usize::MAX);
     /// ```
     pub fn max_requests(self) -> usize {
--- a/crates/bramleywind_gateway/src/forward/request_handler.rs
+++ b/crates/bramleywind_gateway/src/forward/request_handler.rs
@@ -184,6 +184,8 @@
         "available" => account.available(ledger.standby_access(now)).0,
         "prepaid" => account.prepaid().0, "spent" => account.spent().0, "reserved" => account.reserved().0,
         "borrowed" => account.borrowed().0, "lent" => account.lent().0,
+        "uncharged" => account.uncharged(ledger.standby_access(now)).0,
+        "uncharged_at_borrowers" => account.uncharged_at_borrowers(now).0,
         "pool" => account.pool().0, "working" => account.granted().working.0, "standby" => account.granted().standby.0,
         "other_holders" => holders, "others_working" => others.working.0, "others_standby" => others.standby.0,
         "rate_per_second" => account.rate(now),
--- a/crates/bramleywind_gateway/src/funds/budget_account.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_account.rs
@@ -1,7 +1,10 @@
-use std::{collections::VecDeque, time::Instant};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, Instant},
+};
 
 use bramleywind_store::StoreVersion;
-use bramleywind_types::{IncarnationId, TokenCount};
+use bramleywind_types::{IncarnationId, InstanceId, TokenCount};
 use futures_channel::oneshot;
 
 use super::{
@@ -24,6 +27,10 @@
     lent: TokenCount,
     spent: TokenCount,
     reserved: TokenCount,
+    /// The part of the reserved tokens that open requests are charged in any case.
+    certain_charges: TokenCount,
+    /// What other processes said when they asked this one for a loan.
+    statements: BTreeMap<InstanceId, BorrowerStatement>,
     record: BudgetRecord,
     version: StoreVersion,
     /// Whether the outcome of a write is unknown.
@@ -50,6 +57,17 @@
 /// The fraction of the prepaid total that an excess of borrowed tokens must exceed to be returned.
 const MIN_LOAN_RETURN_SHARE: f64 = 0.000_5;
 
+/// How long a borrower's statement is used. A borrower that lacks tokens repeats it several times a second; one that says
+/// nothing for this long has ended, or its open requests have.
+const STATEMENT_VALIDITY: Duration = Duration::from_secs(2);
+
+/// What another process said about the tokens of the budget that it holds.
+#[derive(Debug, Clone, Copy)]
+struct BorrowerStatement {
+    uncharged: TokenCount,
+    valid_until: Instant,
+}
+
 /// A queued request that waits for tokens.
 #[derive(Debug)]
 pub(super) struct WaitingReservation {
@@ -76,6 +94,8 @@
             lent: TokenCount(0),
             spent: TokenCount(0),
             reserved: TokenCount(0),
+            certain_charges: TokenCount(0),
+            statements: BTreeMap::new(),
             record: BudgetRecord::default(),
             version: StoreVersion::MISSING,
             is_in_doubt: false,
@@ -121,6 +141,47 @@
         self.reachable().saturating_add(self.record.others(holder).map(|grant| grant.standby).sum())
     }
 
+    /// Returns the tokens that this process holds and that its open requests may leave unused.
+    pub fn uncharged(&self, access: StandbyAccess) -> TokenCount {
+        self.available(access).saturating_add(self.reserved).saturating_sub(self.certain_charges)
+    }
+
+    /// Returns the tokens that other processes hold and that their open requests may leave unused, as they stated lately.
+    pub fn uncharged_at_borrowers(&self, now: Instant) -> TokenCount {
+        let valid = self.statements.values().filter(|statement| now < statement.valid_until);
+        valid.map(|statement| statement.uncharged).sum()
+    }
+
+    /// Returns whether `need` tokens exceed all that is known not to be used up: the tokens that no request has reserved, and
+    /// those that open requests may leave unused.
+    pub(super) fn is_exhausted(
+        &self,
+        need: TokenCount,
+        holder: IncarnationId,
+        now: Instant,
+    ) -> bool {
+        let own = self.reserved.saturating_sub(self.certain_charges);
+        let known = self.unspent(holder).saturating_add(own);
+        need > known.saturating_add(self.uncharged_at_borrowers(now))
+    }
+
+    /// Records what another process said about the tokens that it holds.
+    pub(super) fn record_statement(
+        &mut self,
+        borrower: &InstanceId,
+        uncharged: TokenCount,
+        now: Instant,
+    ) {
+        self.statements.retain(|_, statement| now < statement.valid_until);
+        let statement = BorrowerStatement { uncharged, valid_until: now + STATEMENT_VALIDITY };
+        self.statements.insert(borrower.clone(), statement);
+    }
+
+    /// Records that the part of an open request's tokens that it is charged in any case has changed.
+    pub(super) fn change_certain_charge(&mut self, before: TokenCount, now: TokenCount) {
+        self.certain_charges = self.certain_charges.saturating_sub(before).saturating_add(now);
+    }
+
     /// Returns this process's grant, which includes spent tokens.
     pub fn granted(&self) -> HolderGrant {
         self.granted
--- a/crates/bramleywind_gateway/src/funds/budget_ledger.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_ledger.rs
@@ -4,7 +4,7 @@
 };
 
 use bramleywind_store::StoreVersion;
-use bramleywind_types::{IncarnationId, TokenCount, WorkspaceId};
+use bramleywind_types::{IncarnationId, InstanceId, TokenCount, WorkspaceId};
 use futures_channel::oneshot;
 
 use super::{
@@ -175,6 +175,37 @@
         }
     }
 
+    /// Returns the tokens of a workspace that this process holds and that its open requests may leave unused.
+    pub fn uncharged(&self, workspace: &WorkspaceId, now: Instant) -> TokenCount {
+        let access = self.standby_access(now);
+        self.accounts.get(workspace).map_or(TokenCount(0), |account| account.uncharged(access))
+    }
+
+    /// Records what another process, which asks for a loan, said about the tokens of a workspace that it holds.
+    pub fn record_statement(
+        &mut self,
+        workspace: &WorkspaceId,
+        borrower: &InstanceId,
+        uncharged: TokenCount,
+        now: Instant,
+    ) {
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.record_statement(borrower, uncharged, now);
+        }
+    }
+
+    /// Records that the part of an open request's tokens that it is charged in any case has changed.
+    pub(super) fn change_certain_charge(
+        &mut self,
+        workspace: &WorkspaceId,
+        before: TokenCount,
+        now: TokenCount,
+    ) {
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.change_certain_charge(before, now);
+        }
+    }
+
     /// Returns the next call to the store, which changes at most `max_changes` records.
     pub fn plan_call(&mut self, max_changes: usize, now: Instant) -> StoreAction {
         let needs_read = |account: &BudgetAccount| {
@@ -434,7 +465,7 @@
         return Some(ReserveOutcome::Reserved);
     }
     let is_fresh = account.read_at().is_some_and(|at| now < at + MAX_RECORD_AGE);
-    if account.role.is_lender(now) && entry.need > account.unspent(holder) && is_fresh {
+    if account.role.is_lender(now) && account.is_exhausted(entry.need, holder, now) && is_fresh {
         return Some(ReserveOutcome::Exhausted);
     }
     (now >= entry.since + STORE_WAIT_TIME).then_some(ReserveOutcome::Unavailable)
--- a/crates/bramleywind_gateway/src/funds/loan_exchange.rs
+++ b/crates/bramleywind_gateway/src/funds/loan_exchange.rs
@@ -104,7 +104,8 @@
         let mut outcome = LoanOutcome::NoAnswer;
         for lender in self.loan_client.order_by_health(lenders) {
             let (workspace, borrower) = (loan.workspace.clone(), borrower.clone());
-            let request = LoanRequest { borrower, workspace, tokens: wanted, needed };
+            let uncharged = self.ledger.borrow().uncharged(&loan.workspace, Instant::now());
+            let request = LoanRequest { borrower, workspace, tokens: wanted, needed, uncharged };
             let answer = self.loan_client.request_loan(lender, &request).await;
             let mut ledger = self.ledger.borrow_mut();
             let lent = answer.as_ref().map_or(TokenCount(0), |answer| answer.tokens);
--- a/crates/bramleywind_gateway/src/funds/reservation.rs
+++ b/crates/bramleywind_gateway/src/funds/reservation.rs
@@ -26,13 +26,30 @@
 
     /// Raises the charge to `used` tokens. The charge never decreases and never exceeds the reserved tokens.
     pub fn charge(&mut self, used: TokenCount) {
+        let charge = self.certain_charge();
         self.used = self.used.max(used.min(self.limit));
+        self.update_certain_charge(charge);
     }
 
     /// Sets the tokens that an endpoint may use while its answer is outstanding. They are charged if the caller
     /// disconnects in the meantime.
     pub fn expose(&mut self, tokens: TokenCount) {
+        let charge = self.certain_charge();
         self.exposed = tokens.min(self.limit);
+        self.update_certain_charge(charge);
+    }
+
+    /// Returns the tokens that the request is charged if it ends now.
+    fn certain_charge(&self) -> TokenCount {
+        self.used.max(self.exposed)
+    }
+
+    /// Tells the ledger how the certain charge has changed.
+    fn update_certain_charge(&self, before: TokenCount) {
+        let now = self.certain_charge();
+        if now != before {
+            self.ledger.borrow_mut().change_certain_charge(&self.workspace, before, now);
+        }
     }
 
     /// Turns the reserved tokens into a loan to another process.
@@ -55,7 +72,8 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        let used = self.used.max(self.exposed);
+        let used = self.certain_charge();
+        self.ledger.borrow_mut().change_certain_charge(&self.workspace, used, TokenCount(0));
         self.ledger.borrow_mut().settle(&self.workspace, self.limit, used);
     }
 }
--- a/crates/bramleywind_gateway/src/loans/loan_messages.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_messages.rs
@@ -14,6 +14,8 @@
     pub tokens: TokenCount,
     /// The least number of tokens that is of use to the borrower.
     pub needed: TokenCount,
+    /// The tokens of the budget that the borrower holds and that its open requests may leave unused.
+    pub uncharged: TokenCount,
 }
 
 /// The answer to a [`LoanRequest`].
@@ -26,18 +28,19 @@
     pub is_exhausted: bool,
 }
 
-/// A [`LoanRequest`] of a build whose loans have no least number.
+/// A [`LoanRequest`] of a build that does not state the uncharged tokens.
 #[domain_type]
 pub(super) struct EarlierLoanRequest {
     borrower: InstanceId,
     workspace: WorkspaceId,
     tokens: TokenCount,
+    needed: TokenCount,
 }
 
 impl From<EarlierLoanRequest> for LoanRequest {
     fn from(earlier: EarlierLoanRequest) -> Self {
-        let EarlierLoanRequest { borrower, workspace, tokens } = earlier;
-        Self { borrower, workspace, tokens, needed: TokenCount(0) }
+        let EarlierLoanRequest { borrower, workspace, tokens, needed } = earlier;
+        Self { borrower, workspace, tokens, needed, uncharged: TokenCount(0) }
     }
 }
 
--- a/crates/bramleywind_gateway/src/loans/loan_server.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_server.rs
@@ -73,6 +73,12 @@
     loan: LoanRequest,
 ) -> Result<Response<ResponseBody>, String> {
     let asked_at = Instant::now();
+    gateway.funds().ledger().borrow_mut().record_statement(
+        &loan.workspace,
+        &loan.borrower,
+        loan.uncharged,
+        asked_at,
+    );
     let answer = gateway.funds().lend(&loan.workspace, loan.needed, loan.tokens).await;
     let now = Instant::now();
     // A loan that was made at once needs no line of its own: the borrower logs what it lacked.
@@ -85,6 +91,8 @@
             "waited_ms" => u64::try_from(now.saturating_duration_since(asked_at).as_millis()).ok(),
             "access" => ?access, "available" => account.map(|account| account.available(access).0),
             "pool" => account.map(|account| account.pool().0),
+            "uncharged" => account.map(|account| account.uncharged(access).0),
+            "uncharged_at_borrowers" => account.map(|account| account.uncharged_at_borrowers(now).0),
             "working" => account.map(|account| account.granted().working.0),
             "standby" => account.map(|account| account.granted().standby.0),
             "use_rate" => account.map(|account| account.granted().use_rate.0),
--- /dev/null
+++ b/crates/bramleywind_gateway/tests/support/budget_store.rs
@@ -0,0 +1,117 @@
+//! A store stand-in that holds one budget.
+
+use std::{
+    cell::{Cell, RefCell},
+    time::Duration,
+};
+
+use bramleywind_gateway::{
+    funds::BudgetRecord,
+    members::{MemberRecord, PresenceRecord},
+    platform_api::{
+        BudgetChange, BudgetEntry, CommitOutcome, EntryChange, FleetStore, LeaseId, ListPage,
+        LoadedConfig, StoreChanges,
+    },
+};
+use bramleywind_store::{StoreVersion, UnavailableReason};
+use bramleywind_types::InstanceId;
+
+/// A store with one budget. Its first writes fail: they are either refused, or applied with their answers lost.
+pub struct BudgetStore {
+    pub record: RefCell<BudgetRecord>,
+    pub version: Cell<u64>,
+    pub failing_writes: Cell<u32>,
+    pub applies_failing_writes: bool,
+}
+
+impl FleetStore for BudgetStore {
+    const MAX_CHANGES: usize = 1;
+
+    async fn read_budgets(&self, _is_fresh: bool) -> Result<Vec<BudgetEntry>, UnavailableReason> {
+        Ok(vec![BudgetEntry {
+            workspace: "menders".parse().unwrap(),
+            version: StoreVersion(self.version.get()),
+            record: self.record.borrow().clone(),
+        }])
+    }
+
+    async fn commit_budgets(
+        &self,
+        changes: &[BudgetChange],
+        _presence: Option<(&InstanceId, StoreVersion)>,
+    ) -> CommitOutcome {
+        let is_failing = self.failing_writes.get() > 0;
+        self.failing_writes.set(self.failing_writes.get().saturating_sub(1));
+        if !is_failing || self.applies_failing_writes {
+            *self.record.borrow_mut() = changes[0].record.clone();
+            self.version.set(self.version.get() + 1);
+        }
+        match (is_failing, self.applies_failing_writes) {
+            (true, true) => CommitOutcome::Unknown,
+            (true, false) => CommitOutcome::NotApplied,
+            (false, _) => CommitOutcome::Applied(StoreVersion(self.version.get())),
+        }
+    }
+
+    async fn read_config(&self) -> Result<(LoadedConfig, StoreVersion), UnavailableReason> {
+        Err(UnavailableReason::Outage)
+    }
+
+    async fn watch_config(
+        &self,
+        _after: StoreVersion,
+        _wait: Duration,
+    ) -> Result<StoreChanges<LoadedConfig>, UnavailableReason> {
+        Err(UnavailableReason::Outage)
+    }
+
+    async fn list_endpoints(&self) -> Result<ListPage<EntryChange>, UnavailableReason> {
+        Err(UnavailableReason::Outage)
+    }
+
+    async fn watch_endpoints(
+        &self,
+        _after: StoreVersion,
+        _wait: Duration,
+    ) -> Result<StoreChanges<EntryChange>, UnavailableReason> {
+        Err(UnavailableReason::Outage)
+    }
+
+    async fn list_members(&self) -> Result<Vec<MemberRecord>, UnavailableReason> {
+        Err(UnavailableReason::Outage)
+    }
+
+    async fn list_presences(
+        &self,
+    ) -> Result<Vec<(InstanceId, PresenceRecord, StoreVersion)>, UnavailableReason> {
+        Err(UnavailableReason::Outage)
+    }
+
+    async fn write_presence(
+        &self,
+        _instance: &InstanceId,
+        _record: &PresenceRecord,
+    ) -> Result<(), UnavailableReason> {
+        Err(UnavailableReason::Outage)
+    }
+
+    async fn renew_lease(&self, _lease: LeaseId) -> Result<bool, UnavailableReason> {
+        Err(UnavailableReason::Outage)
+    }
+
+    async fn take_lease(&self, _time_to_live: Duration) -> Result<LeaseId, UnavailableReason> {
+        Err(UnavailableReason::Outage)
+    }
+
+    async fn end_lease(&self, _lease: LeaseId) -> Result<(), UnavailableReason> {
+        Err(UnavailableReason::Outage)
+    }
+
+    async fn write_member(
+        &self,
+        _member: &MemberRecord,
+        _lease: LeaseId,
+    ) -> Result<bool, UnavailableReason> {
+        Err(UnavailableReason::Outage)
+    }
+}
