peer tests: keep heartbeats and reply times out of two tests that do not check them

`newer_connection_replaces_the_older`: the raw peers send no heartbeats, so the router closed the newer one as dead after 400 ms when the machine was busy. Silence now ends no connection in this test, so only the replacement can close the older one, which is stricter. `burst_is_paced_and_kept_in_order`: each append had 500 ms of real time; its requests now have the limit of all waits of a test (10 s), and the order, the acceptance of all and the absence of violations are checked as before.

--- a/crates/bramleywind_peer/tests/hostile_peer.rs
+++ b/crates/bramleywind_peer/tests/hostile_peer.rs
@@ -18,7 +18,8 @@
 use bramleywind_types::IncarnationId;
 use bytes::Bytes;
 use support::{
-    RawPeer, TEST_TIMEOUT, TestRouter, identity, instance, secret, wait_until, with_timeout,
+    PATIENT_TIMING, RawPeer, TEST_TIMEOUT, TestRouter, identity, instance, secret, wait_until,
+    with_timeout,
 };
 use test_case::test_case;
 
@@ -191,7 +192,8 @@
 /// Guards against a half-open old connection that keeps a peer from reconnecting.
 #[compio::test]
 async fn newer_connection_replaces_the_older() {
-    let router = TestRouter::start(2, &[]).await;
+    // The raw peers send no heartbeats, so only the replacement may close the older connection.
+    let router = TestRouter::start_with_timing(2, &[], PATIENT_TIMING).await;
     let mut older = RawPeer::dial(router.address).await;
     older.handshake_as_dialer(identity(1, 1), PROTOCOL_VERSION, &secret()).await.unwrap();
     let mut newer = RawPeer::dial(router.address).await;
--- a/crates/bramleywind_peer/tests/mesh.rs
+++ b/crates/bramleywind_peer/tests/mesh.rs
@@ -16,11 +16,17 @@
     AppendOutcome, JournalLink as _, JournalSnapshot, LoanId, LoanOutcome, LoanRequest,
     LoanSettlement, SealOutcome, SettlementOutcome, WitnessId,
 };
-use bramleywind_peer::{ConfigFetchOutcome, LinkFault, PeerState};
+use bramleywind_peer::{
+    ConfigFetchOutcome, LinkFault, PeerState,
+    wire::{PeerReply, PeerRequest},
+};
 use bramleywind_types::{
     BodyHash, ConfigRevision, IncarnationId, JournalSequence, RequestId, RequestKey, TokenCount,
 };
-use support::{TestRouter, batch, instance, wait_until, wait_until_joined, with_timeout};
+use support::{
+    PATIENT_TIMING, TEST_TIMEOUT, TestRouter, batch, instance, wait_until, wait_until_joined,
+    with_timeout,
+};
 use test_case::test_case;
 
 /// Guards against a router that no other router's settings name staying unknown, and against a router dialing
@@ -144,13 +150,20 @@
 /// up.
 #[compio::test]
 async fn burst_is_paced_and_kept_in_order() {
-    let local = TestRouter::start(1, &[]).await;
-    let remote = TestRouter::start(2, &[local.address]).await;
+    let local = TestRouter::start_with_timing(1, &[], PATIENT_TIMING).await;
+    let remote = TestRouter::start_with_timing(2, &[local.address], PATIENT_TIMING).await;
     wait_until_joined((&local, 1), (&remote, 2)).await;
-    let batches: Vec<_> = (1..=400).map(|first| batch(1, first)).collect();
-    let appends = batches.iter().map(|batch| local.client.append(&remote.witness, batch));
+    let appends = (1..=400).map(|first| {
+        let request =
+            PeerRequest::JournalAppend { run: remote.witness.run, batch: batch(1, first) };
+        // The time of a reply depends on the load of the machine, and is not what this test checks.
+        async { local.client.request(&instance(2), request, TEST_TIMEOUT).await }
+    });
     let outcomes = with_timeout("the appends", futures_util::future::join_all(appends)).await;
-    assert!(outcomes.iter().all(|outcome| *outcome == AppendOutcome::Accepted));
+    let is_accepted = |outcome: &Result<PeerReply, _>| {
+        matches!(outcome, Ok(PeerReply::Append(AppendOutcome::Accepted)))
+    };
+    assert!(outcomes.iter().all(is_accepted), "{outcomes:?}");
     let order: Vec<_> = remote.handler.appended.borrow().iter().map(|entry| entry.1.0).collect();
     assert_eq!(order, (1..=400).collect::<Vec<_>>());
     assert_eq!(remote.violations_of(1), 0);
--- a/crates/bramleywind_peer/tests/support/lib.rs
+++ b/crates/bramleywind_peer/tests/support/lib.rs
@@ -44,6 +44,10 @@
     max_reconnect_delay: Duration::from_millis(100),
 };
 
+/// Timings under which no silence of a peer ends its connection within a test.
+pub const PATIENT_TIMING: MeshTiming =
+    MeshTiming { suspect_after: TEST_TIMEOUT, dead_after: TEST_TIMEOUT, ..TIMING };
+
 pub fn instance(number: u64) -> InstanceId {
     format!("akl-{number}").parse().unwrap()
 }
@@ -161,6 +165,11 @@
         Self::start_run(number, number, "127.0.0.1:0".parse().unwrap(), seeds).await
     }
 
+    pub async fn start_with_timing(number: u64, seeds: &[SocketAddr], timing: MeshTiming) -> Self {
+        let any_port = "127.0.0.1:0".parse().unwrap();
+        Self::start_with(number, number, any_port, None, seeds, timing).await
+    }
+
     pub async fn start_run(
         number: u64,
         run: u64,
@@ -177,6 +186,17 @@
         listen: SocketAddr,
         advertise: Option<&str>,
         seeds: &[SocketAddr],
+    ) -> Self {
+        Self::start_with(number, run, listen, advertise, seeds, TIMING).await
+    }
+
+    async fn start_with(
+        number: u64,
+        run: u64,
+        listen: SocketAddr,
+        advertise: Option<&str>,
+        seeds: &[SocketAddr],
+        timing: MeshTiming,
     ) -> Self {
         let settings = MeshSettings {
             instance: instance(number),
@@ -186,7 +206,7 @@
             advertise: advertise.map(|address| address.parse().unwrap()),
             seeds: seeds.into(),
             secret: secret(),
-            timing: TIMING,
+            timing,
         };
         let mesh = PeerMesh::bind(settings).await.unwrap();
         let handler = Rc::new(TestHandler {
