admission: accept a connection at least every 1.5 s while the link is saturated

A link that open streams keep saturated would have kept the port closed for as long, and an instance that says it is ready and accepts nothing for seconds counts as failed. Test `lasting_saturation_still_lets_single_connections_in`: no connection in ten seconds before the change.

--- a/crates/bramleywind_gateway/src/admission/admission_control.rs
+++ b/crates/bramleywind_gateway/src/admission/admission_control.rs
@@ -15,6 +15,9 @@
 /// which an instance that takes no connections counts as failed.
 const PAUSE_TIME: Duration = Duration::from_millis(300);
 
+/// The longest time without accepted connections. An instance that accepts none for some seconds counts as failed.
+const MAX_PAUSE_TIME: Duration = Duration::from_millis(1_500);
+
 /// The load of this instance's link and memory.
 #[derive(Debug)]
 pub struct AdmissionControl {
@@ -23,6 +26,8 @@
     meters: Option<RefCell<(LinkMeter, LinkMeter)>>,
     /// Until when no new connections are accepted.
     paused_until: Cell<Option<Instant>>,
+    /// When a connection is accepted again, even if the link is saturated.
+    accepts_from: Cell<Option<Instant>>,
 }
 
 impl AdmissionControl {
@@ -31,7 +36,7 @@
         let meters = limits
             .link
             .map(|rate| RefCell::new((LinkMeter::new(rate, now), LinkMeter::new(rate, now))));
-        Self { limits, meters, paused_until: Cell::new(None) }
+        Self { limits, meters, paused_until: Cell::new(None), accepts_from: Cell::new(None) }
     }
 
     /// Updates the load of the link, and returns its delays.
@@ -59,8 +64,16 @@
             return false;
         }
         let is_overloaded = delays.longest() > MAX_ACCEPT_DELAY;
-        self.paused_until.set(is_overloaded.then(|| now + PAUSE_TIME));
-        !is_overloaded
+        let is_due = self.accepts_from.get().is_some_and(|from| now >= from);
+        if !is_overloaded || is_due {
+            self.paused_until.set(None);
+            self.accepts_from.set(None);
+            return true;
+        }
+        self.paused_until.set(Some(now + PAUSE_TIME));
+        let accepts_from = self.accepts_from.get().unwrap_or(now + MAX_PAUSE_TIME);
+        self.accepts_from.set(Some(accepts_from));
+        false
     }
 
     /// Returns whether a caller's connection may stay open after its response, while `connections` are open.
--- a/crates/bramleywind_gateway/tests/admission.rs
+++ b/crates/bramleywind_gateway/tests/admission.rs
@@ -104,3 +104,15 @@
         );
     assert_eq!(answers, [true, false, false, false, true, false]);
 }
+
+#[test]
+fn lasting_saturation_still_lets_single_connections_in() {
+    let start = Instant::now();
+    let control = AdmissionControl::new(InstanceLimits { link: Some(LINK), memory: None }, start);
+    let saturated = LinkDelays { received: Duration::from_millis(200), ..LinkDelays::default() };
+    let accepted = (0..200).filter(|step| {
+        control.takes_connections(saturated, start + Duration::from_millis(step * 50))
+    });
+    // One connection each 1.5 s, in ten seconds.
+    assert_eq!(accepted.count(), 6);
+}
