--- a/crates/bramleywind_gateway/src/background.rs
+++ b/crates/bramleywind_gateway/src/background.rs
@@ -17,6 +17,5 @@
 pub(crate) use scaled_interval::ScaledInterval;
 
 /// The duration of one watch, which is one priced call. The kernel's keepalive probes detect a dead connection within three
-/// seconds; this bounds
-/// the time if the probes are answered although the connection is dead.
+/// seconds; this bounds the time if the probes are answered although the connection is dead.
 const WATCH_TIME: Duration = Duration::from_secs(20);
