cli: logs refusals, which compares final refusals with what was charged

Reads the logs of all gateways and prints, for each workspace with answers of 402, the prepaid total, the charged tokens, the refusals and those beside more than 5 in 100 uncharged tokens.

--- a/crates/bramleywind_cli/src/args.rs
+++ b/crates/bramleywind_cli/src/args.rs
@@ -70,6 +70,9 @@
     /// Shows the balances of workspaces.
     #[command(subcommand)]
     Workspace(WorkspaceCommand),
+    /// Checks the logs of gateways.
+    #[command(subcommand)]
+    Logs(LogsCommand),
     /// Lists the entry instances that callers are told to use.
     Entries,
     /// Starts the graceful shutdown of an instance.
@@ -137,6 +140,17 @@
     },
 }
 
+/// The commands for logs.
+#[derive(Debug, Subcommand)]
+pub enum LogsCommand {
+    /// Compares the final refusals of each workspace with what it was charged.
+    Refusals {
+        /// The log lines of all gateways, or `-` for the standard input.
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+    },
+}
+
 /// The document argument.
 #[derive(Debug, Clone, Args)]
 pub struct DocumentArgs {
--- a/crates/bramleywind_cli/src/commands.rs
+++ b/crates/bramleywind_cli/src/commands.rs
@@ -13,6 +13,8 @@
 pub mod entries;
 pub mod key_generate;
 pub mod key_hash;
+mod log_time;
+pub mod logs_refusals;
 pub mod workspace_balance;
 
 use std::{fmt, fs, io::Read, path::Path};
--- a/crates/bramleywind_cli/src/run.rs
+++ b/crates/bramleywind_cli/src/run.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Cli, ClientSettings, Command, CommandError, CommandReport, ExitStatus, OutputFormat,
-    args::{BudgetCommand, ConfigCommand, KeyCommand, WorkspaceCommand},
+    args::{BudgetCommand, ConfigCommand, KeyCommand, LogsCommand, WorkspaceCommand},
     command_error::OutputSnafu,
     commands, render_error, render_report,
 };
@@ -123,6 +123,10 @@
             printer
                 .print_report(&commands::workspace_balance::read_balance(&store, workspace).await?)
         }
+        Command::Logs(LogsCommand::Refusals { file }) => {
+            let text = commands::read_document(file, io::stdin().lock())?;
+            printer.print_report(&commands::logs_refusals::check_refusals(&text))
+        }
         Command::Entries => {
             let client = settings.caller_client()?;
             printer.print_report(
--- a/crates/bramleywind_cli/tests/cli/main.rs
+++ b/crates/bramleywind_cli/tests/cli/main.rs
@@ -5,5 +5,6 @@
 mod apply;
 mod command_line;
 mod gated_store;
+mod logs;
 mod support;
 mod top_up;
