--- a/crates/bramleywind_gateway/tests/exhausted_budget.rs
+++ b/crates/bramleywind_gateway/tests/exhausted_budget.rs
@@ -88,8 +88,11 @@
     let loan = funds.lend(workspace, TokenCount(9_500), TokenCount(9_500)).await;
     assert_eq!(loan.tokens, TokenCount(9_500));
     let borrower: InstanceId = "front-2".parse().unwrap();
-    let mut ledger = funds.ledger().borrow_mut();
-    ledger.record_statement(workspace, &borrower, TokenCount(uncharged), Instant::now());
-    drop(ledger);
+    funds.ledger().borrow_mut().record_statement(
+        workspace,
+        &borrower,
+        TokenCount(uncharged),
+        Instant::now(),
+    );
     assert_eq!(primary.reserve(1_000).await.unwrap_err(), expected);
 }
