takeover: read the presence record again if no grant can be closed under its version

Change: after an attempt that was not applied, the takeover looks whether the presence record has changed, and if so judges its age again. The record is the process's own statement of a later time, and an older one that arrives late only counts more tokens as spent.

Test `late_presence_record_does_not_keep_grants_open` failed before.

--- a/crates/bramleywind_gateway/src/background/maintain_presence.rs
+++ b/crates/bramleywind_gateway/src/background/maintain_presence.rs
@@ -55,7 +55,9 @@
         match take_over_predecessor(&gateway, started_at_ms).await {
             Ok(outcome) => {
                 info!(gateway.log(), "takeover from the instance's earlier process"; "outcome" => ?outcome);
-                break;
+                if outcome != TakeoverOutcome::PresenceChanged {
+                    break;
+                }
             }
             Err(reason) => tracker.back_off(reason).await,
         }
--- a/crates/bramleywind_gateway/src/funds/ended_process.rs
+++ b/crates/bramleywind_gateway/src/funds/ended_process.rs
@@ -33,7 +33,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the store did not answer. Another call can close the grants that are still open.
+    /// Returns an error if the store did not answer. Another call can close the grants that are still open, as it can after
+    /// [`TakeoverOutcome::PresenceChanged`] with the record that is in the store by then.
     pub async fn close_grants(
         &self,
         store: &impl FleetStore,
@@ -61,6 +62,9 @@
             }
             if !is_applied {
                 sleep(RETRY_DELAY).await;
+                if self.is_presence_changed(store).await? {
+                    return Ok(TakeoverOutcome::PresenceChanged);
+                }
             }
         }
         Ok(match budgets {
@@ -68,4 +72,15 @@
             budgets => TakeoverOutcome::Done { budgets },
         })
     }
+
+    /// Returns whether the presence record is another one by now. The store may apply a write of the ended process seconds later,
+    /// and no grant is closed under the version from before.
+    async fn is_presence_changed(
+        &self,
+        store: &impl FleetStore,
+    ) -> Result<bool, UnavailableReason> {
+        let presences = store.list_presences().await?;
+        let own = presences.iter().find(|(instance, _, _)| *instance == self.instance);
+        Ok(own.map(|(_, _, version)| *version) != Some(self.presence_version))
+    }
 }
--- a/crates/bramleywind_gateway/src/funds/takeover.rs
+++ b/crates/bramleywind_gateway/src/funds/takeover.rs
@@ -16,6 +16,8 @@
     },
     /// There was no earlier process, or it held no standby tokens that are certainly unspent.
     NothingToTake,
+    /// The earlier process's presence record changed, so its age must be judged again.
+    PresenceChanged,
     /// The age of the earlier process's presence record is unknown, so its standby tokens stay counted as spent.
     AgeUnknown,
 }
--- a/crates/bramleywind_gateway/tests/ended_process.rs
+++ b/crates/bramleywind_gateway/tests/ended_process.rs
@@ -26,26 +26,50 @@
 #[test_case(30, false; "refused writes")]
 #[test_case(1, true; "lost answer")]
 fn unspent_standby_tokens_are_returned(failing_writes: u32, applies_failing_writes: bool) {
-    let incarnation = IncarnationId::from_number(7);
+    let store = store_with_grant();
+    store.failing_writes.set(failing_writes);
+    let store = BudgetStore { applies_failing_writes, ..store };
+    let outcome = close_grants(&store, StoreVersion(1));
+    assert_ne!(outcome, TakeoverOutcome::AgeUnknown);
+    assert_eq!(store.record.borrow().pool(TokenCount(1_000)), TokenCount(900));
+}
+
+/// A presence record that the ended process had sent was applied after its successor had read the earlier one. All of the
+/// successor's writes were refused from then on, and 43 in 100 of a budget were lost.
+#[test]
+fn late_presence_record_does_not_keep_grants_open() {
+    let store = store_with_grant();
+    store.late_presence_version.set(Some(2));
+    assert_eq!(close_grants(&store, StoreVersion(1)), TakeoverOutcome::PresenceChanged);
+    assert_eq!(close_grants(&store, StoreVersion(2)), TakeoverOutcome::Done { budgets: 1 });
+    assert_eq!(store.record.borrow().pool(TokenCount(1_000)), TokenCount(900));
+}
+
+/// Returns a healthy store in which a process has 100 working and 500 standby tokens.
+fn store_with_grant() -> BudgetStore {
     let mut record = BudgetRecord::default();
     let grant =
         HolderGrant { working: TokenCount(100), standby: TokenCount(500), use_rate: TokenRate(10) };
-    record.set_grant(incarnation, grant);
-    let store = BudgetStore {
+    record.set_grant(IncarnationId::from_number(7), grant);
+    BudgetStore {
         record: RefCell::new(record),
         version: Cell::new(1),
-        failing_writes: Cell::new(failing_writes),
-        applies_failing_writes,
-    };
+        failing_writes: Cell::new(0),
+        applies_failing_writes: false,
+        presence_version: Cell::new(1),
+        late_presence_version: Cell::new(None),
+    }
+}
+
+/// Closes the grants of that process as its successor, which has read this version of its presence record.
+fn close_grants(store: &BudgetStore, presence_version: StoreVersion) -> TakeoverOutcome {
     let ended = EndedProcess {
         instance: "front-1".parse().unwrap(),
-        incarnation,
-        presence_version: StoreVersion(1),
+        incarnation: IncarnationId::from_number(7),
+        presence_version,
         age: Duration::from_millis(500),
     };
     let log = Logger::root(Discard, o!());
     let runtime = compio::runtime::Runtime::new().unwrap();
-    let outcome = runtime.block_on(ended.close_grants(&store, &log)).unwrap();
-    assert_ne!(outcome, TakeoverOutcome::AgeUnknown);
-    assert_eq!(store.record.borrow().pool(TokenCount(1_000)), TokenCount(900));
+    runtime.block_on(ended.close_grants(store, &log)).unwrap()
 }
--- a/crates/bramleywind_gateway/tests/exhausted_budget.rs
+++ b/crates/bramleywind_gateway/tests/exhausted_budget.rs
@@ -40,6 +40,8 @@
                 version: Cell::new(1),
                 failing_writes: Cell::new(0),
                 applies_failing_writes: false,
+                presence_version: Cell::new(1),
+                late_presence_version: Cell::new(None),
             };
             runner.run(&store, &Logger::root(Discard, o!())).await;
         })
--- a/crates/bramleywind_gateway/tests/support/budget_store.rs
+++ b/crates/bramleywind_gateway/tests/support/budget_store.rs
@@ -14,7 +14,7 @@
     },
 };
 use bramleywind_store::{StoreVersion, UnavailableReason};
-use bramleywind_types::InstanceId;
+use bramleywind_types::{IncarnationId, InstanceId};
 
 /// A store with one budget. Its first writes fail: they are either refused, or applied with their answers lost.
 pub struct BudgetStore {
@@ -22,6 +22,9 @@
     pub version: Cell<u64>,
     pub failing_writes: Cell<u32>,
     pub applies_failing_writes: bool,
+    /// The version of the instance's presence record, and the one after a late write that is applied before the next write.
+    pub presence_version: Cell<u64>,
+    pub late_presence_version: Cell<Option<u64>>,
 }
 
 impl FleetStore for BudgetStore {
@@ -38,8 +41,14 @@
     async fn commit_budgets(
         &self,
         changes: &[BudgetChange],
-        _presence: Option<(&InstanceId, StoreVersion)>,
+        presence: Option<(&InstanceId, StoreVersion)>,
     ) -> CommitOutcome {
+        if let Some(version) = self.late_presence_version.take() {
+            self.presence_version.set(version);
+        }
+        if presence.is_some_and(|(_, version)| version.0 != self.presence_version.get()) {
+            return CommitOutcome::Conflict(Vec::new());
+        }
         let is_failing = self.failing_writes.get() > 0;
         self.failing_writes.set(self.failing_writes.get().saturating_sub(1));
         if !is_failing || self.applies_failing_writes {
@@ -84,7 +93,13 @@
     async fn list_presences(
         &self,
     ) -> Result<Vec<(InstanceId, PresenceRecord, StoreVersion)>, UnavailableReason> {
-        Err(UnavailableReason::Outage)
+        let record = PresenceRecord {
+            incarnation: IncarnationId::from_number(7),
+            peer_address: "127.0.0.1:7340".parse().unwrap(),
+            written_at_ms: Some(1),
+        };
+        let version = StoreVersion(self.presence_version.get());
+        Ok(vec![("front-1".parse().unwrap(), record, version)])
     }
 
     async fn write_presence(
