--- a/crates/bramleywind_gateway/src/background.rs
+++ b/crates/bramleywind_gateway/src/background.rs
@@ -16,6 +16,6 @@
 pub(crate) use maintain_presence::maintain_presence;
 pub(crate) use scaled_interval::ScaledInterval;
 
-/// The duration of one watch, which is one priced call. The kernel's keepalive probes detect a dead connection within three
-/// seconds; this bounds the time if the probes are answered although the connection is dead.
-const WATCH_TIME: Duration = Duration::from_secs(20);
+/// The duration of one watch. The kernel's keepalive probes detect a dead connection within three seconds; this bounds
+/// the time if the probes are answered although the connection is dead.
+const WATCH_TIME: Duration = Duration::from_secs(5);
