docs: points found in the read-through of the admission and of final refusals

The comment on the validity of a borrower's statement claimed that a silent borrower has ended or has no open requests. That is not so: one with long streams and no new request is silent too, and a 402 may then be untrue.

--- a/crates/bramleywind_gateway/src/funds/budget_account.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_account.rs
@@ -57,8 +57,8 @@
 /// The fraction of the prepaid total that an excess of borrowed tokens must exceed to be returned.
 const MIN_LOAN_RETURN_SHARE: f64 = 0.000_5;
 
-/// How long a borrower's statement is used. A borrower that lacks tokens repeats it several times a second; one that says
-/// nothing for this long has ended, or its open requests have.
+/// How long a borrower's statement is used, so that one that has ended does not count for long. A borrower that lacks tokens
+/// repeats it several times a second.
 const STATEMENT_VALIDITY: Duration = Duration::from_secs(2);
 
 /// What another process said about the tokens of the budget that it holds.
