forward: log which request was sent, and whether the endpoint that lost its connection has ended

Logs of the incident cannot tell whether two requests are copies of one, nor whether an endpoint ended under a request. A hash of service, method, path and body now stands in 'request ended' and 'call failed', and a call that lost its connection tries a new one to the endpoint: refused means that the process has ended (endpoint_state of 'call failed'). Lost connections have a failure kind of their own.

--- a/crates/bramleywind_gateway/src/forward/call_failure.rs
+++ b/crates/bramleywind_gateway/src/forward/call_failure.rs
@@ -1,5 +1,7 @@
 use std::fmt;
 
+use crate::crashes::ProbeOutcome;
+
 /// The kind of a failed call to an endpoint, by whether the request ran.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FailureKind {
@@ -9,7 +11,9 @@
     Declined,
     /// Another instance answered at the endpoint's address and stated that the request did not run.
     Replaced,
-    /// The request may have run: the connection was lost, or the response is unusable.
+    /// The request may have run: the connection was lost before the response ended.
+    ConnectionLost,
+    /// The request may have run: the response is unusable.
     MayHaveRun,
     /// The request may have run: no response arrived in time.
     TimedOut,
@@ -29,11 +33,13 @@
     pub kind: FailureKind,
     /// Description of the failure for the log.
     pub reason: Box<str>,
+    /// What a new connection told about the endpoint, if one was tried.
+    pub probe: Option<ProbeOutcome>,
 }
 
 impl CallFailure {
     /// Creates a failure with the given reason.
     pub fn new(kind: FailureKind, reason: impl fmt::Display) -> Self {
-        Self { kind, reason: reason.to_string().into() }
+        Self { kind, reason: reason.to_string().into(), probe: None }
     }
 }
--- a/crates/bramleywind_gateway/src/forward/exchange.rs
+++ b/crates/bramleywind_gateway/src/forward/exchange.rs
@@ -64,7 +64,7 @@
                 return Err(CallFailure::new(FailureKind::NotSent, error));
             }
             Ok(Err(error @ ConnectionError::Broken { .. })) => {
-                return Err(CallFailure::new(FailureKind::MayHaveRun, error));
+                return Err(CallFailure::new(FailureKind::ConnectionLost, error));
             }
             Err(_) => {
                 return Err(CallFailure::new(
--- a/crates/bramleywind_gateway/src/forward/request_context.rs
+++ b/crates/bramleywind_gateway/src/forward/request_context.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     config::RouteConfig,
+    crashes::CallFingerprint,
     platform_api::{EventId, PromptPrefix, PromptProfile},
 };
 
@@ -18,6 +19,8 @@
     pub method: Method,
     /// The path and query as sent by the caller.
     pub target: Uri,
+    /// Identifies copies of the request at any gateway.
+    pub fingerprint: CallFingerprint,
     /// The caller's headers.
     pub headers: HeaderMap,
     /// The complete body.
--- a/crates/bramleywind_gateway/src/forward/request_forwarder.rs
+++ b/crates/bramleywind_gateway/src/forward/request_forwarder.rs
@@ -19,6 +19,7 @@
     stream_source::StreamSource,
 };
 use crate::{
+    crashes::probe_endpoint,
     endpoints::Endpoint,
     funds::Reservation,
     gateway::Gateway,
@@ -96,8 +97,9 @@
                     failed_answer = Some(answer);
                     (FailureKind::MayHaveRun, CallFailure::new(FailureKind::MayHaveRun, reason))
                 }
-                Err(failure) => {
+                Err(mut failure) => {
                     update_health(&endpoint, failure.kind, Instant::now());
+                    examine_endpoint(&endpoint, &mut failure).await;
                     (failure.kind, failure)
                 }
             };
@@ -234,8 +236,9 @@
                     let reason = format!("answered with {}", exchange.head.status);
                     CallFailure::new(FailureKind::MayHaveRun, reason)
                 }
-                Err(failure) => {
+                Err(mut failure) => {
                     update_health(&endpoint, failure.kind, Instant::now());
+                    examine_endpoint(&endpoint, &mut failure).await;
                     failure
                 }
             };
@@ -257,13 +260,23 @@
     }
 }
 
+/// Finds out whether an endpoint has ended, after a call that lost its connection.
+pub(super) async fn examine_endpoint(endpoint: &Endpoint, failure: &mut CallFailure) {
+    if failure.kind == FailureKind::ConnectionLost {
+        failure.probe = Some(probe_endpoint(endpoint).await);
+    }
+}
+
 /// Records a failed call in the endpoint's health. An endpoint that declines is healthy and merely full.
 fn update_health(endpoint: &Endpoint, kind: FailureKind, now: Instant) {
     let mut health = endpoint.health().borrow_mut();
     match kind {
         FailureKind::Declined => {}
         FailureKind::Replaced => health.record_replaced(now),
-        FailureKind::NotSent | FailureKind::MayHaveRun | FailureKind::TimedOut => {
+        FailureKind::NotSent
+        | FailureKind::ConnectionLost
+        | FailureKind::MayHaveRun
+        | FailureKind::TimedOut => {
             health.record_failure(now);
         }
     }
@@ -306,12 +319,16 @@
     mut exchange: Exchange,
     call_deadline: Instant,
 ) -> Result<BufferedResponse, CallFailure> {
-    let failed = |reason: &dyn std::fmt::Display| CallFailure::new(FailureKind::MayHaveRun, reason);
     let left = call_deadline.saturating_duration_since(Instant::now());
     let body = match timeout(left, read_body(&mut exchange.body, MAX_RESPONSE_BYTES)).await {
         Ok(BodyReadOutcome::Whole(body)) => body,
-        Ok(BodyReadOutcome::TooLarge) => return Err(failed(&"response is larger than 4 MiB")),
-        Ok(BodyReadOutcome::Broken(error)) => return Err(failed(&error)),
+        Ok(BodyReadOutcome::TooLarge) => {
+            let reason = "response is larger than 4 MiB";
+            return Err(CallFailure::new(FailureKind::MayHaveRun, reason));
+        }
+        Ok(BodyReadOutcome::Broken(error)) => {
+            return Err(CallFailure::new(FailureKind::ConnectionLost, error));
+        }
         Err(_) => {
             return Err(CallFailure::new(FailureKind::TimedOut, "response did not end in time"));
         }
--- a/crates/bramleywind_gateway/src/forward/request_handler.rs
+++ b/crates/bramleywind_gateway/src/forward/request_handler.rs
@@ -20,6 +20,7 @@
 use crate::{
     admission::AdmissionDecision,
     config::{RouteConfig, RouteTable},
+    crashes::CallFingerprint,
     funds::{BudgetAccount, FundsEffort, Reservation, ReserveOutcome},
     gateway::{Gateway, StopPhase},
     platform_api::{Platform, PromptProfile, RequestHead, WireCodec},
@@ -104,6 +105,10 @@
     let Some(service) = pick_service(&route) else {
         return Err(Refusal::after(RefusalReason::NoEndpoint, NOT_READY_RETRY_DELAY));
     };
+    let target = origin_form(&parts.uri);
+    let caller = trace.workspace.clone();
+    let fingerprint = CallFingerprint::of(caller, &service, &parts.method, &target, &body);
+    trace.fingerprint = Some(fingerprint.hash);
     let reservation = match (&workspace, &head.prompt) {
         (Some(workspace), Some(prompt)) => match workspace.prepaid {
             Some(prepaid) => {
@@ -131,7 +136,8 @@
     let context = RequestContext {
         request_id,
         method: parts.method.clone(),
-        target: origin_form(&parts.uri),
+        target,
+        fingerprint,
         headers: parts.headers.clone(),
         body,
         tokens_per_event: tokens_per_event(&table, &service),
--- a/crates/bramleywind_gateway/src/forward/request_trace.rs
+++ b/crates/bramleywind_gateway/src/forward/request_trace.rs
@@ -6,7 +6,7 @@
 use slog::{Logger, info};
 
 use super::{CallFailure, Refusal, RequestOutcome};
-use crate::{metrics::GatewayMetrics, platform_api::WireCodec};
+use crate::{crashes::RequestHash, metrics::GatewayMetrics, platform_api::WireCodec};
 
 /// Trace of a request: the facts that explain its outcome, logged in one line when dropped.
 #[derive(Debug)]
@@ -23,6 +23,8 @@
     pub revision: Option<ConfigRevision>,
     /// The workspace that is charged.
     pub workspace: Option<WorkspaceId>,
+    /// The hash by which copies of the request are recognized, once its body was read.
+    pub fingerprint: Option<RequestHash>,
     /// The load of the first endpoint when it was chosen.
     pub placement: Option<Box<str>>,
     /// The endpoints that were called, in order.
@@ -57,6 +59,7 @@
             route: None,
             revision: None,
             workspace: None,
+            fingerprint: None,
             placement: None,
             endpoints: Vec::new(),
             status: None,
@@ -84,7 +87,8 @@
         let endpoint = self.endpoints.last().map(ToString::to_string).unwrap_or_default();
         self.metrics.record_call_failure(failure.kind);
         info!(self.log, "call failed"; "request" => &*self.request_id, "endpoint" => endpoint,
-            "kind" => ?failure.kind, "reason" => &*failure.reason, "elapsed_ms" => self.elapsed_ms(),
+            "kind" => ?failure.kind, "reason" => &*failure.reason, "endpoint_state" => ?failure.probe,
+            "fingerprint" => self.fingerprint.map(|hash| hash.to_string()), "elapsed_ms" => self.elapsed_ms(),
             "sent_again" => is_retried);
     }
 
@@ -113,6 +117,7 @@
         info!(self.log, "request ended"; "request" => &*self.request_id,
             "outcome" => self.outcome.name(), "reason" => reason, "status" => self.status,
             "route" => self.route.as_deref(), "workspace" => self.workspace.as_ref().map(ToString::to_string),
+            "fingerprint" => self.fingerprint.map(|hash| hash.to_string()),
             "endpoints" => endpoints.join(","), "placement" => self.placement.as_deref(), "revision" => self.revision.map(|revision| revision.0),
             "first_piece_ms" => self.first_piece_ms, "elapsed_ms" => self.elapsed_ms(),
             "events" => self.events, "tokens_set_aside" => reserved, "tokens_charged" => charged);
--- a/crates/bramleywind_gateway/src/forward/retry_decision.rs
+++ b/crates/bramleywind_gateway/src/forward/retry_decision.rs
@@ -43,7 +43,7 @@
         match failure {
             FailureKind::NotSent => Self::Free,
             FailureKind::Declined | FailureKind::Replaced => Self::Budgeted,
-            FailureKind::MayHaveRun | FailureKind::TimedOut => {
+            FailureKind::ConnectionLost | FailureKind::MayHaveRun | FailureKind::TimedOut => {
                 if kind.is_repeatable() && counts.runs < run_limit {
                     Self::Budgeted
                 } else {
--- a/crates/bramleywind_gateway/src/forward/stream_relay.rs
+++ b/crates/bramleywind_gateway/src/forward/stream_relay.rs
@@ -10,7 +10,8 @@
 
 use super::{
     CallFailure, RequestContext, RequestOutcome, RequestTrace, ScannedEvents,
-    request_forwarder::RequestForwarder, stream_source::StreamSource,
+    request_forwarder::{RequestForwarder, examine_endpoint},
+    stream_source::StreamSource,
 };
 use crate::{
     config::RouteKind, funds::Reservation, gateway::Gateway, platform_api::EventId,
@@ -108,10 +109,11 @@
             let is_movable = is_resumable && self.forwarder.has_attempts_left(&self.context);
             let stall_deadline = if is_movable { now + stall_time } else { self.context.deadline };
             let deadline = stall_deadline.min(self.context.deadline);
-            let failure = match self.source.next_events(deadline).await {
+            let mut failure = match self.source.next_events(deadline).await {
                 Ok(events) => return Ok(events),
                 Err(failure) => failure,
             };
+            examine_endpoint(self.source.exchange().guard.endpoint(), &mut failure).await;
             if !is_resumable {
                 return Err(failure);
             }
--- a/crates/bramleywind_gateway/src/forward/stream_source.rs
+++ b/crates/bramleywind_gateway/src/forward/stream_source.rs
@@ -31,7 +31,7 @@
             let frame = match timeout(left, self.exchange.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(error))) => {
-                    return Err(CallFailure::new(FailureKind::MayHaveRun, error));
+                    return Err(CallFailure::new(FailureKind::ConnectionLost, error));
                 }
                 Ok(None) => return self.check_end(),
                 Err(_) => {
@@ -55,7 +55,7 @@
         if self.scanner.take_pending().is_empty() {
             return Ok(None);
         }
-        Err(CallFailure::new(FailureKind::MayHaveRun, "stream ended within an event"))
+        Err(CallFailure::new(FailureKind::ConnectionLost, "stream ended within an event"))
     }
 
     /// Returns the connection to the endpoint's pool. May be called only after the stream has ended completely.
--- a/crates/bramleywind_gateway/src/lib.rs
+++ b/crates/bramleywind_gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod args;
 mod background;
 pub mod config;
+pub mod crashes;
 mod daemon;
 pub mod endpoints;
 pub mod forward;
--- a/crates/bramleywind_gateway/src/metrics/gateway_metrics.rs
+++ b/crates/bramleywind_gateway/src/metrics/gateway_metrics.rs
@@ -110,6 +110,7 @@
             FailureKind::NotSent => "not sent",
             FailureKind::Declined => "declined",
             FailureKind::Replaced => "replaced",
+            FailureKind::ConnectionLost => "connection lost",
             FailureKind::MayHaveRun => "may have run",
             FailureKind::TimedOut => "timed out",
         };
--- a/crates/bramleywind_http/src/http_connection.rs
+++ b/crates/bramleywind_http/src/http_connection.rs
@@ -38,6 +38,8 @@
     NotConnected {
         /// The cause of the failure.
         reason: Box<str>,
+        /// Whether nothing listens at the address.
+        is_refused: bool,
     },
     /// The connection was closed before the request was written to it.
     #[snafu(display("the connection was closed before the request was written"))]
@@ -77,10 +79,16 @@
     ) -> Result<Self, ConnectionError> {
         let not_connected = |reason: &dyn std::fmt::Display| ConnectionError::NotConnected {
             reason: reason.to_string().into(),
+            is_refused: false,
         };
         let stream = match timeout(time_limit, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(not_connected(&error)),
+            Ok(Err(error)) => {
+                return Err(ConnectionError::NotConnected {
+                    reason: error.to_string().into(),
+                    is_refused: error.kind() == std::io::ErrorKind::ConnectionRefused,
+                });
+            }
             Err(_) => return Err(not_connected(&"timed out")),
         };
         set_options(&stream).map_err(|error| not_connected(&error))?;
