failure tests: wait for more than the idle time of a slice until idle slices are returned

loss_of_a_data_centre_returns_no_spent_tokens waited 30 s for the slices of the other routers, which return them once they have been idle for 30 s (SLICE_IDLE_TIMEOUT). The wait is now the idle time and 20 s for the writes. What the test asserts of the tokens is unchanged.

--- a/crates/bramleywind_harness/tests/failures/double_failures.rs
+++ b/crates/bramleywind_harness/tests/failures/double_failures.rs
@@ -15,6 +15,9 @@
 
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
+/// How long a router keeps a slice that is not used before it returns the rest.
+const SLICE_IDLE_TIME: Duration = Duration::from_secs(30);
+
 #[test]
 fn request_whose_routers_are_killed_twice_is_billed_once() {
     run(async {
@@ -88,12 +91,15 @@
             assert_eq!(answer.status, 200, "{:#}", answer.json());
             billed += total_tokens(&answer.json()["usage"]);
         }
-        let settled =
-            wait_until("the other routers return their slices", RECLAIM_LIMIT, || async {
+        let settled = wait_until(
+            "the other routers return their slices",
+            SLICE_IDLE_TIME + WAIT_LIMIT,
+            || async {
                 let found = account(&test.fleet, BUDGET);
                 let others_hold = found["in_slices"].as_u64()? - found["stranded"].as_u64()?;
                 (others_hold == 0).then_some(found)
-            });
+            },
+        );
         let found = settled.await.unwrap();
         let available = found["available"].as_u64().unwrap();
         // No token that was spent, or that the lost routers may have spent, is available again.
