gateway: refuse a request that was in flight when two endpoints ended

What callers saw: one request, repeated at any gateway, ended up to 18 endpoints of a service with three, and all callers of the service were refused for seconds at a time.

Cause: a gateway knew only the attempts of one caller's attempt. Nothing recognized the next copy, at the same gateway or another.

Change: crashes::CrashGuard. A request whose connection is lost, and whose endpoint then refuses connections, is a suspect; the second endpoint that ends under it makes every gateway refuse it with 503 until ten minutes later. Ends are counted once for each start of an endpoint, by the gateways that rendezvous hashing assigns (all of them in a fleet of up to twelve). Refusals are told to all gateways at once and written to the store under a lease, next to the member list, so that those that no notice reached or that start later learn of them without a call of their own. An answer to the same request, at any gateway, proves that it is harmless: it ends the suspicion everywhere, and a request answered within the last 30 s is not suspected at all.

CrashTracker of bramleywind_claims is now generic over what identifies a request and serves both daemons. A report that arrives again no longer prolongs a crash.

--- a/crates/bramleywind_claims/src/crash_report.rs
+++ b/crates/bramleywind_claims/src/crash_report.rs
@@ -27,30 +27,48 @@
 #[serde(transparent)]
 pub struct CrashReportId(pub u64);
 
-/// A report to other routers about a request that was in flight on an endpoint when it crashed.
+/// A report to other routers about a request that was in flight on an endpoint when it crashed. `F` identifies copies of
+/// the request.
 #[domain_type]
-pub enum CrashReport {
+pub enum CrashReport<F = RequestFingerprint> {
     /// The request was in flight on an endpoint that crashed.
     Strike {
         /// The id of the report.
         id: CrashReportId,
         /// The request.
-        fingerprint: RequestFingerprint,
+        fingerprint: F,
         /// The endpoint that crashed.
         endpoint: EndpointId,
     },
     /// The request is being retried on this endpoint, so no other request from the same crash may be retried there.
     Retry {
         /// The request.
-        fingerprint: RequestFingerprint,
+        fingerprint: F,
         /// The endpoint that now runs it.
         endpoint: EndpointId,
     },
     /// The retry on this endpoint has ended, so the next request from the same crash may use the endpoint.
     RetryEnded {
         /// The request.
-        fingerprint: RequestFingerprint,
+        fingerprint: F,
         /// The endpoint that ran it.
         endpoint: EndpointId,
     },
+    /// An endpoint answered the request, so its earlier crashes had another cause.
+    Cleared {
+        /// The request.
+        fingerprint: F,
+    },
+}
+
+impl<F> CrashReport<F> {
+    /// Returns the request that the report is about.
+    pub fn fingerprint(&self) -> &F {
+        match self {
+            Self::Strike { fingerprint, .. }
+            | Self::Retry { fingerprint, .. }
+            | Self::RetryEnded { fingerprint, .. }
+            | Self::Cleared { fingerprint } => fingerprint,
+        }
+    }
 }
--- a/crates/bramleywind_claims/src/crash_tracker.rs
+++ b/crates/bramleywind_claims/src/crash_tracker.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, btree_map::Entry},
     time::{Duration, Instant},
 };
 
@@ -17,7 +17,7 @@
 /// at most a few hundred requests at a time, so this covers the crashes of tens of endpoints.
 const MAX_FINGERPRINTS: usize = 10_000;
 
-/// Tracks the requests that were in flight on endpoints that crashed.
+/// Tracks the requests that were in flight on endpoints that crashed. `F` identifies copies of a request.
 ///
 /// Requests that were in flight at crashes of the same endpoint within [`CRASH_RETENTION`] are taken to be from the
 /// same crash, because routers see a crash at different times and cannot agree on a stricter rule without further
@@ -40,9 +40,15 @@
 /// assert_eq!(tracker.verdict(&fingerprint, now), CrashVerdict::Isolated);
 /// assert!(!tracker.may_retry_on(&fingerprint, &engine, now));
 /// ```
-#[derive(Debug, Default)]
-pub struct CrashTracker {
-    requests: BTreeMap<RequestFingerprint, TrackedRequest>,
+#[derive(Debug)]
+pub struct CrashTracker<F = RequestFingerprint> {
+    requests: BTreeMap<F, TrackedRequest>,
+}
+
+impl<F> Default for CrashTracker<F> {
+    fn default() -> Self {
+        Self { requests: BTreeMap::new() }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -61,17 +67,17 @@
     deadline: Instant,
 }
 
-impl CrashTracker {
+impl<F: Ord + Clone> CrashTracker<F> {
     /// Records a crash of an endpoint for each request that was in flight on it. Returns the reports, which the caller
     /// must send to the peers at once.
     pub fn record_crash(
         &mut self,
         endpoint: &EndpointId,
-        in_flight: &[RequestFingerprint],
+        in_flight: &[F],
         now: Instant,
-    ) -> Vec<CrashReport> {
+    ) -> Vec<CrashReport<F>> {
         let fingerprints: BTreeSet<_> = in_flight.iter().collect();
-        let report = |fingerprint: &RequestFingerprint| CrashReport::Strike {
+        let report = |fingerprint: &F| CrashReport::Strike {
             id: CrashReportId(rand::random()),
             fingerprint: fingerprint.clone(),
             endpoint: endpoint.clone(),
@@ -84,14 +90,19 @@
     }
 
     /// Applies a report of a peer. A report that arrives twice counts once.
-    pub fn apply(&mut self, report: &CrashReport, now: Instant) {
+    pub fn apply(&mut self, report: &CrashReport<F>, now: Instant) {
+        self.apply_until(report, now + CRASH_RETENTION, now);
+    }
+
+    /// Applies a report of a peer whose crash counts until `deadline`. A report that arrives twice counts once.
+    pub fn apply_until(&mut self, report: &CrashReport<F>, deadline: Instant, now: Instant) {
         self.drop_expired(now);
         match report {
             CrashReport::Strike { id, fingerprint, endpoint } => {
                 self.evict_if_full(fingerprint);
-                let crash = Crash { endpoint: endpoint.clone(), deadline: now + CRASH_RETENTION };
                 let request = self.requests.entry(fingerprint.clone()).or_default();
-                if request.crashes.insert(*id, crash).is_none() {
+                if let Entry::Vacant(entry) = request.crashes.entry(*id) {
+                    entry.insert(Crash { endpoint: endpoint.clone(), deadline });
                     request.has_been_retried = false;
                 }
             }
@@ -107,11 +118,47 @@
                     request.has_been_retried = true;
                 }
             }
+            CrashReport::Cleared { fingerprint } => {
+                self.requests.remove(fingerprint);
+            }
         }
     }
 
+    /// Returns the unexpired crashes of a request, as reports for peers that do not know of them.
+    pub fn strikes(&self, fingerprint: &F, now: Instant) -> Vec<CrashReport<F>> {
+        let Some(request) = self.requests.get(fingerprint) else { return Vec::new() };
+        let unexpired = request.crashes.iter().filter(|(_, crash)| crash.deadline > now);
+        let report = |(id, crash): (&CrashReportId, &Crash)| CrashReport::Strike {
+            id: *id,
+            fingerprint: fingerprint.clone(),
+            endpoint: crash.endpoint.clone(),
+        };
+        unexpired.map(report).collect()
+    }
+
+    /// Returns the time until which a request is refused, or `None` if it is not.
+    pub fn refused_until(&self, fingerprint: &F, now: Instant) -> Option<Instant> {
+        let request = self.requests.get(fingerprint)?;
+        let mut deadlines: Vec<_> =
+            request.unexpired_crashes(now).map(|crash| crash.deadline).collect();
+        deadlines.sort_unstable();
+        deadlines.len().checked_sub(MAX_CRASHES).map(|index| deadlines[index])
+    }
+
+    /// Returns the requests that are refused.
+    pub fn refused(&self, now: Instant) -> impl Iterator<Item = &F> {
+        self.requests
+            .keys()
+            .filter(move |fingerprint| self.refused_until(fingerprint, now).is_some())
+    }
+
+    /// Returns whether crashes of a request are known.
+    pub fn is_tracked(&self, fingerprint: &F) -> bool {
+        self.requests.contains_key(fingerprint)
+    }
+
     /// Returns the restrictions on sending a request.
-    pub fn verdict(&self, fingerprint: &RequestFingerprint, now: Instant) -> CrashVerdict {
+    pub fn verdict(&self, fingerprint: &F, now: Instant) -> CrashVerdict {
         match self
             .requests
             .get(fingerprint)
@@ -125,12 +172,7 @@
 
     /// Reports whether a request may be retried on an endpoint. It may not be if the endpoint crashed with the request
     /// in flight, or if another request from the same crash is being retried there.
-    pub fn may_retry_on(
-        &self,
-        fingerprint: &RequestFingerprint,
-        endpoint: &EndpointId,
-        now: Instant,
-    ) -> bool {
+    pub fn may_retry_on(&self, fingerprint: &F, endpoint: &EndpointId, now: Instant) -> bool {
         let Some(request) = self.requests.get(fingerprint) else { return true };
         let crashed_endpoints: BTreeSet<_> =
             request.unexpired_crashes(now).map(|crash| &crash.endpoint).collect();
@@ -140,7 +182,7 @@
         let has_same_crash = |other: &TrackedRequest| {
             other.unexpired_crashes(now).any(|crash| crashed_endpoints.contains(&crash.endpoint))
         };
-        let is_taken = |(other, request): (&RequestFingerprint, &TrackedRequest)| {
+        let is_taken = |(other, request): (&F, &TrackedRequest)| {
             other != fingerprint
                 && request.retry_endpoints.contains(endpoint)
                 && has_same_crash(request)
@@ -156,7 +198,7 @@
     /// ends.
     pub fn assigned_endpoint(
         &self,
-        fingerprint: &RequestFingerprint,
+        fingerprint: &F,
         endpoints: &BTreeSet<EndpointId>,
         now: Instant,
     ) -> Option<EndpointId> {
@@ -179,10 +221,10 @@
     /// up. Returns the report, which the caller must send to the peers at once, or `None` if the request has neither.
     pub fn record_retry_end(
         &mut self,
-        fingerprint: &RequestFingerprint,
+        fingerprint: &F,
         endpoint: &EndpointId,
         now: Instant,
-    ) -> Option<CrashReport> {
+    ) -> Option<CrashReport<F>> {
         let request = self.requests.get(fingerprint)?;
         if request.has_been_retried && !request.retry_endpoints.contains(endpoint) {
             return None;
@@ -197,10 +239,10 @@
     /// the peers at once, or `None` if the request has no crash.
     pub fn record_retry(
         &mut self,
-        fingerprint: &RequestFingerprint,
+        fingerprint: &F,
         endpoint: &EndpointId,
         now: Instant,
-    ) -> Option<CrashReport> {
+    ) -> Option<CrashReport<F>> {
         if self.verdict(fingerprint, now) == CrashVerdict::Clear {
             return None;
         }
@@ -218,7 +260,7 @@
     }
 
     /// Evicts the request whose last crash expires first, if there is no space for a new one.
-    fn evict_if_full(&mut self, fingerprint: &RequestFingerprint) {
+    fn evict_if_full(&mut self, fingerprint: &F) {
         if self.requests.len() < MAX_FINGERPRINTS || self.requests.contains_key(fingerprint) {
             return;
         }
--- a/crates/bramleywind_gateway/src/background.rs
+++ b/crates/bramleywind_gateway/src/background.rs
@@ -6,6 +6,7 @@
 mod maintain_membership;
 mod maintain_presence;
 mod scaled_interval;
+mod spread_crash_news;
 
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 pub(crate) use maintain_membership::maintain_membership;
 pub(crate) use maintain_presence::maintain_presence;
 pub(crate) use scaled_interval::ScaledInterval;
+pub(crate) use spread_crash_news::spread_crash_news;
 
 /// The duration of one watch. The kernel's keepalive probes detect a dead connection within three seconds; this bounds
 /// the time if the probes are answered although the connection is dead.
--- a/crates/bramleywind_gateway/src/background/maintain_membership.rs
+++ b/crates/bramleywind_gateway/src/background/maintain_membership.rs
@@ -3,6 +3,7 @@
     time::{Duration, Instant},
 };
 
+use bramleywind_claims::CRASH_RETENTION;
 use bramleywind_store::UnavailableReason;
 use compio::time::sleep;
 use slog::{info, warn};
@@ -10,6 +11,7 @@
 use super::DependencyTracker;
 use crate::{
     gateway::{Gateway, StopPhase},
+    members::{MemberRecord, unix_millis},
     platform_api::{FleetStore, LeaseId, Platform},
 };
 
@@ -63,7 +65,13 @@
             info!(gateway.log(), "entered the member list"; "lease" => %new_lease);
         }
     }
-    let listed = store.list_members().await?;
+    let listing = store.list_fleet().await?;
+    gateway.adopt_quarantines(&listing.quarantines);
+    update_members(gateway, listing.members);
+    save_quarantines(gateway).await
+}
+
+fn update_members<P: Platform>(gateway: &Gateway<P>, listed: Vec<MemberRecord>) {
     let count = listed.len();
     let mut members = gateway.members().borrow_mut();
     let before = members.count();
@@ -75,5 +83,26 @@
     gateway.metrics().members.set(i64::try_from(members.count()).unwrap_or(i64::MAX));
     drop(members);
     gateway.update_primaries();
+}
+
+/// Writes the records of refused requests to the store, and removes those of requests that are no longer refused.
+async fn save_quarantines<P: Platform>(gateway: &Gateway<P>) -> Result<(), UnavailableReason> {
+    let (store, guard) = (gateway.store(), gateway.crash_guard());
+    loop {
+        let Some(fingerprint) = guard.borrow().next_unsaved() else { break };
+        let record = guard.borrow().record_of(&fingerprint, unix_millis(), Instant::now());
+        if let Some(record) = record {
+            let lease = store.take_lease(CRASH_RETENTION).await?;
+            if !store.write_quarantine(&record, lease).await? {
+                break;
+            }
+        }
+        guard.borrow_mut().mark_saved(&fingerprint);
+    }
+    loop {
+        let Some(fingerprint) = guard.borrow().next_unremoved() else { break };
+        store.remove_quarantine(&fingerprint).await?;
+        guard.borrow_mut().mark_removed(&fingerprint);
+    }
     Ok(())
 }
--- a/crates/bramleywind_gateway/src/crashes.rs
+++ b/crates/bramleywind_gateway/src/crashes.rs
@@ -1,9 +1,34 @@
-//! Requests that crash the endpoints they reach: their names, and what is known of each.
+//! Requests that crash the endpoints they reach.
+//!
+//! Load pattern: a caller repeats one request at any gateway, and each endpoint that begins to run it ends. A request
+//! that was in flight when an endpoint ended is a suspect; one that was in flight at [`MAX_CRASHES`] ends is refused
+//! everywhere until [`CRASH_RETENTION`] has passed. Any answer to the same request proves that it is harmless, so a
+//! popular request is not refused because endpoints end for other reasons.
+//!
+//! [`MAX_CRASHES`]: bramleywind_claims::MAX_CRASHES
+//! [`CRASH_RETENTION`]: bramleywind_claims::CRASH_RETENTION
 
+mod answer_memory;
 mod call_fingerprint;
+mod crash_effect;
+mod crash_guard;
+mod crash_notice;
+mod crash_outbox;
 mod endpoint_probe;
+mod notice_audience;
+mod quarantine_record;
 mod request_hash;
 
+pub use answer_memory::AnswerMemory;
 pub use call_fingerprint::CallFingerprint;
+pub use crash_effect::CrashEffect;
+pub use crash_guard::CrashGuard;
+pub use crash_notice::{CrashNotice, NoticeReply};
+pub use crash_outbox::CrashOutbox;
 pub use endpoint_probe::{ProbeOutcome, probe_endpoint};
+pub use notice_audience::NoticeAudience;
+pub use quarantine_record::QuarantineRecord;
 pub use request_hash::RequestHash;
+
+/// A report about a request of the gateway.
+pub type CallCrashReport = bramleywind_claims::CrashReport<CallFingerprint>;
--- a/crates/bramleywind_gateway/src/crashes/call_fingerprint.rs
+++ b/crates/bramleywind_gateway/src/crashes/call_fingerprint.rs
@@ -42,6 +42,12 @@
         let parts = [service.as_str().as_bytes(), method.as_str().as_bytes(), path, query, body];
         Self { workspace, hash: RequestHash::of(&parts) }
     }
+
+    /// Returns a shorter hash of the workspace and the request, for rendezvous hashing and sets.
+    pub fn short_hash(&self) -> u64 {
+        let workspace = self.workspace.as_ref().map_or("", |workspace| workspace.as_str());
+        self.hash.seeded(workspace.as_bytes())
+    }
 }
 
 impl fmt::Display for CallFingerprint {
--- a/crates/bramleywind_gateway/src/crashes/request_hash.rs
+++ b/crates/bramleywind_gateway/src/crashes/request_hash.rs
@@ -33,6 +33,14 @@
         }
         Self(hasher.digest128())
     }
+
+    /// Returns a 64-bit hash of this hash and `extra`.
+    pub(super) fn seeded(self, extra: &[u8]) -> u64 {
+        let mut hasher = Xxh3::new();
+        hasher.update(&self.0.to_be_bytes());
+        hasher.update(extra);
+        hasher.digest()
+    }
 }
 
 impl fmt::Debug for RequestHash {
--- a/crates/bramleywind_gateway/src/forward/refusal.rs
+++ b/crates/bramleywind_gateway/src/forward/refusal.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bramleywind_http::ResponseBody;
 use bytes::Bytes;
@@ -29,6 +29,8 @@
     FundsUnavailable,
     /// The instance's link or memory cannot carry another request.
     Overloaded,
+    /// The same request crashed several endpoints lately.
+    CrashesEndpoints,
     /// No endpoint of the service accepts requests.
     NoEndpoint,
     /// All endpoints that were tried declined the request or could not be reached. The request did not run.
@@ -55,6 +57,7 @@
             Self::BudgetExhausted => "budget exhausted",
             Self::FundsUnavailable => "funds unavailable",
             Self::Overloaded => "instance overloaded",
+            Self::CrashesEndpoints => "request crashes endpoints",
             Self::NoEndpoint => "no endpoint",
             Self::NotPlaced => "not placed",
             Self::Stopping => "stopping",
@@ -76,6 +79,7 @@
             Self::NoConfiguration
             | Self::FundsUnavailable
             | Self::Overloaded
+            | Self::CrashesEndpoints
             | Self::NoEndpoint
             | Self::NotPlaced
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
@@ -105,6 +109,14 @@
         Self { reason, retry_after: Some(delay) }
     }
 
+    /// Creates the refusal of a request that crashes endpoints and is not sent again before `until`.
+    pub fn crashing(until: Instant) -> Self {
+        Self::after(
+            RefusalReason::CrashesEndpoints,
+            until.saturating_duration_since(Instant::now()),
+        )
+    }
+
     /// Builds the response to the caller.
     pub fn into_response<W: WireCodec>(self) -> Response<ResponseBody> {
         let text = format!("{}\n", self.reason.name());
--- a/crates/bramleywind_gateway/src/forward/request_forwarder.rs
+++ b/crates/bramleywind_gateway/src/forward/request_forwarder.rs
@@ -19,7 +19,7 @@
     stream_source::StreamSource,
 };
 use crate::{
-    crashes::probe_endpoint,
+    crashes::{ProbeOutcome, probe_endpoint},
     endpoints::Endpoint,
     funds::Reservation,
     gateway::Gateway,
@@ -68,6 +68,13 @@
         let mut failed_answer = None;
         let mut last_failure = None;
         loop {
+            // Other copies may have crashed endpoints while this one waited.
+            if let Some(until) = gateway.refused_until(&context.fingerprint) {
+                if self.counts.runs == 0 {
+                    return trace.refuse::<P::Wire>(Refusal::crashing(until));
+                }
+                break;
+            }
             let Some(endpoint) = gateway.choose_endpoint(&context, &self.tried) else { break };
             trace.placement.get_or_insert_with(|| describe_load(&endpoint, Instant::now()));
             expose_prompt(&mut reservation, &context);
@@ -89,6 +96,7 @@
                     .into_response(first);
                 }
                 Ok(CallOutcome::Whole(answer)) if !answer.head.status.is_server_error() => {
+                    gateway.record_answer(&context.fingerprint);
                     charge_all(&mut reservation);
                     return finish::<P>(answer, trace);
                 }
@@ -99,7 +107,7 @@
                 }
                 Err(mut failure) => {
                     update_health(&endpoint, failure.kind, Instant::now());
-                    examine_endpoint(&endpoint, &mut failure).await;
+                    examine_endpoint(&gateway, &context, &endpoint, &mut failure).await;
                     (failure.kind, failure)
                 }
             };
@@ -191,6 +199,9 @@
         failure: FailureKind,
     ) -> bool {
         let now = Instant::now();
+        if gateway.refused_until(&context.fingerprint).is_some() {
+            return false;
+        }
         let route = &context.route;
         let decision = RetryDecision::decide(
             route.kind,
@@ -238,7 +249,7 @@
                 }
                 Err(mut failure) => {
                     update_health(&endpoint, failure.kind, Instant::now());
-                    examine_endpoint(&endpoint, &mut failure).await;
+                    examine_endpoint(gateway, context, &endpoint, &mut failure).await;
                     failure
                 }
             };
@@ -260,10 +271,21 @@
     }
 }
 
-/// Finds out whether an endpoint has ended, after a call that lost its connection.
-pub(super) async fn examine_endpoint(endpoint: &Endpoint, failure: &mut CallFailure) {
-    if failure.kind == FailureKind::ConnectionLost {
-        failure.probe = Some(probe_endpoint(endpoint).await);
+/// Finds out whether an endpoint has ended, after a call that lost its connection, and records that it ended under this
+/// request.
+pub(super) async fn examine_endpoint<P: Platform>(
+    gateway: &Gateway<P>,
+    context: &RequestContext,
+    endpoint: &Endpoint,
+    failure: &mut CallFailure,
+) {
+    if failure.kind != FailureKind::ConnectionLost {
+        return;
+    }
+    let outcome = probe_endpoint(endpoint).await;
+    failure.probe = Some(outcome);
+    if outcome == ProbeOutcome::Ended {
+        gateway.record_crash(&context.fingerprint, endpoint);
     }
 }
 
--- a/crates/bramleywind_gateway/src/forward/request_handler.rs
+++ b/crates/bramleywind_gateway/src/forward/request_handler.rs
@@ -109,6 +109,9 @@
     let caller = trace.workspace.clone();
     let fingerprint = CallFingerprint::of(caller, &service, &parts.method, &target, &body);
     trace.fingerprint = Some(fingerprint.hash);
+    if let Some(until) = gateway.refused_until(&fingerprint) {
+        return Err(Refusal::crashing(until));
+    }
     let reservation = match (&workspace, &head.prompt) {
         (Some(workspace), Some(prompt)) => match workspace.prepaid {
             Some(prepaid) => {
--- a/crates/bramleywind_gateway/src/forward/stream_relay.rs
+++ b/crates/bramleywind_gateway/src/forward/stream_relay.rs
@@ -71,6 +71,7 @@
                 }
             };
         }
+        self.gateway.record_answer(&self.context.fingerprint);
         sender.finish();
         self.trace.outcome = RequestOutcome::Answered;
         self.source.recycle();
@@ -113,7 +114,8 @@
                 Ok(events) => return Ok(events),
                 Err(failure) => failure,
             };
-            examine_endpoint(self.source.exchange().guard.endpoint(), &mut failure).await;
+            let endpoint = Rc::clone(self.source.exchange().guard.endpoint());
+            examine_endpoint(&self.gateway, &self.context, &endpoint, &mut failure).await;
             if !is_resumable {
                 return Err(failure);
             }
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use async_channel::{Receiver, Sender};
 use bramleywind_http::TrafficTotals;
 use bramleywind_routing::RetryBudget;
 use bramleywind_types::{EndpointId, IncarnationId, ServiceId};
@@ -14,10 +15,13 @@
 use crate::{
     admission::AdmissionControl,
     config::{FleetConfig, RouteTable},
+    crashes::{
+        CallFingerprint, CrashEffect, CrashGuard, CrashNotice, NoticeReply, QuarantineRecord,
+    },
     endpoints::{Endpoint, EndpointSet},
     forward::{RequestContext, RequestTrace},
     funds::FundsManager,
-    members::{FleetClock, MemberRecord, MemberRegistry},
+    members::{FleetClock, MemberRecord, MemberRegistry, unix_millis},
     metrics::GatewayMetrics,
     placement::{Candidate, LatencyPlacement, PlacementPolicy, PlacementRequest},
     platform_api::Platform,
@@ -56,6 +60,9 @@
     admission: AdmissionControl,
     /// Whether new connections were accepted when this was last decided.
     took_connections: Cell<bool>,
+    crash_guard: RefCell<CrashGuard>,
+    /// Wakes the task that tells other gateways about crashes.
+    crash_news: (Sender<()>, Receiver<()>),
 }
 
 impl<P: Platform> Gateway<P> {
@@ -87,6 +94,8 @@
             placement: LatencyPlacement,
             admission,
             took_connections: Cell::new(true),
+            crash_guard: RefCell::new(CrashGuard::new(Instant::now())),
+            crash_news: async_channel::bounded(1),
         }
     }
 
@@ -168,6 +177,92 @@
         &self.admission
     }
 
+    /// The requests that crash endpoints.
+    pub fn crash_guard(&self) -> &RefCell<CrashGuard> {
+        &self.crash_guard
+    }
+
+    /// Returns the time until which a request is refused because it crashes endpoints, or `None` if it is not.
+    pub fn refused_until(&self, fingerprint: &CallFingerprint) -> Option<Instant> {
+        self.crash_guard.borrow().refused_until(fingerprint, Instant::now())
+    }
+
+    /// Records that an endpoint ended while this process waited for its answer to a request.
+    pub fn record_crash(&self, fingerprint: &CallFingerprint, endpoint: &Endpoint) {
+        let effect = {
+            let mut guard = self.crash_guard.borrow_mut();
+            guard.record_crash(fingerprint, &endpoint.record(), Instant::now())
+        };
+        info!(self.log, "endpoint ended with a request in flight"; "fingerprint" => %fingerprint,
+            "endpoint" => %endpoint.record().id, "effect" => ?effect);
+        self.metrics.record_crash(effect);
+        if effect == CrashEffect::Refused {
+            self.log_refused(fingerprint, "own crashes");
+        }
+        self.spread_crash_news();
+    }
+
+    /// Records that an endpoint answered a request.
+    pub fn record_answer(&self, fingerprint: &CallFingerprint) {
+        let was_suspect = self.crash_guard.borrow_mut().record_answer(fingerprint, Instant::now());
+        if was_suspect {
+            info!(self.log, "request cleared: an endpoint answered it"; "fingerprint" => %fingerprint);
+            self.spread_crash_news();
+        }
+    }
+
+    /// Applies a notice of another gateway about requests that crash endpoints.
+    pub fn apply_crash_notice(&self, notice: &CrashNotice) -> NoticeReply {
+        let (reply, refused) = self.crash_guard.borrow_mut().apply_notice(notice, Instant::now());
+        for fingerprint in &refused {
+            self.log_refused(fingerprint, "another gateway");
+        }
+        self.spread_crash_news();
+        reply
+    }
+
+    /// Applies the reply of another gateway to a notice.
+    pub fn apply_notice_reply(&self, reply: &NoticeReply) {
+        let cleared = self.crash_guard.borrow_mut().apply_reply(reply, Instant::now());
+        for fingerprint in &cleared {
+            info!(self.log, "request cleared: another gateway saw it answered"; "fingerprint" => %fingerprint);
+        }
+        self.spread_crash_news();
+    }
+
+    /// Applies the store's records of refused requests.
+    pub fn adopt_quarantines(&self, records: &[QuarantineRecord]) {
+        for record in records {
+            let is_new = self.crash_guard.borrow_mut().adopt(record, unix_millis(), Instant::now());
+            if is_new {
+                self.log_refused(&record.fingerprint, "store");
+            }
+        }
+        let refused = self.crash_guard.borrow().refused(Instant::now()).len();
+        self.metrics.refused_fingerprints.set(i64::try_from(refused).unwrap_or(i64::MAX));
+    }
+
+    fn log_refused(&self, fingerprint: &CallFingerprint, source: &'static str) {
+        let now = Instant::now();
+        let until = self.crash_guard.borrow().refused_until(fingerprint, now);
+        let left = until.map(|until| until.saturating_duration_since(now).as_secs());
+        info!(self.log, "request refused from now on: it crashes endpoints"; "fingerprint" => %fingerprint,
+            "source" => source, "for_seconds" => left);
+    }
+
+    /// Waits until other gateways are to be told about crashes.
+    pub async fn wait_for_crash_news(&self) {
+        // The sender lives as long as the receiver.
+        let _ = self.crash_news.1.recv().await;
+    }
+
+    fn spread_crash_news(&self) {
+        if self.crash_guard.borrow().has_news() {
+            // A full channel means that the task will wake up anyway.
+            let _ = self.crash_news.0.try_send(());
+        }
+    }
+
     /// Returns whether new connections of callers are accepted. An overloaded instance refuses them, so that callers turn to
     /// another one.
     pub fn takes_connections(&self, now: Instant) -> bool {
--- a/crates/bramleywind_gateway/src/loans.rs
+++ b/crates/bramleywind_gateway/src/loans.rs
@@ -1,4 +1,5 @@
-//! Messages between gateways: loans of granted tokens, their return, and the time of day.
+//! Messages between gateways: loans of granted tokens, their return, the time of day, and notices about requests that
+//! crash endpoints.
 //!
 //! A lender gives up the tokens before it answers, and they stay in its own durable grant. If the answer is lost,
 //! nobody spends the tokens; they are never spent twice.
--- a/crates/bramleywind_gateway/src/loans/loan_client.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_client.rs
@@ -15,10 +15,13 @@
 use super::{
     LoanAnswer, LoanRequest, TokenGift,
     loan_messages::EarlierLoanAnswer,
-    loan_server::{CLOCK_PATH, GIFT_PATH, LOAN_PATH},
+    loan_server::{CLOCK_PATH, CRASH_PATH, GIFT_PATH, LOAN_PATH},
     message_codec::{decode_either, decode_message, encode_message},
 };
-use crate::endpoints::{ConnectionPool, PooledConnection};
+use crate::{
+    crashes::{CrashNotice, NoticeReply},
+    endpoints::{ConnectionPool, PooledConnection},
+};
 
 /// The timeout of a call to another gateway. Gateways of a region are milliseconds apart; a lender may wait for the store
 /// for [`LEND_PATIENCE`](crate::funds::LEND_PATIENCE).
@@ -92,6 +95,24 @@
         decode_message(&body).ok()
     }
 
+    /// Sends a notice about requests that crash endpoints to a gateway.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the gateway did not confirm the notice. It may have received it.
+    pub async fn send_crash_notice(
+        &self,
+        peer: SocketAddr,
+        notice: &CrashNotice,
+    ) -> Result<NoticeReply, Box<str>> {
+        let body = match timeout(CALL_TIMEOUT, self.call(peer, CRASH_PATH, notice)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(error)) => return Err(error.reason),
+            Err(_) => return Err("the gateway did not answer in time".into()),
+        };
+        decode_message(&body).map_err(|error| error.to_string().into())
+    }
+
     /// Offers a gift to a gateway.
     ///
     /// # Errors
--- a/crates/bramleywind_gateway/src/loans/loan_server.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_server.rs
@@ -28,6 +28,9 @@
 /// The path of requests for a gateway's time of day.
 pub(super) const CLOCK_PATH: &str = "/clock";
 
+/// The path of notices about requests that crash endpoints.
+pub(super) const CRASH_PATH: &str = "/crashes";
+
 /// The maximum size of a message: a gift with tokens of 4,000 budgets.
 const MAX_MESSAGE_BYTES: usize = 256 * 1024;
 
@@ -37,7 +40,7 @@
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let path = request.uri().path();
-    if gateway.stop_phase() != StopPhase::Running && path != CLOCK_PATH {
+    if gateway.stop_phase() != StopPhase::Running && path != CLOCK_PATH && path != CRASH_PATH {
         // Tokens that change hands now could be lost when the process ends.
         return empty_response(StatusCode::SERVICE_UNAVAILABLE);
     }
@@ -51,6 +54,10 @@
         },
         GIFT_PATH => read_message(request).await.map(|gift| accept_gift(gateway, gift)),
         CLOCK_PATH => encode_response(&unix_millis()),
+        CRASH_PATH => match read_message(request).await {
+            Ok(notice) => encode_response(&gateway.apply_crash_notice(&notice)),
+            Err(error) => Err(error),
+        },
         _ => return empty_response(StatusCode::NOT_FOUND),
     };
     response.unwrap_or_else(|error| {
--- a/crates/bramleywind_gateway/src/members/member_registry.rs
+++ b/crates/bramleywind_gateway/src/members/member_registry.rs
@@ -5,6 +5,7 @@
 };
 
 use bramleywind_types::{InstanceId, WorkspaceId};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{MemberRecord, lender_order::lender_score, serving_set::serving_set};
 
@@ -15,6 +16,12 @@
 /// The maximum number of entry addresses in one answer. Callers ignore any further ones.
 const MAX_ENTRIES: usize = 64;
 
+/// The largest fleet in which each gateway counts the crashes of every request.
+const MAX_FLEET_OF_COUNTERS: usize = 12;
+
+/// The number of gateways that count the crashes of one request in a larger fleet.
+const CRASH_COUNTERS: usize = 2;
+
 /// The gateways that callers may connect to.
 #[derive(Debug)]
 pub struct MemberRegistry {
@@ -102,11 +109,27 @@
 
     /// Returns the addresses of the first `count` other gateways to ask for tokens of a workspace's budget.
     pub fn lenders(&self, workspace: &WorkspaceId, count: usize) -> Vec<SocketAddr> {
-        let mut ranked: Vec<_> = self
-            .others
-            .iter()
-            .map(|other| (self.lender_rank(workspace, &other.instance), other.peer_address))
-            .collect();
+        self.first_others(count, |instance| self.lender_rank(workspace, instance))
+    }
+
+    /// Returns the addresses of the other gateways that count the crashes of the request with this hash for the fleet.
+    pub fn crash_counters(&self, request_hash: u64) -> Vec<SocketAddr> {
+        let count =
+            if self.count() <= MAX_FLEET_OF_COUNTERS { self.others.len() } else { CRASH_COUNTERS };
+        self.first_others(count, |instance| {
+            let score = xxh3_64_with_seed(instance.as_str().as_bytes(), request_hash);
+            (!self.serving.contains(instance), score)
+        })
+    }
+
+    /// Returns the addresses of the first `count` other gateways by rank.
+    fn first_others(
+        &self,
+        count: usize,
+        rank: impl Fn(&InstanceId) -> (bool, u64),
+    ) -> Vec<SocketAddr> {
+        let mut ranked: Vec<_> =
+            self.others.iter().map(|other| (rank(&other.instance), other.peer_address)).collect();
         ranked.sort_unstable();
         ranked.into_iter().take(count).map(|(_, address)| address).collect()
     }
--- a/crates/bramleywind_gateway/src/metrics/gateway_metrics.rs
+++ b/crates/bramleywind_gateway/src/metrics/gateway_metrics.rs
@@ -6,7 +6,10 @@
     registry::Registry,
 };
 
-use crate::forward::{FailureKind, RequestOutcome};
+use crate::{
+    crashes::CrashEffect,
+    forward::{FailureKind, RequestOutcome},
+};
 
 /// Upper bounds of the latency buckets, in seconds. They range from below the targets of plain services (0.1 s) to the
 /// longest streams (15 s).
@@ -24,12 +27,18 @@
     kind: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CrashLabels {
+    effect: &'static str,
+}
+
 /// Holds the metrics of the process.
 #[derive(Debug)]
 pub struct GatewayMetrics {
     registry: Registry,
     requests: Family<OutcomeLabels, Counter>,
     call_failures: Family<FailureLabels, Counter>,
+    crashes: Family<CrashLabels, Counter>,
     first_piece: Histogram,
     duration: Histogram,
     /// Revision of the configuration in force.
@@ -38,6 +47,8 @@
     pub open_endpoints: Gauge,
     /// Number of live gateways.
     pub members: Gauge,
+    /// Number of requests that are refused because they crash endpoints.
+    pub refused_fingerprints: Gauge,
 }
 
 impl Default for GatewayMetrics {
@@ -48,6 +59,9 @@
         let call_failures = Family::<FailureLabels, Counter>::default();
         let help = "Calls to endpoints that failed or returned no usable response";
         registry.register("call_failures", help, call_failures.clone());
+        let crashes = Family::<CrashLabels, Counter>::default();
+        let help = "Requests that were in flight on an endpoint that ended, by what that changed";
+        registry.register("crashes", help, crashes.clone());
         let first_piece = Histogram::new(LATENCY_BUCKETS);
         let help = "Seconds from arrival to the first piece of the response";
         registry.register("first_piece_seconds", help, first_piece.clone());
@@ -71,15 +85,20 @@
         );
         let members = Gauge::default();
         registry.register("members", "Live gateways", members.clone());
+        let refused_fingerprints = Gauge::default();
+        let help = "Requests that are refused because they crash endpoints";
+        registry.register("refused_fingerprints", help, refused_fingerprints.clone());
         Self {
             registry,
             requests,
             call_failures,
+            crashes,
             first_piece,
             duration,
             config_revision,
             open_endpoints,
             members,
+            refused_fingerprints,
         }
     }
 }
@@ -117,6 +136,17 @@
         self.call_failures.get_or_create(&FailureLabels { kind }).inc();
     }
 
+    /// Records that a request was in flight on an endpoint that ended.
+    pub fn record_crash(&self, effect: CrashEffect) {
+        let effect = match effect {
+            CrashEffect::Harmless => "harmless",
+            CrashEffect::Suspected => "suspected",
+            CrashEffect::Refused => "refused",
+            CrashEffect::RefusedBefore => "refused before",
+        };
+        self.crashes.get_or_create(&CrashLabels { effect }).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/bramleywind_gateway/src/platform_api.rs
+++ b/crates/bramleywind_gateway/src/platform_api.rs
@@ -20,6 +20,7 @@
 pub use prompt_profile::{PromptPart, PromptPrefix, PromptProfile};
 pub use request_head::RequestHead;
 pub use store_outcomes::{
-    BudgetEntry, CommitOutcome, EntryChange, LeaseId, ListPage, LoadedConfig, StoreChanges,
+    BudgetEntry, CommitOutcome, EntryChange, FleetListing, LeaseId, ListPage, LoadedConfig,
+    StoreChanges,
 };
 pub use wire_codec::WireCodec;
--- a/crates/bramleywind_gateway/src/platform_api/fleet_store.rs
+++ b/crates/bramleywind_gateway/src/platform_api/fleet_store.rs
@@ -4,10 +4,13 @@
 use bramleywind_types::InstanceId;
 
 use super::{
-    BudgetChange, BudgetEntry, CommitOutcome, EntryChange, LeaseId, ListPage, LoadedConfig,
-    StoreChanges,
+    BudgetChange, BudgetEntry, CommitOutcome, EntryChange, FleetListing, LeaseId, ListPage,
+    LoadedConfig, StoreChanges,
+};
+use crate::{
+    crashes::{CallFingerprint, QuarantineRecord},
+    members::{MemberRecord, PresenceRecord},
 };
-use crate::members::{MemberRecord, PresenceRecord};
 
 /// The operations of the platform's store that the gateway uses.
 ///
@@ -38,8 +41,8 @@
         wait: Duration,
     ) -> Result<StoreChanges<EntryChange>, UnavailableReason>;
 
-    /// Reads the list of gateways, which may be some seconds old.
-    async fn list_members(&self) -> Result<Vec<MemberRecord>, UnavailableReason>;
+    /// Reads the list of gateways and the refused requests, which may be some seconds old.
+    async fn list_fleet(&self) -> Result<FleetListing, UnavailableReason>;
 
     /// Reads the current presence records of all gateways, with their instances and versions.
     async fn list_presences(
@@ -69,6 +72,19 @@
         lease: LeaseId,
     ) -> Result<bool, UnavailableReason>;
 
+    /// Writes the record of a refused request until the lease ends. Returns `false` if the lease has already ended.
+    async fn write_quarantine(
+        &self,
+        record: &QuarantineRecord,
+        lease: LeaseId,
+    ) -> Result<bool, UnavailableReason>;
+
+    /// Removes the record of a request that is no longer refused.
+    async fn remove_quarantine(
+        &self,
+        fingerprint: &CallFingerprint,
+    ) -> Result<(), UnavailableReason>;
+
     /// Reads all budget records. They are current if `is_fresh` is set, and may be some seconds old otherwise.
     async fn read_budgets(&self, is_fresh: bool) -> Result<Vec<BudgetEntry>, UnavailableReason>;
 
--- a/crates/bramleywind_gateway/src/platform_api/store_outcomes.rs
+++ b/crates/bramleywind_gateway/src/platform_api/store_outcomes.rs
@@ -5,7 +5,10 @@
 use bramleywind_store::StoreVersion;
 use bramleywind_types::{EndpointId, WorkspaceId};
 
-use crate::{config::FleetConfig, endpoints::EndpointRecord, funds::BudgetRecord};
+use crate::{
+    config::FleetConfig, crashes::QuarantineRecord, endpoints::EndpointRecord, funds::BudgetRecord,
+    members::MemberRecord,
+};
 
 /// The identifier of a lease in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -17,6 +20,15 @@
     }
 }
 
+/// The gateways of the fleet, and what they have recorded for each other.
+#[derive(Debug, Clone, Default)]
+pub struct FleetListing {
+    /// The gateways that hold a lease.
+    pub members: Vec<MemberRecord>,
+    /// The requests that are refused because they crash endpoints.
+    pub quarantines: Vec<QuarantineRecord>,
+}
+
 /// All entries below a prefix, and the store version as of which they are complete.
 #[derive(Debug, Clone)]
 pub struct ListPage<T> {
--- a/crates/bramleywind_gateway/src/state_dump.rs
+++ b/crates/bramleywind_gateway/src/state_dump.rs
@@ -36,6 +36,15 @@
             })
         })
         .collect();
+    let guard = gateway.crash_guard().borrow();
+    let refused: Vec<_> = guard
+        .refused(now)
+        .into_iter()
+        .map(|(fingerprint, until)| {
+            let left = until.saturating_duration_since(now).as_secs();
+            json!({ "fingerprint": fingerprint.to_string(), "refused_for_seconds": left })
+        })
+        .collect();
     json!({
         "instance": gateway.settings().instance,
         "config_revision": gateway.route_table().map(|table| table.revision()),
@@ -43,5 +52,6 @@
         "open_requests": gateway.open_requests(),
         "endpoints": endpoints,
         "budgets": budgets,
+        "refused_requests": refused,
     })
 }
--- a/crates/bramleywind_gateway/tests/support/budget_store.rs
+++ b/crates/bramleywind_gateway/tests/support/budget_store.rs
@@ -6,11 +6,12 @@
 };
 
 use bramleywind_gateway::{
+    crashes::{CallFingerprint, QuarantineRecord},
     funds::BudgetRecord,
     members::{MemberRecord, PresenceRecord},
     platform_api::{
-        BudgetChange, BudgetEntry, CommitOutcome, EntryChange, FleetStore, LeaseId, ListPage,
-        LoadedConfig, StoreChanges,
+        BudgetChange, BudgetEntry, CommitOutcome, EntryChange, FleetListing, FleetStore, LeaseId,
+        ListPage, LoadedConfig, StoreChanges,
     },
 };
 use bramleywind_store::{StoreVersion, UnavailableReason};
@@ -86,7 +87,7 @@
         Err(UnavailableReason::Outage)
     }
 
-    async fn list_members(&self) -> Result<Vec<MemberRecord>, UnavailableReason> {
+    async fn list_fleet(&self) -> Result<FleetListing, UnavailableReason> {
         Err(UnavailableReason::Outage)
     }
 
@@ -129,4 +130,19 @@
     ) -> Result<bool, UnavailableReason> {
         Err(UnavailableReason::Outage)
     }
+
+    async fn write_quarantine(
+        &self,
+        _record: &QuarantineRecord,
+        _lease: LeaseId,
+    ) -> Result<bool, UnavailableReason> {
+        Err(UnavailableReason::Outage)
+    }
+
+    async fn remove_quarantine(
+        &self,
+        _fingerprint: &CallFingerprint,
+    ) -> Result<(), UnavailableReason> {
+        Err(UnavailableReason::Outage)
+    }
 }
