crashes: an end after the endpoint had begun to answer counts less

An end under a request of which events had arrived is now a late strike. Two early ends or three of any kind refuse a request; if several copies were in flight at an end, the one that had come furthest counts.

--- a/crates/bramleywind_claims/src/crash_report.rs
+++ b/crates/bramleywind_claims/src/crash_report.rs
@@ -54,6 +54,15 @@
         /// The endpoint that ran it.
         endpoint: EndpointId,
     },
+    /// As [`Self::Strike`], but the endpoint had begun to answer the request before it crashed.
+    LateStrike {
+        /// The id of the report.
+        id: CrashReportId,
+        /// The request.
+        fingerprint: F,
+        /// The endpoint that crashed.
+        endpoint: EndpointId,
+    },
     /// An endpoint answered the request, so its earlier crashes had another cause.
     Cleared {
         /// The request.
@@ -66,6 +75,7 @@
     pub fn fingerprint(&self) -> &F {
         match self {
             Self::Strike { fingerprint, .. }
+            | Self::LateStrike { fingerprint, .. }
             | Self::Retry { fingerprint, .. }
             | Self::RetryEnded { fingerprint, .. }
             | Self::Cleared { fingerprint } => fingerprint,
--- a/crates/bramleywind_claims/src/crash_tracker.rs
+++ b/crates/bramleywind_claims/src/crash_tracker.rs
@@ -7,9 +7,14 @@
 
 use crate::{CrashReport, CrashReportId, CrashVerdict, RequestFingerprint};
 
-/// The number of crashes at which a request that was in flight is refused.
+/// The number of crashes at which a request that was in flight is refused, not counting those after the endpoint had
+/// begun to answer it.
 pub const MAX_CRASHES: usize = 2;
 
+/// The number of crashes of any kind at which a request that was in flight is refused. An endpoint that had begun to
+/// answer had run the request for a while, so its crash more often has another cause.
+pub const MAX_LATE_CRASHES: usize = 3;
+
 /// How long a crash counts against a request.
 pub const CRASH_RETENTION: Duration = Duration::from_secs(10 * 60);
 
@@ -65,6 +70,8 @@
 struct Crash {
     endpoint: EndpointId,
     deadline: Instant,
+    /// Whether the endpoint had begun to answer the request.
+    is_late: bool,
 }
 
 impl<F: Ord + Clone> CrashTracker<F> {
@@ -98,12 +105,18 @@
     pub fn apply_until(&mut self, report: &CrashReport<F>, deadline: Instant, now: Instant) {
         self.drop_expired(now);
         match report {
-            CrashReport::Strike { id, fingerprint, endpoint } => {
+            CrashReport::Strike { id, fingerprint, endpoint }
+            | CrashReport::LateStrike { id, fingerprint, endpoint } => {
+                let is_late = matches!(report, CrashReport::LateStrike { .. });
                 self.evict_if_full(fingerprint);
                 let request = self.requests.entry(fingerprint.clone()).or_default();
-                if let Entry::Vacant(entry) = request.crashes.entry(*id) {
-                    entry.insert(Crash { endpoint: endpoint.clone(), deadline });
-                    request.has_been_retried = false;
+                match request.crashes.entry(*id) {
+                    Entry::Vacant(entry) => {
+                        entry.insert(Crash { endpoint: endpoint.clone(), deadline, is_late });
+                        request.has_been_retried = false;
+                    }
+                    // Another copy of the request had run there for a while.
+                    Entry::Occupied(mut entry) => entry.get_mut().is_late |= is_late,
                 }
             }
             CrashReport::Retry { fingerprint, endpoint } => {
@@ -128,10 +141,13 @@
     pub fn strikes(&self, fingerprint: &F, now: Instant) -> Vec<CrashReport<F>> {
         let Some(request) = self.requests.get(fingerprint) else { return Vec::new() };
         let unexpired = request.crashes.iter().filter(|(_, crash)| crash.deadline > now);
-        let report = |(id, crash): (&CrashReportId, &Crash)| CrashReport::Strike {
-            id: *id,
-            fingerprint: fingerprint.clone(),
-            endpoint: crash.endpoint.clone(),
+        let report = |(id, crash): (&CrashReportId, &Crash)| {
+            let (id, fingerprint, endpoint) = (*id, fingerprint.clone(), crash.endpoint.clone());
+            if crash.is_late {
+                CrashReport::LateStrike { id, fingerprint, endpoint }
+            } else {
+                CrashReport::Strike { id, fingerprint, endpoint }
+            }
         };
         unexpired.map(report).collect()
     }
@@ -139,10 +155,11 @@
     /// Returns the time until which a request is refused, or `None` if it is not.
     pub fn refused_until(&self, fingerprint: &F, now: Instant) -> Option<Instant> {
         let request = self.requests.get(fingerprint)?;
-        let mut deadlines: Vec<_> =
-            request.unexpired_crashes(now).map(|crash| crash.deadline).collect();
-        deadlines.sort_unstable();
-        deadlines.len().checked_sub(MAX_CRASHES).map(|index| deadlines[index])
+        if !request.is_refused(now) {
+            return None;
+        }
+        let deadlines = request.unexpired_crashes(now).map(|crash| crash.deadline);
+        deadlines.filter(|deadline| !request.is_refused(*deadline)).min()
     }
 
     /// Returns the requests that are refused.
@@ -159,14 +176,12 @@
 
     /// Returns the restrictions on sending a request.
     pub fn verdict(&self, fingerprint: &F, now: Instant) -> CrashVerdict {
-        match self
-            .requests
-            .get(fingerprint)
-            .map_or(0, |request| request.unexpired_crashes(now).count())
-        {
-            0 => CrashVerdict::Clear,
-            count if count < MAX_CRASHES => CrashVerdict::Isolated,
-            _ => CrashVerdict::Refused,
+        match self.requests.get(fingerprint) {
+            Some(request) if request.is_refused(now) => CrashVerdict::Refused,
+            Some(request) if request.unexpired_crashes(now).next().is_some() => {
+                CrashVerdict::Isolated
+            }
+            _ => CrashVerdict::Clear,
         }
     }
 
@@ -274,6 +289,11 @@
 }
 
 impl TrackedRequest {
+    fn is_refused(&self, now: Instant) -> bool {
+        let early = self.unexpired_crashes(now).filter(|crash| !crash.is_late).count();
+        early >= MAX_CRASHES || self.unexpired_crashes(now).count() >= MAX_LATE_CRASHES
+    }
+
     fn unexpired_crashes(&self, now: Instant) -> impl Iterator<Item = &Crash> {
         self.crashes.values().filter(move |crash| crash.deadline > now)
     }
--- a/crates/bramleywind_claims/src/lib.rs
+++ b/crates/bramleywind_claims/src/lib.rs
@@ -35,7 +35,7 @@
 pub use claim_ticket::ClaimTicket;
 pub use close_outcome::CloseOutcome;
 pub use crash_report::{CrashReport, CrashReportId, RequestFingerprint};
-pub use crash_tracker::{CRASH_RETENTION, CrashTracker, MAX_CRASHES};
+pub use crash_tracker::{CRASH_RETENTION, CrashTracker, MAX_CRASHES, MAX_LATE_CRASHES};
 pub use crash_verdict::CrashVerdict;
 pub use home_choice::{HomeCandidate, HomePair, choose_homes};
 pub use idempotency_cache::{IdempotencyCache, KEY_RETENTION, MAX_CACHE_BYTES};
--- a/crates/bramleywind_gateway/src/crashes.rs
+++ b/crates/bramleywind_gateway/src/crashes.rs
@@ -1,8 +1,8 @@
 //! Requests that crash the endpoints they reach.
 //!
 //! Load pattern: a caller repeats one request at any gateway, and each endpoint that begins to run it ends. A request
-//! that was in flight when an endpoint ended is a suspect; one that was in flight at [`MAX_CRASHES`] ends is refused
-//! everywhere until [`CRASH_RETENTION`] has passed. Any answer to the same request proves that it is harmless, so a
+//! that was in flight when an endpoint ended is a suspect; one that was in flight at [`MAX_CRASHES`] ends, or at one more
+//! where the endpoints had begun to answer it, is refused everywhere until [`CRASH_RETENTION`] has passed. Any answer to the same request proves that it is harmless, so a
 //! popular request is not refused because endpoints end for other reasons.
 //!
 //! [`MAX_CRASHES`]: bramleywind_claims::MAX_CRASHES
@@ -18,6 +18,7 @@
 mod notice_audience;
 mod quarantine_record;
 mod request_hash;
+mod run_progress;
 
 pub use answer_memory::AnswerMemory;
 pub use call_fingerprint::CallFingerprint;
@@ -29,6 +30,7 @@
 pub use notice_audience::NoticeAudience;
 pub use quarantine_record::QuarantineRecord;
 pub use request_hash::RequestHash;
+pub use run_progress::RunProgress;
 
 /// A report about a request of the gateway.
 pub type CallCrashReport = bramleywind_claims::CrashReport<CallFingerprint>;
--- a/crates/bramleywind_gateway/src/crashes/crash_guard.rs
+++ b/crates/bramleywind_gateway/src/crashes/crash_guard.rs
@@ -8,7 +8,7 @@
 
 use super::{
     AnswerMemory, CallCrashReport, CallFingerprint, CrashEffect, CrashNotice, CrashOutbox,
-    NoticeAudience, NoticeReply, QuarantineRecord,
+    NoticeAudience, NoticeReply, QuarantineRecord, RunProgress,
 };
 use crate::endpoints::EndpointRecord;
 
@@ -19,7 +19,7 @@
 ///
 /// ```
 /// use std::time::Instant;
-/// use bramleywind_gateway::crashes::{CallFingerprint, CrashEffect, CrashGuard};
+/// use bramleywind_gateway::crashes::{CallFingerprint, CrashEffect, CrashGuard, RunProgress};
 /// use bramleywind_gateway::endpoints::EndpointRecord;
 /// use http::{Method, Uri};
 ///
@@ -37,10 +37,10 @@
 /// let request = CallFingerprint::of(None, &service, &Method::GET, &target, b"");
 /// let now = Instant::now();
 /// let mut guard = CrashGuard::new(now);
-/// assert_eq!(guard.record_crash(&request, &endpoint(1), now), CrashEffect::Suspected);
-/// assert_eq!(guard.record_crash(&request, &endpoint(1), now), CrashEffect::Suspected);
-/// assert_eq!(guard.refused_until(&request, now), None);
-/// assert_eq!(guard.record_crash(&request, &endpoint(2), now), CrashEffect::Refused);
+/// let mut crash = |number| guard.record_crash(&request, &endpoint(number), RunProgress::Unanswered, now);
+/// assert_eq!(crash(1), CrashEffect::Suspected);
+/// assert_eq!(crash(1), CrashEffect::Suspected);
+/// assert_eq!(crash(2), CrashEffect::Refused);
 /// assert!(guard.refused_until(&request, now).is_some());
 /// ```
 #[derive(Debug)]
@@ -82,15 +82,20 @@
         &mut self,
         fingerprint: &CallFingerprint,
         endpoint: &EndpointRecord,
+        progress: RunProgress,
         now: Instant,
     ) -> CrashEffect {
         if self.answers.contains(fingerprint) {
             return CrashEffect::Harmless;
         }
-        let strike = CrashReport::Strike {
-            id: crash_id(endpoint),
-            fingerprint: fingerprint.clone(),
-            endpoint: endpoint.id.clone(),
+        let (id, name) = (crash_id(endpoint), endpoint.id.clone());
+        let strike = match progress {
+            RunProgress::Unanswered => {
+                CrashReport::Strike { id, fingerprint: fingerprint.clone(), endpoint: name }
+            }
+            RunProgress::Begun => {
+                CrashReport::LateStrike { id, fingerprint: fingerprint.clone(), endpoint: name }
+            }
         };
         let effect = self.count(&strike, now);
         match effect {
@@ -116,13 +121,12 @@
         let mut reply = NoticeReply::default();
         let mut refused = Vec::new();
         for report in &notice.reports {
-            let CrashReport::Strike { fingerprint, .. } = report else {
-                if let CrashReport::Cleared { fingerprint } = report {
-                    self.answers.insert(fingerprint, now);
-                    self.forget(report, fingerprint, now);
-                }
+            let fingerprint = report.fingerprint();
+            if matches!(report, CrashReport::Cleared { .. }) {
+                self.answers.insert(fingerprint, now);
+                self.forget(report, now);
                 continue;
-            };
+            }
             if self.answers.contains(fingerprint) {
                 if !reply.answered.contains(fingerprint) {
                     reply.answered.push(fingerprint.clone());
@@ -218,7 +222,7 @@
 
     /// Counts a crash. If the request is refused for the first time, all gateways and the store are to be told.
     fn count(&mut self, strike: &CallCrashReport, now: Instant) -> CrashEffect {
-        let CrashReport::Strike { fingerprint, .. } = strike else { return CrashEffect::Harmless };
+        let fingerprint = strike.fingerprint();
         let was_refused = self.refused_until(fingerprint, now).is_some();
         self.tracker.apply(strike, now);
         match (was_refused, self.refused_until(fingerprint, now).is_some()) {
@@ -244,13 +248,14 @@
         } else {
             self.outbox.tell_counters(report.clone());
         }
-        self.forget(&report, fingerprint, now);
+        self.forget(&report, now);
         true
     }
 
-    fn forget(&mut self, report: &CallCrashReport, fingerprint: &CallFingerprint, now: Instant) {
+    /// Applies a report that clears a request.
+    fn forget(&mut self, report: &CallCrashReport, now: Instant) {
         self.tracker.apply(report, now);
-        self.unsaved.remove(fingerprint);
+        self.unsaved.remove(report.fingerprint());
     }
 }
 
--- a/crates/bramleywind_gateway/src/forward/request_forwarder.rs
+++ b/crates/bramleywind_gateway/src/forward/request_forwarder.rs
@@ -19,7 +19,7 @@
     stream_source::StreamSource,
 };
 use crate::{
-    crashes::{ProbeOutcome, probe_endpoint},
+    crashes::{ProbeOutcome, RunProgress, probe_endpoint},
     endpoints::Endpoint,
     funds::Reservation,
     gateway::Gateway,
@@ -107,7 +107,8 @@
                 }
                 Err(mut failure) => {
                     update_health(&endpoint, failure.kind, Instant::now());
-                    examine_endpoint(&gateway, &context, &endpoint, &mut failure).await;
+                    let progress = RunProgress::Unanswered;
+                    examine_endpoint(&gateway, &context, &endpoint, progress, &mut failure).await;
                     (failure.kind, failure)
                 }
             };
@@ -249,7 +250,8 @@
                 }
                 Err(mut failure) => {
                     update_health(&endpoint, failure.kind, Instant::now());
-                    examine_endpoint(gateway, context, &endpoint, &mut failure).await;
+                    let progress = RunProgress::Unanswered;
+                    examine_endpoint(gateway, context, &endpoint, progress, &mut failure).await;
                     failure
                 }
             };
@@ -277,6 +279,7 @@
     gateway: &Gateway<P>,
     context: &RequestContext,
     endpoint: &Endpoint,
+    progress: RunProgress,
     failure: &mut CallFailure,
 ) {
     if failure.kind != FailureKind::ConnectionLost {
@@ -285,7 +288,7 @@
     let outcome = probe_endpoint(endpoint).await;
     failure.probe = Some(outcome);
     if outcome == ProbeOutcome::Ended {
-        gateway.record_crash(&context.fingerprint, endpoint);
+        gateway.record_crash(&context.fingerprint, endpoint, progress);
     }
 }
 
--- a/crates/bramleywind_gateway/src/forward/stream_relay.rs
+++ b/crates/bramleywind_gateway/src/forward/stream_relay.rs
@@ -115,7 +115,8 @@
                 Err(failure) => failure,
             };
             let endpoint = Rc::clone(self.source.exchange().guard.endpoint());
-            examine_endpoint(&self.gateway, &self.context, &endpoint, &mut failure).await;
+            let progress = self.source.progress();
+            examine_endpoint(&self.gateway, &self.context, &endpoint, progress, &mut failure).await;
             if !is_resumable {
                 return Err(failure);
             }
--- a/crates/bramleywind_gateway/src/forward/stream_source.rs
+++ b/crates/bramleywind_gateway/src/forward/stream_source.rs
@@ -3,6 +3,8 @@
 use compio::time::timeout;
 use http_body_util::BodyExt;
 
+use crate::crashes::RunProgress;
+
 use super::{CallFailure, EventScanner, FailureKind, ScannedEvents, exchange::Exchange};
 
 /// Reader of the events that an endpoint sends for one request.
@@ -10,11 +12,17 @@
 pub(super) struct StreamSource {
     exchange: Exchange,
     scanner: EventScanner,
+    progress: RunProgress,
 }
 
 impl StreamSource {
     pub(super) fn new(exchange: Exchange) -> Self {
-        Self { exchange, scanner: EventScanner::default() }
+        let (scanner, progress) = (EventScanner::default(), RunProgress::Unanswered);
+        Self { exchange, scanner, progress }
+    }
+
+    pub(super) fn progress(&self) -> RunProgress {
+        self.progress
     }
 
     pub(super) fn exchange(&self) -> &Exchange {
@@ -42,6 +50,7 @@
             let Ok(data) = frame.into_data() else { continue };
             let events = self.scanner.push(&data);
             if events.count > 0 {
+                self.progress = RunProgress::Begun;
                 self.exchange.guard.record_first_answer(Instant::now());
             }
             if !events.bytes.is_empty() {
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -17,6 +17,7 @@
     config::{FleetConfig, RouteTable},
     crashes::{
         CallFingerprint, CrashEffect, CrashGuard, CrashNotice, NoticeReply, QuarantineRecord,
+        RunProgress,
     },
     endpoints::{Endpoint, EndpointSet},
     forward::{RequestContext, RequestTrace},
@@ -188,13 +189,18 @@
     }
 
     /// Records that an endpoint ended while this process waited for its answer to a request.
-    pub fn record_crash(&self, fingerprint: &CallFingerprint, endpoint: &Endpoint) {
+    pub fn record_crash(
+        &self,
+        fingerprint: &CallFingerprint,
+        endpoint: &Endpoint,
+        progress: RunProgress,
+    ) {
         let effect = {
             let mut guard = self.crash_guard.borrow_mut();
-            guard.record_crash(fingerprint, &endpoint.record(), Instant::now())
+            guard.record_crash(fingerprint, &endpoint.record(), progress, Instant::now())
         };
         info!(self.log, "endpoint ended with a request in flight"; "fingerprint" => %fingerprint,
-            "endpoint" => %endpoint.record().id, "effect" => ?effect);
+            "endpoint" => %endpoint.record().id, "progress" => ?progress, "effect" => ?effect);
         self.metrics.record_crash(effect);
         if effect == CrashEffect::Refused {
             self.log_refused(fingerprint, "own crashes");
