crash tracker: count the crash of an endpoint once, however many routers report it

Each router gave its report a random id, so two copies of a harmless request in flight on one endpoint through two routers counted as two crashes, and the request was refused as if it had crashed two endpoints. The id now follows from the endpoint's name (gateway: and its start), so reports of one crash are the same report. Test seen failing first: crash_reported_by_two_routers_counts_once (Refused instead of Isolated).

--- a/crates/bramleywind_claims/src/crash_report.rs
+++ b/crates/bramleywind_claims/src/crash_report.rs
@@ -4,6 +4,7 @@
 
 use bramleywind_macros::domain_type;
 use bramleywind_types::{BodyHash, EndpointId, WorkspaceId};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Identifies copies of a request regardless of their keys, because it is the request itself that crashes an endpoint.
 #[domain_type]
@@ -21,12 +22,24 @@
     }
 }
 
-/// The id of a crash report, so that a report that arrives twice counts once.
+/// The id of a crash, so that it counts once however many reports of it arrive.
 #[domain_type]
 #[derive(Copy, PartialOrd, Ord, Hash)]
 #[serde(transparent)]
 pub struct CrashReportId(pub u64);
 
+impl CrashReportId {
+    /// Returns the id of a crash of an endpoint that has the same name each time it starts.
+    pub fn of_endpoint(endpoint: &EndpointId) -> Self {
+        Self(xxh3_64(endpoint.as_str().as_bytes()))
+    }
+
+    /// Returns the id of the crash of one start of an endpoint.
+    pub fn of_start(endpoint: &EndpointId, started_at_ms: u64) -> Self {
+        Self(xxh3_64_with_seed(endpoint.as_str().as_bytes(), started_at_ms))
+    }
+}
+
 /// A report to other routers about a request that was in flight on an endpoint when it crashed. `F` identifies copies of
 /// the request.
 #[domain_type]
--- a/crates/bramleywind_claims/src/crash_tracker.rs
+++ b/crates/bramleywind_claims/src/crash_tracker.rs
@@ -76,7 +76,7 @@
 
 impl<F: Ord + Clone> CrashTracker<F> {
     /// Records a crash of an endpoint for each request that was in flight on it. Returns the reports, which the caller
-    /// must send to the peers at once.
+    /// must send to the peers at once. Reports of several routers about one endpoint count as one crash.
     pub fn record_crash(
         &mut self,
         endpoint: &EndpointId,
@@ -85,7 +85,7 @@
     ) -> Vec<CrashReport<F>> {
         let fingerprints: BTreeSet<_> = in_flight.iter().collect();
         let report = |fingerprint: &F| CrashReport::Strike {
-            id: CrashReportId(rand::random()),
+            id: CrashReportId::of_endpoint(endpoint),
             fingerprint: fingerprint.clone(),
             endpoint: endpoint.clone(),
         };
--- a/crates/bramleywind_claims/tests/crash_tracker.rs
+++ b/crates/bramleywind_claims/tests/crash_tracker.rs
@@ -43,6 +43,34 @@
     assert_eq!(local.verdict(&fingerprint("bystander"), later), CrashVerdict::Clear);
 }
 
+/// Guards against one crash counting twice because copies of the request were in flight there through two routers.
+#[test]
+fn crash_reported_by_two_routers_counts_once() {
+    let now = Instant::now();
+    let (mut local, mut peer) = (CrashTracker::default(), CrashTracker::default());
+    let in_flight = [fingerprint("popular")];
+    let reports = local.record_crash(&endpoint(1), &in_flight, now);
+    peer.record_crash(&endpoint(1), &in_flight, now);
+    reports.iter().for_each(|report| peer.apply(report, now));
+    assert_eq!(peer.verdict(&in_flight[0], now), CrashVerdict::Isolated);
+    peer.record_crash(&endpoint(2), &in_flight, now);
+    assert_eq!(peer.verdict(&in_flight[0], now), CrashVerdict::Refused);
+}
+
+/// Guards against a report that is repeated for the same crash making it count for longer.
+#[test]
+fn repeated_report_does_not_prolong_a_crash() {
+    let now = Instant::now();
+    let mut tracker = CrashTracker::default();
+    let request = fingerprint("poison");
+    let mut reports = tracker.record_crash(&endpoint(1), std::slice::from_ref(&request), now);
+    reports.extend(tracker.record_crash(&endpoint(2), std::slice::from_ref(&request), now));
+    let later = now + CRASH_RETENTION / 2;
+    reports.iter().for_each(|report| tracker.apply(report, later));
+    assert_eq!(tracker.refused_until(&request, later), Some(now + CRASH_RETENTION));
+    assert_eq!(tracker.verdict(&request, now + CRASH_RETENTION), CrashVerdict::Clear);
+}
+
 /// Guards against a harmless request being refused after it was retried on the same endpoint as the crashing one.
 #[test]
 fn requests_of_one_crash_are_kept_apart() {
--- a/crates/bramleywind_gateway/src/crashes/crash_guard.rs
+++ b/crates/bramleywind_gateway/src/crashes/crash_guard.rs
@@ -4,7 +4,6 @@
 };
 
 use bramleywind_claims::{CRASH_RETENTION, CrashReport, CrashReportId, CrashTracker};
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     AnswerMemory, CallCrashReport, CallFingerprint, CrashEffect, CrashNotice, CrashOutbox,
@@ -88,7 +87,9 @@
         if self.answers.contains(fingerprint) {
             return CrashEffect::Harmless;
         }
-        let (id, name) = (crash_id(endpoint), endpoint.id.clone());
+        let started_at_ms = endpoint.started_at_ms.unwrap_or_default();
+        let (id, name) =
+            (CrashReportId::of_start(&endpoint.id, started_at_ms), endpoint.id.clone());
         let strike = match progress {
             RunProgress::Unanswered => {
                 CrashReport::Strike { id, fingerprint: fingerprint.clone(), endpoint: name }
@@ -258,9 +259,3 @@
         self.unsaved.remove(report.fingerprint());
     }
 }
-
-/// Returns the id of an endpoint's end, which is the same at all gateways.
-fn crash_id(endpoint: &EndpointRecord) -> CrashReportId {
-    let start = endpoint.started_at_ms.unwrap_or_default();
-    CrashReportId(xxh3_64(format!("{}@{start}", endpoint.id).as_bytes()))
-}
