--- a/crates/bramleywind_gateway/src/crashes/endpoint_probe.rs
+++ b/crates/bramleywind_gateway/src/crashes/endpoint_probe.rs
@@ -18,6 +18,17 @@
     Unknown,
 }
 
+impl ProbeOutcome {
+    /// The outcome's name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Ended => "ended",
+            Self::Alive => "alive",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Connects to an endpoint that lost a connection, to find out whether its process has ended. Keeps the connection for
 /// the next request.
 pub async fn probe_endpoint(endpoint: &Endpoint) -> ProbeOutcome {
--- a/crates/bramleywind_gateway/src/forward/request_trace.rs
+++ b/crates/bramleywind_gateway/src/forward/request_trace.rs
@@ -6,7 +6,11 @@
 use slog::{Logger, info};
 
 use super::{CallFailure, Refusal, RequestOutcome};
-use crate::{crashes::RequestHash, metrics::GatewayMetrics, platform_api::WireCodec};
+use crate::{
+    crashes::{ProbeOutcome, RequestHash},
+    metrics::GatewayMetrics,
+    platform_api::WireCodec,
+};
 
 /// Trace of a request: the facts that explain its outcome, logged in one line when dropped.
 #[derive(Debug)]
@@ -87,7 +91,7 @@
         let endpoint = self.endpoints.last().map(ToString::to_string).unwrap_or_default();
         self.metrics.record_call_failure(failure.kind);
         info!(self.log, "call failed"; "request" => &*self.request_id, "endpoint" => endpoint,
-            "kind" => ?failure.kind, "reason" => &*failure.reason, "endpoint_state" => ?failure.probe,
+            "kind" => ?failure.kind, "reason" => &*failure.reason, "endpoint_state" => failure.probe.map(ProbeOutcome::name),
             "fingerprint" => self.fingerprint.map(|hash| hash.to_string()), "elapsed_ms" => self.elapsed_ms(),
             "sent_again" => is_retried);
     }
--- a/crates/bramleywind_gateway/tests/crash_guard.rs
+++ b/crates/bramleywind_gateway/tests/crash_guard.rs
@@ -261,3 +261,25 @@
     assert_eq!((outbox.for_counters.len(), outbox.for_everyone.len()), (4_096, 0));
     assert_eq!(outbox.dropped, 10_000 - 4_096);
 }
+
+/// Guards against notices that a narrow link cannot carry to hundreds of gateways.
+#[test]
+fn notice_of_a_refusal_is_small() {
+    let now = Instant::now();
+    let mut guard = CrashGuard::new(now);
+    let crashing = request(Some("menders"), "/orders/7", "");
+    guard.record_crash(&crashing, &endpoint(1, 1), Unanswered, now);
+    guard.take_outbox();
+    guard.record_crash(&crashing, &endpoint(2, 1), Unanswered, now);
+    let sizes: Vec<_> = notices(&mut guard)
+        .iter()
+        .map(|notice| {
+            bincode::serde::encode_to_vec(notice, bincode::config::standard()).unwrap().len()
+        })
+        .collect();
+    insta::assert_debug_snapshot!(sizes, @r"
+    [
+        120,
+    ]
+    ");
+}
