placement: send all copies of a suspected request to the same endpoint

A request under which an endpoint ended before it had begun to answer goes to the primary engine of its prefix, or to the first endpoint in a rendezvous hash of its fingerprint, among those that did not fail lately. An endpoint that ended, here or by a notice, is avoided for four seconds, until the registry shows its end.

--- a/crates/bramleywind_claims/src/crash_tracker.rs
+++ b/crates/bramleywind_claims/src/crash_tracker.rs
@@ -169,6 +169,12 @@
             .filter(move |fingerprint| self.refused_until(fingerprint, now).is_some())
     }
 
+    /// Returns whether an endpoint crashed before it had begun to answer a request.
+    pub fn has_early_crash(&self, fingerprint: &F, now: Instant) -> bool {
+        let request = self.requests.get(fingerprint);
+        request.is_some_and(|request| request.unexpired_crashes(now).any(|crash| !crash.is_late))
+    }
+
     /// Returns whether crashes of a request are known.
     pub fn is_tracked(&self, fingerprint: &F) -> bool {
         self.requests.contains_key(fingerprint)
--- a/crates/bramleywind_gateway/src/crashes/crash_guard.rs
+++ b/crates/bramleywind_gateway/src/crashes/crash_guard.rs
@@ -3,7 +3,7 @@
     time::{Duration, Instant},
 };
 
-use bramleywind_claims::{CRASH_RETENTION, CrashReport, CrashReportId, CrashTracker};
+use bramleywind_claims::{CRASH_RETENTION, CrashReport, CrashTracker};
 
 use super::{
     AnswerMemory, CallCrashReport, CallFingerprint, CrashEffect, CrashNotice, CrashOutbox,
@@ -70,6 +70,11 @@
         self.tracker.refused_until(fingerprint, now)
     }
 
+    /// Returns whether a request may be the reason why an endpoint ended.
+    pub fn is_suspect(&self, fingerprint: &CallFingerprint, now: Instant) -> bool {
+        self.tracker.has_early_crash(fingerprint, now)
+    }
+
     /// Returns the refused requests, with the times until which they are.
     pub fn refused(&self, now: Instant) -> Vec<(&CallFingerprint, Instant)> {
         let with_end = |fingerprint| Some((fingerprint, self.refused_until(fingerprint, now)?));
@@ -87,9 +92,7 @@
         if self.answers.contains(fingerprint) {
             return CrashEffect::Harmless;
         }
-        let started_at_ms = endpoint.started_at_ms.unwrap_or_default();
-        let (id, name) =
-            (CrashReportId::of_start(&endpoint.id, started_at_ms), endpoint.id.clone());
+        let (id, name) = (endpoint.crash_id(), endpoint.id.clone());
         let strike = match progress {
             RunProgress::Unanswered => {
                 CrashReport::Strike { id, fingerprint: fingerprint.clone(), endpoint: name }
--- a/crates/bramleywind_gateway/src/endpoints/endpoint_health.rs
+++ b/crates/bramleywind_gateway/src/endpoints/endpoint_health.rs
@@ -8,6 +8,10 @@
 /// seconds.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
+/// Time for which an endpoint whose process has ended is avoided. Its registry entry goes within this time, and its next
+/// start has an entry of its own.
+const ENDED_BACKOFF: Duration = Duration::from_secs(4);
+
 /// Holds the failures of an endpoint and the time at which it may be tried again.
 #[derive(Debug, Default)]
 pub struct EndpointHealth {
@@ -37,6 +41,11 @@
         self.avoided_until = Some(now + MAX_BACKOFF);
     }
 
+    /// Records that the endpoint's process has ended.
+    pub fn record_ended(&mut self, now: Instant) {
+        self.avoided_until = Some(now + ENDED_BACKOFF);
+    }
+
     /// Returns whether the endpoint is backing off at `now`.
     pub fn is_avoided(&self, now: Instant) -> bool {
         self.avoided_until.is_some_and(|until| now < until)
--- a/crates/bramleywind_gateway/src/endpoints/endpoint_record.rs
+++ b/crates/bramleywind_gateway/src/endpoints/endpoint_record.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use bramleywind_claims::CrashReportId;
 use bramleywind_macros::domain_type;
 use bramleywind_types::{DataCentreId, EndpointId, ServiceId};
 
@@ -22,3 +23,10 @@
     /// requests and caches.
     pub started_at_ms: Option<u64>,
 }
+
+impl EndpointRecord {
+    /// Returns the id of the crash of this start of the endpoint, which is the same at all gateways.
+    pub fn crash_id(&self) -> CrashReportId {
+        CrashReportId::of_start(&self.id, self.started_at_ms.unwrap_or_default())
+    }
+}
--- a/crates/bramleywind_gateway/src/endpoints/endpoint_set.rs
+++ b/crates/bramleywind_gateway/src/endpoints/endpoint_set.rs
@@ -105,6 +105,11 @@
             .filter(move |endpoint| endpoint.is_open() && endpoint.record().service == *service)
     }
 
+    /// Returns the endpoint with a name.
+    pub fn get(&self, id: &EndpointId) -> Option<&Rc<Endpoint>> {
+        self.endpoints.get(id)
+    }
+
     /// Iterates over all endpoints in order of their names.
     pub fn iter(&self) -> impl Iterator<Item = &Rc<Endpoint>> {
         self.endpoints.values()
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -1,11 +1,13 @@
 use std::{
     cell::{Cell, RefCell},
+    cmp::Reverse,
     collections::HashMap,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use async_channel::{Receiver, Sender};
+use bramleywind_claims::CrashReport;
 use bramleywind_http::TrafficTotals;
 use bramleywind_routing::RetryBudget;
 use bramleywind_types::{EndpointId, IncarnationId, ServiceId};
@@ -16,8 +18,8 @@
     admission::AdmissionControl,
     config::{FleetConfig, RouteTable},
     crashes::{
-        CallFingerprint, CrashEffect, CrashGuard, CrashNotice, NoticeReply, QuarantineRecord,
-        RunProgress,
+        CallCrashReport, CallFingerprint, CrashEffect, CrashGuard, CrashNotice, NoticeReply,
+        QuarantineRecord, RunProgress,
     },
     endpoints::{Endpoint, EndpointSet},
     forward::{RequestContext, RequestTrace},
@@ -201,6 +203,7 @@
         };
         info!(self.log, "endpoint ended with a request in flight"; "fingerprint" => %fingerprint,
             "endpoint" => %endpoint.record().id, "progress" => ?progress, "effect" => ?effect);
+        endpoint.health().borrow_mut().record_ended(Instant::now());
         self.metrics.record_crash(effect);
         if effect == CrashEffect::Refused {
             self.log_refused(fingerprint, "own crashes");
@@ -223,10 +226,23 @@
         for fingerprint in &refused {
             self.log_refused(fingerprint, "another gateway");
         }
+        self.avoid_ended_endpoints(&notice.reports);
         self.spread_crash_news();
         reply
     }
 
+    /// Avoids the endpoints that ended according to other gateways, until the registry shows it.
+    fn avoid_ended_endpoints(&self, reports: &[CallCrashReport]) {
+        let endpoints = self.endpoints.borrow();
+        for report in reports {
+            let CrashReport::Strike { id, endpoint, .. } = report else { continue };
+            let known = endpoints.get(endpoint);
+            if let Some(known) = known.filter(|known| known.record().crash_id() == *id) {
+                known.health().borrow_mut().record_ended(Instant::now());
+            }
+        }
+    }
+
     /// Applies the reply of another gateway to a notice.
     pub fn apply_notice_reply(&self, reply: &NoticeReply) {
         let cleared = self.crash_guard.borrow_mut().apply_reply(reply, Instant::now());
@@ -354,6 +370,12 @@
         };
         let endpoints: Vec<_> =
             known_endpoints.open_endpoints(&context.service).filter(is_usable).collect();
+        if self.crash_guard.borrow().is_suspect(&context.fingerprint, now) {
+            // The primary engine of a prompt's prefix has it cached.
+            let seed =
+                shared.map_or_else(|| context.fingerprint.short_hash(), |shared| shared.hash);
+            return choose_for_suspect(seed, &endpoints, now);
+        }
         let candidates: Vec<_> = endpoints
             .iter()
             .map(|endpoint| {
@@ -380,3 +402,17 @@
         endpoints.get(chosen).map(|endpoint| Rc::clone(endpoint))
     }
 }
+
+/// Chooses the endpoint for a request that may crash it. All copies, at all gateways, go to the same one of those that
+/// have not failed lately, so that copies that arrive at the same moment do not end several.
+fn choose_for_suspect(
+    seed: u64,
+    endpoints: &[&Rc<Endpoint>],
+    now: Instant,
+) -> Option<Rc<Endpoint>> {
+    let rank = |endpoint: &&&Rc<Endpoint>| {
+        let score = xxh3_64_with_seed(endpoint.record().id.as_str().as_bytes(), seed);
+        (endpoint.health().borrow().is_avoided(now), Reverse(score))
+    };
+    endpoints.iter().min_by_key(rank).map(|endpoint| Rc::clone(endpoint))
+}
