crash tracker: look for expired crashes only when one can have expired; membership: keep the list though a record of a refused request is not written

Each report searched all tracked requests for expired crashes. A mass loss of endpoints brings thousands of reports, and the search is quadratic in them: by arithmetic four seconds on 0.09 cores for 4,096 reports beside 10,000 requests. And a store that lists members but refuses a record of a refused request was treated as if the member list were lost.

--- a/crates/bramleywind_claims/src/crash_tracker.rs
+++ b/crates/bramleywind_claims/src/crash_tracker.rs
@@ -48,11 +48,13 @@
 #[derive(Debug)]
 pub struct CrashTracker<F = RequestFingerprint> {
     requests: BTreeMap<F, TrackedRequest>,
+    /// No crash expires before this time.
+    next_expiry: Option<Instant>,
 }
 
 impl<F> Default for CrashTracker<F> {
     fn default() -> Self {
-        Self { requests: BTreeMap::new() }
+        Self { requests: BTreeMap::new(), next_expiry: None }
     }
 }
 
@@ -113,6 +115,9 @@
                 match request.crashes.entry(*id) {
                     Entry::Vacant(entry) => {
                         entry.insert(Crash { endpoint: endpoint.clone(), deadline, is_late });
+                        let earliest =
+                            self.next_expiry.map_or(deadline, |expiry| expiry.min(deadline));
+                        self.next_expiry = Some(earliest);
                         request.has_been_retried = false;
                     }
                     // Another copy of the request had run there for a while.
@@ -273,11 +278,18 @@
         Some(report)
     }
 
+    /// Removes expired crashes. Skips the search while none can have expired: a mass loss of endpoints brings thousands of
+    /// reports at once.
     fn drop_expired(&mut self, now: Instant) {
+        if self.next_expiry.is_none_or(|expiry| now < expiry) {
+            return;
+        }
         self.requests.retain(|_, request| {
             request.crashes.retain(|_, crash| crash.deadline > now);
             !request.crashes.is_empty()
         });
+        let deadlines = self.requests.values().flat_map(|request| request.crashes.values());
+        self.next_expiry = deadlines.map(|crash| crash.deadline).min();
     }
 
     /// Evicts the request whose last crash expires first, if there is no space for a new one.
--- a/crates/bramleywind_gateway/src/background/maintain_membership.rs
+++ b/crates/bramleywind_gateway/src/background/maintain_membership.rs
@@ -68,7 +68,10 @@
     let listing = store.list_fleet().await?;
     gateway.adopt_quarantines(&listing.quarantines);
     update_members(gateway, listing.members);
-    save_quarantines(gateway).await
+    if let Err(reason) = save_quarantines(gateway).await {
+        info!(gateway.log(), "refused requests not written to the store; trying again"; "reason" => ?reason);
+    }
+    Ok(())
 }
 
 fn update_members<P: Platform>(gateway: &Gateway<P>, listed: Vec<MemberRecord>) {
