--- a/crates/bramleywind_gateway/src/crashes/answer_memory.rs
+++ b/crates/bramleywind_gateway/src/crashes/answer_memory.rs
@@ -12,7 +12,7 @@
 /// the same request twice.
 const MAX_ANSWERS: usize = 2_048;
 
-/// Remembers which requests endpoints answered lately, in two periods of at most [`ANSWER_RETENTION`].
+/// Remembers which requests endpoints answered lately, in two periods of at most half a minute.
 ///
 /// ```
 /// use std::time::Instant;
