funds: count borrowed tokens beyond the committed ones only in the lender's grant

Cause: a gateway that draws grants computes the grant to hold as committed + wanted unspent - borrowed tokens, at least zero, and its standby tokens from all that it can spend. If it had borrowed more than it had committed, the surplus was taken for tokens of its own, and the record then granted more than the prepaid total: 921,401 in the trace at 30.27 s, when a gateway that had borrowed 162,598 tokens in an outage drew grants again.

The standby tokens are now limited to the own grant and the pool.

--- a/crates/bramleywind_gateway/src/funds/budget_account.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_account.rs
@@ -341,7 +341,10 @@
             GrantSizing::Hold(unspent) => {
                 let committed = self.committed().saturating_add(unspent.working);
                 let working = committed.saturating_sub(self.borrowed);
-                let wanted = HolderGrant { working, ..unspent };
+                // Borrowed tokens beyond the committed ones are in another process's grant already.
+                let obtainable = self.granted.total().saturating_add(self.pool());
+                let standby = unspent.standby.min(obtainable.saturating_sub(working));
+                let wanted = HolderGrant { working, standby, ..unspent };
                 let is_equal = (wanted.working, wanted.standby)
                     == (self.granted.working, self.granted.standby);
                 let is_rate_due = wanted.use_rate > self.granted.use_rate;
