--- a/crates/bramleywind_gateway/src/forward/request_handler.rs
+++ b/crates/bramleywind_gateway/src/forward/request_handler.rs
@@ -109,6 +109,7 @@
     let caller = trace.workspace.clone();
     let fingerprint = CallFingerprint::of(caller, &service, &parts.method, &target, &body);
     trace.fingerprint = Some(fingerprint.hash);
+    trace.parts = head.prompt.iter().flat_map(PromptProfile::shared_parts).collect();
     if let Some(until) = gateway.refused_until(&fingerprint) {
         return Err(Refusal::crashing(until));
     }
--- a/crates/bramleywind_gateway/src/platform_api/prompt_profile.rs
+++ b/crates/bramleywind_gateway/src/platform_api/prompt_profile.rs
@@ -1,6 +1,8 @@
 use bramleywind_types::TokenCount;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::PartId;
+
 /// The properties of a request to a model that are known before it runs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PromptProfile {
@@ -16,7 +18,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
     /// Identifies the text of the part.
-    pub id: u64,
+    pub id: PartId,
     /// The length of the part in tokens.
     pub tokens: u32,
 }
@@ -35,13 +37,19 @@
     pub fn prefixes(&self) -> Vec<PromptPrefix> {
         let empty = PromptPrefix { hash: 0, tokens: 0 };
         let extend = |prefix: &mut PromptPrefix, part: &PromptPart| {
-            let hash = xxh3_64_with_seed(&part.id.to_le_bytes(), prefix.hash);
+            let hash = xxh3_64_with_seed(&part.id.0.to_le_bytes(), prefix.hash);
             *prefix = PromptPrefix { hash, tokens: prefix.tokens + u64::from(part.tokens) };
             Some(*prefix)
         };
         self.parts.iter().scan(empty, extend).collect()
     }
 
+    /// Returns the parts that the prompt may share with other requests: all but the last one.
+    pub fn shared_parts(&self) -> impl Iterator<Item = PartId> {
+        let count = self.parts.len().saturating_sub(1);
+        self.parts.iter().take(count).map(|part| part.id)
+    }
+
     /// Returns the maximum number of tokens that the request can use.
     pub fn max_tokens(&self) -> TokenCount {
         self.prompt_tokens.saturating_add(self.output_limit)
