--- a/crates/bramleywind_gateway/src/platform_api/part_id.rs
+++ b/crates/bramleywind_gateway/src/platform_api/part_id.rs
@@ -10,16 +10,7 @@
 /// assert_eq!(part.to_string(), "5c1e07a2");
 /// ```
 #[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
 )]
 #[serde(transparent)]
 pub struct PartId(pub u64);
