gateway: refuse requests with a part of their prompts that crashes endpoints

Callers lost every kind of request of a service: up to 40 of 139 history reviews failed while endpoint after endpoint ended under requests that share one part of their prompts and nothing else.

Cause: the identity that was watched is narrower than the cause. A gateway knew copies of a request by a hash of caller, path and body. No two of these requests are alike, so no hash stood at two ends. Ruled out: copies (no fingerprint twice), ends for other reasons (an unanswered request of one route at each).

Change: PartGuard adds up at which ends a shared part was in flight and no request with it answered since. Three ends (five if it was answered within 30 s before) refuse it at all gateways, after these were asked for answers since. Ends that a refused part explains count no more for other parts and other requests. Refusals are told to all and kept in the store.

--- a/crates/bramleywind_claims/src/crash_tracker.rs
+++ b/crates/bramleywind_claims/src/crash_tracker.rs
@@ -142,6 +142,17 @@
         }
     }
 
+    /// No longer counts crashes whose cause is known to be something else than the requests, unless a request is refused
+    /// already.
+    pub fn discount_crashes(&mut self, explained: &[CrashReportId], now: Instant) {
+        self.requests.retain(|_, request| {
+            if !request.is_refused(now) {
+                request.crashes.retain(|id, _| !explained.contains(id));
+            }
+            !request.crashes.is_empty()
+        });
+    }
+
     /// Returns the unexpired crashes of a request, as reports for peers that do not know of them.
     pub fn strikes(&self, fingerprint: &F, now: Instant) -> Vec<CrashReport<F>> {
         let Some(request) = self.requests.get(fingerprint) else { return Vec::new() };
--- a/crates/bramleywind_gateway/src/background.rs
+++ b/crates/bramleywind_gateway/src/background.rs
@@ -3,6 +3,7 @@
 mod dependency_tracker;
 mod follow_config;
 mod follow_endpoints;
+mod judge_parts;
 mod maintain_membership;
 mod maintain_presence;
 mod scaled_interval;
@@ -13,6 +14,7 @@
 pub(crate) use dependency_tracker::DependencyTracker;
 pub(crate) use follow_config::follow_config;
 pub(crate) use follow_endpoints::follow_endpoints;
+pub(crate) use judge_parts::judge_parts;
 pub(crate) use maintain_membership::maintain_membership;
 pub(crate) use maintain_presence::maintain_presence;
 pub(crate) use scaled_interval::ScaledInterval;
--- a/crates/bramleywind_gateway/src/background/maintain_membership.rs
+++ b/crates/bramleywind_gateway/src/background/maintain_membership.rs
@@ -67,10 +67,14 @@
     }
     let listing = store.list_fleet().await?;
     gateway.adopt_quarantines(&listing.quarantines);
+    gateway.adopt_part_quarantines(&listing.part_quarantines);
     update_members(gateway, listing.members);
     if let Err(reason) = save_quarantines(gateway).await {
         info!(gateway.log(), "refused requests not written to the store; trying again"; "reason" => ?reason);
     }
+    if let Err(reason) = save_part_quarantines(gateway).await {
+        info!(gateway.log(), "refused parts of prompts not written to the store; trying again"; "reason" => ?reason);
+    }
     Ok(())
 }
 
@@ -109,3 +113,25 @@
     }
     Ok(())
 }
+
+/// Writes the records of refused parts of prompts to the store, and removes those of parts that are no longer refused.
+async fn save_part_quarantines<P: Platform>(gateway: &Gateway<P>) -> Result<(), UnavailableReason> {
+    let (store, guard) = (gateway.store(), gateway.part_guard());
+    loop {
+        let next = guard.borrow().next_unsaved(unix_millis(), Instant::now());
+        let Some((part, record)) = next else { break };
+        if let Some(record) = record {
+            let lease = store.take_lease(CRASH_RETENTION).await?;
+            if !store.write_part_quarantine(&record, lease).await? {
+                break;
+            }
+        }
+        guard.borrow_mut().mark_saved(&part);
+    }
+    loop {
+        let Some(part) = guard.borrow().next_unremoved() else { break };
+        store.remove_part_quarantine(&part).await?;
+        guard.borrow_mut().mark_removed(&part);
+    }
+    Ok(())
+}
--- a/crates/bramleywind_gateway/src/background/spread_crash_news.rs
+++ b/crates/bramleywind_gateway/src/background/spread_crash_news.rs
@@ -10,7 +10,7 @@
 };
 
 /// The number of gateways that are told at the same time. It bounds the connections and the burst on a narrow link.
-const MAX_CONCURRENT_NOTICES: usize = 16;
+pub(super) const MAX_CONCURRENT_NOTICES: usize = 16;
 
 /// The most reports in one notice.
 const MAX_REPORTS_PER_NOTICE: usize = 512;
--- a/crates/bramleywind_gateway/src/crashes/crash_guard.rs
+++ b/crates/bramleywind_gateway/src/crashes/crash_guard.rs
@@ -3,7 +3,7 @@
     time::{Duration, Instant},
 };
 
-use bramleywind_claims::{CRASH_RETENTION, CrashReport, CrashTracker};
+use bramleywind_claims::{CRASH_RETENTION, CrashReport, CrashReportId, CrashTracker};
 
 use super::{
     AnswerMemory, CallCrashReport, CallFingerprint, CrashEffect, CrashNotice, CrashOutbox,
@@ -97,7 +97,7 @@
             RunProgress::Unanswered => {
                 CrashReport::Strike { id, fingerprint: fingerprint.clone(), endpoint: name }
             }
-            RunProgress::Begun => {
+            RunProgress::Begun | RunProgress::Established => {
                 CrashReport::LateStrike { id, fingerprint: fingerprint.clone(), endpoint: name }
             }
         };
@@ -194,6 +194,11 @@
         })
     }
 
+    /// No longer counts ends of endpoints whose cause is known.
+    pub fn discount_crashes(&mut self, explained: &[CrashReportId], now: Instant) {
+        self.tracker.discount_crashes(explained, now);
+    }
+
     /// Returns whether other gateways are still to be told something.
     pub fn has_news(&self) -> bool {
         !self.outbox.is_empty()
--- /dev/null
+++ b/crates/bramleywind_gateway/src/crashes/endpoint_end.rs
@@ -0,0 +1,31 @@
+use std::{collections::BTreeMap, time::Instant};
+
+use bramleywind_claims::CrashReportId;
+
+use super::SharedPart;
+
+/// The most parts that are kept of one end. An endpoint runs at most some tens of requests at a time.
+const MAX_PARTS: usize = 256;
+
+/// The end of an endpoint, with the parts of the requests that it had not answered for long.
+#[derive(Debug)]
+pub(super) struct EndpointEnd {
+    pub id: CrashReportId,
+    pub at: Instant,
+    /// The parts, each with its position in the prompt.
+    pub parts: BTreeMap<SharedPart, usize>,
+}
+
+impl EndpointEnd {
+    pub fn new(id: CrashReportId, at: Instant) -> Self {
+        Self { id, at, parts: BTreeMap::new() }
+    }
+
+    pub fn insert(&mut self, parts: &[SharedPart]) {
+        for (position, part) in parts.iter().enumerate() {
+            if self.parts.len() < MAX_PARTS {
+                self.parts.entry(part.clone()).or_insert(position);
+            }
+        }
+    }
+}
--- a/crates/bramleywind_gateway/src/daemon.rs
+++ b/crates/bramleywind_gateway/src/daemon.rs
@@ -20,7 +20,8 @@
 use crate::{
     Args, Gateway, StopPhase,
     background::{
-        follow_config, follow_endpoints, maintain_membership, maintain_presence, spread_crash_news,
+        follow_config, follow_endpoints, judge_parts, maintain_membership, maintain_presence,
+        spread_crash_news,
     },
     config::CallerLimits,
     forward::handle_request,
@@ -160,6 +161,7 @@
     let membership = compio::runtime::spawn(maintain_membership(Rc::clone(&gateway)));
     let presence = compio::runtime::spawn(maintain_presence(Rc::clone(&gateway)));
     let crash_news = compio::runtime::spawn(spread_crash_news(Rc::clone(&gateway)));
+    let part_news = compio::runtime::spawn(judge_parts(Rc::clone(&gateway)));
     let state = Rc::clone(&gateway);
     let funds = compio::runtime::spawn(async move {
         state.funds().run(state.store(), state.log()).await;
@@ -180,7 +182,7 @@
     let reloads = compio::runtime::spawn(log_reloads(gateway.log().clone()));
     stop_requested.await;
     drain(&gateway, &callers).await;
-    drop((config, endpoints, presence, loans, returns, pools, reloads, crash_news));
+    drop((config, endpoints, presence, loans, returns, pools, reloads, crash_news, part_news));
     // The task ends by itself once the process has left the member list.
     membership.detach();
     gateway.funds().stop();
--- a/crates/bramleywind_gateway/src/forward/refusal.rs
+++ b/crates/bramleywind_gateway/src/forward/refusal.rs
@@ -31,6 +31,8 @@
     Overloaded,
     /// The same request crashed several endpoints lately.
     CrashesEndpoints,
+    /// Requests with the same part in their prompts crashed several endpoints lately.
+    PartCrashesEndpoints,
     /// No endpoint of the service accepts requests.
     NoEndpoint,
     /// All endpoints that were tried declined the request or could not be reached. The request did not run.
@@ -58,6 +60,7 @@
             Self::FundsUnavailable => "funds unavailable",
             Self::Overloaded => "instance overloaded",
             Self::CrashesEndpoints => "request crashes endpoints",
+            Self::PartCrashesEndpoints => "part of the prompt crashes endpoints",
             Self::NoEndpoint => "no endpoint",
             Self::NotPlaced => "not placed",
             Self::Stopping => "stopping",
@@ -80,6 +83,7 @@
             | Self::FundsUnavailable
             | Self::Overloaded
             | Self::CrashesEndpoints
+            | Self::PartCrashesEndpoints
             | Self::NoEndpoint
             | Self::NotPlaced
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
@@ -109,12 +113,9 @@
         Self { reason, retry_after: Some(delay) }
     }
 
-    /// Creates the refusal of a request that crashes endpoints and is not sent again before `until`.
-    pub fn crashing(until: Instant) -> Self {
-        Self::after(
-            RefusalReason::CrashesEndpoints,
-            until.saturating_duration_since(Instant::now()),
-        )
+    /// Creates the refusal of a request that is not sent before `until`, because it crashes endpoints.
+    pub fn crashing(reason: RefusalReason, until: Instant) -> Self {
+        Self::after(reason, until.saturating_duration_since(Instant::now()))
     }
 
     /// Builds the response to the caller.
--- a/crates/bramleywind_gateway/src/forward/request_context.rs
+++ b/crates/bramleywind_gateway/src/forward/request_context.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     config::RouteConfig,
-    crashes::CallFingerprint,
+    crashes::{CallFingerprint, SharedPart},
     platform_api::{EventId, PromptPrefix, PromptProfile},
 };
 
@@ -35,6 +35,8 @@
     pub rank: u32,
     /// The prompt and output limit of a request to a model.
     pub prompt: Option<PromptProfile>,
+    /// The parts that the prompt shares with other requests to the service, in order.
+    pub shared_parts: Box<[SharedPart]>,
     /// The prefixes of the prompt, shortest first, by which engines that have them cached are found.
     pub prefixes: Vec<PromptPrefix>,
     /// The id of the last event that the caller has already received.
--- a/crates/bramleywind_gateway/src/forward/request_forwarder.rs
+++ b/crates/bramleywind_gateway/src/forward/request_forwarder.rs
@@ -68,11 +68,8 @@
         let mut failed_answer = None;
         let mut last_failure = None;
         loop {
-            // Other copies may have crashed endpoints while this one waited.
-            if let Some(until) = gateway.refused_until(&context.fingerprint) {
-                if self.counts.runs == 0 {
-                    return trace.refuse::<P::Wire>(Refusal::crashing(until));
-                }
+            // Other requests may have crashed endpoints while this one waited.
+            if crash_refusal(&gateway, &context).is_some() {
                 break;
             }
             let Some(endpoint) = gateway.choose_endpoint(&context, &self.tried) else { break };
@@ -97,6 +94,7 @@
                 }
                 Ok(CallOutcome::Whole(answer)) if !answer.head.status.is_server_error() => {
                     gateway.record_answer(&context.fingerprint);
+                    gateway.record_part_proof(&context.shared_parts, Instant::now());
                     charge_all(&mut reservation);
                     return finish::<P>(answer, trace);
                 }
@@ -129,7 +127,10 @@
         if let Some(answer) = failed_answer {
             return finish::<P>(answer, trace);
         }
-        let refusal = self.refusal(last_failure);
+        let refusal = match crash_refusal(&gateway, &context) {
+            Some(refusal) if self.counts.runs == 0 => refusal,
+            _ => self.refusal(last_failure),
+        };
         trace.refuse::<P::Wire>(refusal)
     }
 
@@ -200,7 +201,7 @@
         failure: FailureKind,
     ) -> bool {
         let now = Instant::now();
-        if gateway.refused_until(&context.fingerprint).is_some() {
+        if crash_refusal(gateway, context).is_some() {
             return false;
         }
         let route = &context.route;
@@ -288,10 +289,14 @@
     let outcome = probe_endpoint(endpoint).await;
     failure.probe = Some(outcome);
     if outcome == ProbeOutcome::Ended {
-        gateway.record_crash(&context.fingerprint, endpoint, progress);
+        gateway.record_crash(context, endpoint, progress);
     }
 }
 
+fn crash_refusal<P: Platform>(gateway: &Gateway<P>, context: &RequestContext) -> Option<Refusal> {
+    gateway.crash_refusal(&context.fingerprint, &context.shared_parts)
+}
+
 /// Records a failed call in the endpoint's health. An endpoint that declines is healthy and merely full.
 fn update_health(endpoint: &Endpoint, kind: FailureKind, now: Instant) {
     let mut health = endpoint.health().borrow_mut();
--- a/crates/bramleywind_gateway/src/forward/request_handler.rs
+++ b/crates/bramleywind_gateway/src/forward/request_handler.rs
@@ -20,7 +20,7 @@
 use crate::{
     admission::AdmissionDecision,
     config::{RouteConfig, RouteTable},
-    crashes::CallFingerprint,
+    crashes::{CallFingerprint, SharedPart},
     funds::{BudgetAccount, FundsEffort, Reservation, ReserveOutcome},
     gateway::{Gateway, StopPhase},
     platform_api::{Platform, PromptProfile, RequestHead, WireCodec},
@@ -109,9 +109,11 @@
     let caller = trace.workspace.clone();
     let fingerprint = CallFingerprint::of(caller, &service, &parts.method, &target, &body);
     trace.fingerprint = Some(fingerprint.hash);
-    trace.parts = head.prompt.iter().flat_map(PromptProfile::shared_parts).collect();
-    if let Some(until) = gateway.refused_until(&fingerprint) {
-        return Err(Refusal::crashing(until));
+    let shared_parts = shared_parts(&service, head.prompt.as_ref());
+    let part_ids: Vec<_> = shared_parts.iter().map(|part| part.id.to_string()).collect();
+    trace.parts = part_ids.join(",").into();
+    if let Some(refusal) = gateway.crash_refusal(&fingerprint, &shared_parts) {
+        return Err(refusal);
     }
     let reservation = match (&workspace, &head.prompt) {
         (Some(workspace), Some(prompt)) => match workspace.prepaid {
@@ -142,6 +144,7 @@
         method: parts.method.clone(),
         target,
         fingerprint,
+        shared_parts,
         headers: parts.headers.clone(),
         body,
         tokens_per_event: tokens_per_event(&table, &service),
@@ -158,6 +161,12 @@
     Ok((context, reservation))
 }
 
+/// Returns the parts that a prompt shares with other requests to the service.
+fn shared_parts(service: &ServiceId, prompt: Option<&PromptProfile>) -> Box<[SharedPart]> {
+    let ids = prompt.into_iter().flat_map(PromptProfile::shared_parts);
+    ids.map(|id| SharedPart { service: service.clone(), id }).collect()
+}
+
 /// A request that its budget did not cover.
 struct FundsShortage {
     need: TokenCount,
--- a/crates/bramleywind_gateway/src/forward/request_trace.rs
+++ b/crates/bramleywind_gateway/src/forward/request_trace.rs
@@ -9,7 +9,7 @@
 use crate::{
     crashes::{ProbeOutcome, RequestHash},
     metrics::GatewayMetrics,
-    platform_api::{PartId, WireCodec},
+    platform_api::WireCodec,
 };
 
 /// Trace of a request: the facts that explain its outcome, logged in one line when dropped.
@@ -29,8 +29,8 @@
     pub workspace: Option<WorkspaceId>,
     /// The hash by which copies of the request are recognized, once its body was read.
     pub fingerprint: Option<RequestHash>,
-    /// The shared parts of the prompt.
-    pub parts: Box<[PartId]>,
+    /// The ids of the parts that the prompt shares with other requests.
+    pub parts: Box<str>,
     /// The load of the first endpoint when it was chosen.
     pub placement: Option<Box<str>>,
     /// The endpoints that were called, in order.
@@ -66,7 +66,7 @@
             revision: None,
             workspace: None,
             fingerprint: None,
-            parts: Box::default(),
+            parts: "".into(),
             placement: None,
             endpoints: Vec::new(),
             status: None,
@@ -95,7 +95,7 @@
         self.metrics.record_call_failure(failure.kind);
         info!(self.log, "call failed"; "request" => &*self.request_id, "endpoint" => endpoint,
             "kind" => ?failure.kind, "reason" => &*failure.reason, "endpoint_state" => failure.probe.map(ProbeOutcome::name),
-            "fingerprint" => self.fingerprint.map(|hash| hash.to_string()), "parts" => self.part_list(), "events" => self.events,
+            "fingerprint" => self.fingerprint.map(|hash| hash.to_string()), "parts" => &*self.parts, "events" => self.events,
             "elapsed_ms" => self.elapsed_ms(), "sent_again" => is_retried);
     }
 
@@ -106,11 +106,6 @@
         refusal.into_response::<W>()
     }
 
-    fn part_list(&self) -> String {
-        let parts: Vec<_> = self.parts.iter().map(ToString::to_string).collect();
-        parts.join(",")
-    }
-
     fn elapsed_ms(&self) -> u64 {
         u64::try_from(self.arrival.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
@@ -129,7 +124,7 @@
         info!(self.log, "request ended"; "request" => &*self.request_id,
             "outcome" => self.outcome.name(), "reason" => reason, "status" => self.status,
             "route" => self.route.as_deref(), "workspace" => self.workspace.as_ref().map(ToString::to_string),
-            "fingerprint" => self.fingerprint.map(|hash| hash.to_string()), "parts" => self.part_list(),
+            "fingerprint" => self.fingerprint.map(|hash| hash.to_string()), "parts" => &*self.parts,
             "endpoints" => endpoints.join(","), "placement" => self.placement.as_deref(), "revision" => self.revision.map(|revision| revision.0),
             "first_piece_ms" => self.first_piece_ms, "elapsed_ms" => self.elapsed_ms(),
             "events" => self.events, "tokens_set_aside" => reserved, "tokens_charged" => charged);
--- a/crates/bramleywind_gateway/src/forward/stream_relay.rs
+++ b/crates/bramleywind_gateway/src/forward/stream_relay.rs
@@ -14,8 +14,8 @@
     stream_source::StreamSource,
 };
 use crate::{
-    config::RouteKind, funds::Reservation, gateway::Gateway, platform_api::EventId,
-    platform_api::Platform, platform_api::WireCodec,
+    config::RouteKind, crashes::RunProgress, funds::Reservation, gateway::Gateway,
+    platform_api::EventId, platform_api::Platform, platform_api::WireCodec,
 };
 
 /// Number of response pieces buffered for a caller that reads slowly.
@@ -58,6 +58,9 @@
         let mut events = first;
         loop {
             self.record_delivery(&events);
+            if self.source.progress() == RunProgress::Established {
+                self.record_proof();
+            }
             if !self.send_to_caller(events.bytes, &sender).await {
                 return;
             }
@@ -72,11 +75,19 @@
             };
         }
         self.gateway.record_answer(&self.context.fingerprint);
+        self.record_proof();
         sender.finish();
         self.trace.outcome = RequestOutcome::Answered;
         self.source.recycle();
     }
 
+    /// Records that the endpoint went on answering, once for each run.
+    fn record_proof(&mut self) {
+        if let Some(begun_at) = self.source.take_proof() {
+            self.gateway.record_part_proof(&self.context.shared_parts, begun_at);
+        }
+    }
+
     /// Records events as delivered and charges their tokens. Called before they are sent, since events in transit may
     /// still arrive.
     fn record_delivery(&mut self, events: &ScannedEvents) {
--- a/crates/bramleywind_gateway/src/forward/stream_source.rs
+++ b/crates/bramleywind_gateway/src/forward/stream_source.rs
@@ -12,17 +12,23 @@
 pub(super) struct StreamSource {
     exchange: Exchange,
     scanner: EventScanner,
-    progress: RunProgress,
+    /// The number of events of this run.
+    events: u64,
+    first_event_at: Option<Instant>,
 }
 
 impl StreamSource {
     pub(super) fn new(exchange: Exchange) -> Self {
-        let (scanner, progress) = (EventScanner::default(), RunProgress::Unanswered);
-        Self { exchange, scanner, progress }
+        Self { exchange, scanner: EventScanner::default(), events: 0, first_event_at: None }
     }
 
     pub(super) fn progress(&self) -> RunProgress {
-        self.progress
+        RunProgress::after_events(self.events)
+    }
+
+    /// Returns the time at which the endpoint began to answer. Later calls return `None`.
+    pub(super) fn take_proof(&mut self) -> Option<Instant> {
+        self.first_event_at.take()
     }
 
     pub(super) fn exchange(&self) -> &Exchange {
@@ -50,8 +56,12 @@
             let Ok(data) = frame.into_data() else { continue };
             let events = self.scanner.push(&data);
             if events.count > 0 {
-                self.progress = RunProgress::Begun;
-                self.exchange.guard.record_first_answer(Instant::now());
+                let now = Instant::now();
+                self.events += events.count;
+                if self.events == events.count {
+                    self.first_event_at = Some(now);
+                }
+                self.exchange.guard.record_first_answer(now);
             }
             if !events.bytes.is_empty() {
                 return Ok(Some(events));
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -1,4 +1,5 @@
 mod crash_handling;
+mod part_handling;
 
 use std::{
     cell::{Cell, RefCell},
@@ -18,7 +19,7 @@
 use crate::{
     admission::AdmissionControl,
     config::{FleetConfig, RouteTable},
-    crashes::CrashGuard,
+    crashes::{CrashGuard, PartGuard},
     endpoints::{Endpoint, EndpointSet},
     forward::{RequestContext, RequestTrace},
     funds::FundsManager,
@@ -64,6 +65,9 @@
     crash_guard: RefCell<CrashGuard>,
     /// Wakes the task that tells other gateways about crashes.
     crash_news: (Sender<()>, Receiver<()>),
+    part_guard: RefCell<PartGuard>,
+    /// Wakes the task that judges parts of prompts.
+    part_news: (Sender<()>, Receiver<()>),
 }
 
 impl<P: Platform> Gateway<P> {
@@ -97,6 +101,8 @@
             took_connections: Cell::new(true),
             crash_guard: RefCell::new(CrashGuard::new(Instant::now())),
             crash_news: async_channel::bounded(1),
+            part_guard: RefCell::new(PartGuard::new(Instant::now())),
+            part_news: async_channel::bounded(1),
         }
     }
 
@@ -183,6 +189,11 @@
         &self.crash_guard
     }
 
+    /// The parts of prompts that crash endpoints.
+    pub fn part_guard(&self) -> &RefCell<PartGuard> {
+        &self.part_guard
+    }
+
     /// Returns whether new connections of callers are accepted. An overloaded instance refuses them, so that callers turn to
     /// another one.
     pub fn takes_connections(&self, now: Instant) -> bool {
@@ -268,6 +279,9 @@
         };
         let endpoints: Vec<_> =
             known_endpoints.open_endpoints(&context.service).filter(is_usable).collect();
+        if let Some(part) = self.part_guard.borrow().suspect(&context.shared_parts, now) {
+            return choose_for_suspect(part.short_hash(), &endpoints, now);
+        }
         if self.crash_guard.borrow().is_suspect(&context.fingerprint, now) {
             // The primary engine of a prompt's prefix has it cached.
             let seed =
--- a/crates/bramleywind_gateway/src/gateway/crash_handling.rs
+++ b/crates/bramleywind_gateway/src/gateway/crash_handling.rs
@@ -10,30 +10,42 @@
 use crate::{
     crashes::{
         CallCrashReport, CallFingerprint, CrashEffect, CrashNotice, NoticeReply, QuarantineRecord,
-        RunProgress,
+        RunProgress, SharedPart,
     },
     endpoints::Endpoint,
+    forward::{Refusal, RefusalReason, RequestContext},
     members::unix_millis,
     platform_api::Platform,
 };
 
 impl<P: Platform> Gateway<P> {
-    /// Returns the time until which a request is refused because it crashes endpoints, or `None` if it is not.
-    pub fn refused_until(&self, fingerprint: &CallFingerprint) -> Option<Instant> {
-        self.crash_guard.borrow().refused_until(fingerprint, Instant::now())
+    /// Returns the refusal of a request that crashes endpoints, or whose prompt has a part that does.
+    pub fn crash_refusal(
+        &self,
+        fingerprint: &CallFingerprint,
+        parts: &[SharedPart],
+    ) -> Option<Refusal> {
+        let now = Instant::now();
+        if let Some(until) = self.crash_guard.borrow().refused_until(fingerprint, now) {
+            return Some(Refusal::crashing(RefusalReason::CrashesEndpoints, until));
+        }
+        let (_, until) = self.part_guard.borrow().refused_until(parts, now)?;
+        Some(Refusal::crashing(RefusalReason::PartCrashesEndpoints, until))
     }
 
     /// Records that an endpoint ended while this process waited for its answer to a request.
     pub fn record_crash(
         &self,
-        fingerprint: &CallFingerprint,
+        context: &RequestContext,
         endpoint: &Endpoint,
         progress: RunProgress,
     ) {
+        let fingerprint = &context.fingerprint;
         let effect = {
             let mut guard = self.crash_guard.borrow_mut();
             guard.record_crash(fingerprint, &endpoint.record(), progress, Instant::now())
         };
+        self.record_part_crash(&context.shared_parts, endpoint.record().crash_id(), progress);
         info!(self.log, "endpoint ended with a request in flight"; "fingerprint" => %fingerprint,
             "endpoint" => %endpoint.record().id, "progress" => ?progress, "effect" => ?effect);
         endpoint.health().borrow_mut().record_ended(Instant::now());
--- a/crates/bramleywind_gateway/src/loans/loan_client.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_client.rs
@@ -10,16 +10,16 @@
 use compio::time::timeout;
 use http::{HeaderValue, Method, Request, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full};
-use serde::Serialize;
+use serde::{Serialize, de::DeserializeOwned};
 
 use super::{
     LoanAnswer, LoanRequest, TokenGift,
     loan_messages::EarlierLoanAnswer,
-    loan_server::{CLOCK_PATH, CRASH_PATH, GIFT_PATH, LOAN_PATH},
+    loan_server::{CLOCK_PATH, CRASH_PATH, GIFT_PATH, LOAN_PATH, PART_PATH},
     message_codec::{decode_either, decode_message, encode_message},
 };
 use crate::{
-    crashes::{CrashNotice, NoticeReply},
+    crashes::{CrashNotice, NoticeReply, PartNotice, PartReply},
     endpoints::{ConnectionPool, PooledConnection},
 };
 
@@ -105,7 +105,29 @@
         peer: SocketAddr,
         notice: &CrashNotice,
     ) -> Result<NoticeReply, Box<str>> {
-        let body = match timeout(CALL_TIMEOUT, self.call(peer, CRASH_PATH, notice)).await {
+        self.send_notice(peer, CRASH_PATH, notice).await
+    }
+
+    /// Sends a notice about parts of prompts that crash endpoints to a gateway.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the gateway did not confirm the notice. It may have received it.
+    pub async fn send_part_notice(
+        &self,
+        peer: SocketAddr,
+        notice: &PartNotice,
+    ) -> Result<PartReply, Box<str>> {
+        self.send_notice(peer, PART_PATH, notice).await
+    }
+
+    async fn send_notice<R: DeserializeOwned>(
+        &self,
+        peer: SocketAddr,
+        path: &'static str,
+        notice: &impl Serialize,
+    ) -> Result<R, Box<str>> {
+        let body = match timeout(CALL_TIMEOUT, self.call(peer, path, notice)).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => return Err(error.reason),
             Err(_) => return Err("the gateway did not answer in time".into()),
--- a/crates/bramleywind_gateway/src/loans/loan_server.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_server.rs
@@ -31,6 +31,12 @@
 /// The path of notices about requests that crash endpoints.
 pub(super) const CRASH_PATH: &str = "/crashes";
 
+/// The path of notices about parts of prompts that crash endpoints.
+pub(super) const PART_PATH: &str = "/crashing-parts";
+
+/// The paths that a stopping gateway still answers. Tokens that change hands then could be lost when the process ends.
+const PATHS_WHILE_STOPPING: [&str; 3] = [CLOCK_PATH, CRASH_PATH, PART_PATH];
+
 /// The maximum size of a message: a gift with tokens of 4,000 budgets.
 const MAX_MESSAGE_BYTES: usize = 256 * 1024;
 
@@ -40,8 +46,7 @@
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let path = request.uri().path();
-    if gateway.stop_phase() != StopPhase::Running && path != CLOCK_PATH && path != CRASH_PATH {
-        // Tokens that change hands now could be lost when the process ends.
+    if gateway.stop_phase() != StopPhase::Running && !PATHS_WHILE_STOPPING.contains(&path) {
         return empty_response(StatusCode::SERVICE_UNAVAILABLE);
     }
     let response = match path {
@@ -58,6 +63,10 @@
             Ok(notice) => encode_response(&gateway.apply_crash_notice(&notice)),
             Err(error) => Err(error),
         },
+        PART_PATH => match read_message(request).await {
+            Ok(notice) => encode_response(&gateway.apply_part_notice(&notice)),
+            Err(error) => Err(error),
+        },
         _ => return empty_response(StatusCode::NOT_FOUND),
     };
     response.unwrap_or_else(|error| {
--- a/crates/bramleywind_gateway/src/metrics/gateway_metrics.rs
+++ b/crates/bramleywind_gateway/src/metrics/gateway_metrics.rs
@@ -49,6 +49,8 @@
     pub members: Gauge,
     /// Number of requests that are refused because they crash endpoints.
     pub refused_fingerprints: Gauge,
+    /// Number of parts of prompts with which requests are refused.
+    pub refused_parts: Gauge,
 }
 
 impl Default for GatewayMetrics {
@@ -88,6 +90,9 @@
         let refused_fingerprints = Gauge::default();
         let help = "Requests that are refused because they crash endpoints";
         registry.register("refused_fingerprints", help, refused_fingerprints.clone());
+        let refused_parts = Gauge::default();
+        let help = "Parts of prompts that are refused because they crash endpoints";
+        registry.register("refused_parts", help, refused_parts.clone());
         Self {
             registry,
             requests,
@@ -99,6 +104,7 @@
             open_endpoints,
             members,
             refused_fingerprints,
+            refused_parts,
         }
     }
 }
--- a/crates/bramleywind_gateway/src/platform_api/fleet_store.rs
+++ b/crates/bramleywind_gateway/src/platform_api/fleet_store.rs
@@ -8,7 +8,7 @@
     LoadedConfig, StoreChanges,
 };
 use crate::{
-    crashes::{CallFingerprint, QuarantineRecord},
+    crashes::{CallFingerprint, PartQuarantine, QuarantineRecord, SharedPart},
     members::{MemberRecord, PresenceRecord},
 };
 
@@ -85,6 +85,16 @@
         fingerprint: &CallFingerprint,
     ) -> Result<(), UnavailableReason>;
 
+    /// Writes the record of a refused part of prompts until the lease ends. Returns `false` if the lease has already ended.
+    async fn write_part_quarantine(
+        &self,
+        record: &PartQuarantine,
+        lease: LeaseId,
+    ) -> Result<bool, UnavailableReason>;
+
+    /// Removes the record of a part that is no longer refused.
+    async fn remove_part_quarantine(&self, part: &SharedPart) -> Result<(), UnavailableReason>;
+
     /// Reads all budget records. They are current if `is_fresh` is set, and may be some seconds old otherwise.
     async fn read_budgets(&self, is_fresh: bool) -> Result<Vec<BudgetEntry>, UnavailableReason>;
 
--- a/crates/bramleywind_gateway/src/platform_api/store_outcomes.rs
+++ b/crates/bramleywind_gateway/src/platform_api/store_outcomes.rs
@@ -6,7 +6,10 @@
 use bramleywind_types::{EndpointId, WorkspaceId};
 
 use crate::{
-    config::FleetConfig, crashes::QuarantineRecord, endpoints::EndpointRecord, funds::BudgetRecord,
+    config::FleetConfig,
+    crashes::{PartQuarantine, QuarantineRecord},
+    endpoints::EndpointRecord,
+    funds::BudgetRecord,
     members::MemberRecord,
 };
 
@@ -27,6 +30,8 @@
     pub members: Vec<MemberRecord>,
     /// The requests that are refused because they crash endpoints.
     pub quarantines: Vec<QuarantineRecord>,
+    /// The parts of prompts that are refused because they crash endpoints.
+    pub part_quarantines: Vec<PartQuarantine>,
 }
 
 /// All entries below a prefix, and the store version as of which they are complete.
--- a/crates/bramleywind_gateway/src/state_dump.rs
+++ b/crates/bramleywind_gateway/src/state_dump.rs
@@ -45,6 +45,14 @@
             json!({ "fingerprint": fingerprint.to_string(), "refused_for_seconds": left })
         })
         .collect();
+    let part_guard = gateway.part_guard().borrow();
+    let refused_parts: Vec<_> = part_guard
+        .refused(now)
+        .map(|(part, until)| {
+            let left = until.saturating_duration_since(now).as_secs();
+            json!({ "part": part.to_string(), "refused_for_seconds": left })
+        })
+        .collect();
     json!({
         "instance": gateway.settings().instance,
         "config_revision": gateway.route_table().map(|table| table.revision()),
@@ -53,5 +61,6 @@
         "endpoints": endpoints,
         "budgets": budgets,
         "refused_requests": refused,
+        "refused_parts": refused_parts,
     })
 }
--- a/crates/bramleywind_gateway/tests/support/budget_store.rs
+++ b/crates/bramleywind_gateway/tests/support/budget_store.rs
@@ -6,7 +6,7 @@
 };
 
 use bramleywind_gateway::{
-    crashes::{CallFingerprint, QuarantineRecord},
+    crashes::{CallFingerprint, PartQuarantine, QuarantineRecord, SharedPart},
     funds::BudgetRecord,
     members::{MemberRecord, PresenceRecord},
     platform_api::{
@@ -145,4 +145,16 @@
     ) -> Result<(), UnavailableReason> {
         Err(UnavailableReason::Outage)
     }
+
+    async fn write_part_quarantine(
+        &self,
+        _record: &PartQuarantine,
+        _lease: LeaseId,
+    ) -> Result<bool, UnavailableReason> {
+        Err(UnavailableReason::Outage)
+    }
+
+    async fn remove_part_quarantine(&self, _part: &SharedPart) -> Result<(), UnavailableReason> {
+        Err(UnavailableReason::Outage)
+    }
 }
