gateway: believe an endpoint's answer only for the request that it names; heed what endpoints say about further requests

A refusal that an engine had written once more on a kept connection was taken for the refusal of the next request, since "declined" was read before the id. Its caller was told that the request had not run, or it was sent to a second engine, while the first ran it. Now a response that names another request, or none on a reused connection, is no refusal: the caller gets 502. faulty_answers::earlier_refusal_is_not_believed failed before (503 instead of 502, both cases). Two more reports are shown not to happen here: head_that_breaks_off_is_no_answer and resumed_stream_holds_no_error pass on the code before too.

On top of that, an endpoint that says in any answer that it is leaving gets no more requests of this process until its next start, whatever the registry says, and one that declines with Retry-After gets none for that long. If all endpoints of a service ask for a pause, callers are told when the first ends. Five tests of endpoint_wishes failed before.

--- a/crates/bramleywind_gateway/src/endpoints/endpoint.rs
+++ b/crates/bramleywind_gateway/src/endpoints/endpoint.rs
@@ -24,6 +24,10 @@
     health: RefCell<EndpointHealth>,
     pool: RefCell<ConnectionPool>,
     is_removed: Cell<bool>,
+    /// Whether the endpoint has said in an answer that it is shutting down.
+    has_announced_leaving: Cell<bool>,
+    /// Until when the endpoint wants no request from this process.
+    paused_until: Cell<Option<Instant>>,
 }
 
 impl Endpoint {
@@ -39,6 +43,8 @@
             health: RefCell::default(),
             pool: RefCell::default(),
             is_removed: Cell::new(false),
+            has_announced_leaving: Cell::new(false),
+            paused_until: Cell::new(None),
         }
     }
 
@@ -60,7 +66,28 @@
 
     /// Returns whether the endpoint accepts new requests.
     pub fn is_open(&self) -> bool {
-        !self.is_removed.get() && !self.record.borrow().is_leaving
+        !self.is_removed.get()
+            && !self.has_announced_leaving.get()
+            && !self.record.borrow().is_leaving
+    }
+
+    /// Sends no new requests to the endpoint, which has said in an answer that it is shutting down. Its next start is
+    /// another [`Endpoint`]. Returns whether that is news.
+    pub fn announce_leaving(&self) -> bool {
+        self.pool.borrow_mut().clear();
+        let was_open = self.is_open();
+        self.has_announced_leaving.set(true);
+        was_open
+    }
+
+    /// Sends no requests to the endpoint until `until`, since it asked for that.
+    pub fn pause_until(&self, until: Instant) {
+        self.paused_until.set(self.paused_until.get().max(Some(until)));
+    }
+
+    /// The time until which the endpoint wants no request, if that is not over.
+    pub fn paused_until(&self, now: Instant) -> Option<Instant> {
+        self.paused_until.get().filter(|until| now < *until)
     }
 
     /// Number of this process's requests that the endpoint has not finished answering.
--- a/crates/bramleywind_gateway/src/forward/exchange.rs
+++ b/crates/bramleywind_gateway/src/forward/exchange.rs
@@ -8,6 +8,7 @@
 use http::{Request, StatusCode, header, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use slog::{Logger, info};
 
 use super::{CallFailure, FailureKind, RequestContext};
 use crate::{
@@ -35,6 +36,7 @@
     endpoint: &Rc<Endpoint>,
     resume_after: Option<EventId>,
     call_deadline: Instant,
+    log: &Logger,
 ) -> Result<Exchange, CallFailure> {
     let now = Instant::now();
     let uncached_tokens = context.prompt.as_ref().map(|prompt| {
@@ -75,9 +77,13 @@
         };
         let (head, body) = response.into_parts();
         let answer = W::read_answer(&head);
+        if let Some(reason) = foreign_reason(context, &answer, is_pooled) {
+            return Err(CallFailure::new(FailureKind::MayHaveRun, reason));
+        }
         if let Some(load) = answer.load {
             endpoint.set_load(load, Instant::now());
         }
+        note_wishes(endpoint, head.status, &answer, log);
         if answer.is_declined {
             let reason = format!("declined with {}", head.status);
             let kind = match head.status {
@@ -86,7 +92,7 @@
             };
             return Err(CallFailure::new(kind, reason));
         }
-        if let Some(reason) = unusable_reason(context, &head, &answer) {
+        if let Some(reason) = unusable_reason(&head, &answer) {
             return Err(CallFailure::new(FailureKind::MayHaveRun, reason));
         }
         return Ok(Exchange { head, answer, body, connection, guard });
@@ -126,15 +132,40 @@
     request
 }
 
-/// Returns the reason for which a response must not be relayed, or `None` if it may be.
-fn unusable_reason(
+/// Returns the reason why a response is not taken for the answer to the request, or `None` if it is. An endpoint may write
+/// a response once more, which then stands where the next one is expected on its connection.
+fn foreign_reason(
     context: &RequestContext,
-    head: &response::Parts,
     answer: &AnswerHead,
+    is_reused_connection: bool,
 ) -> Option<&'static str> {
-    if answer.request_id.as_deref() != Some(&*context.request_id) {
-        return Some("response belongs to another request");
+    match &answer.request_id {
+        Some(id) if *id == context.request_id => None,
+        Some(_) => Some("response belongs to another request"),
+        // An endpoint that rejects a request without reading it does not know its id.
+        None if answer.is_declined && !is_reused_connection => None,
+        None => Some("response does not name its request"),
+    }
+}
+
+/// Takes note of what the endpoint says about further requests.
+fn note_wishes(endpoint: &Endpoint, status: StatusCode, answer: &AnswerHead, log: &Logger) {
+    // Another instance speaks for itself.
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return;
     }
+    if answer.is_leaving && endpoint.announce_leaving() {
+        info!(log, "endpoint leaving, according to its answer"; "endpoint" => %endpoint.record().id);
+    }
+    if let Some(until) = answer.pause.and_then(|pause| Instant::now().checked_add(pause)) {
+        endpoint.pause_until(until);
+        info!(log, "endpoint wants no requests for a while"; "endpoint" => %endpoint.record().id,
+            "for_ms" => answer.pause.map(|pause| pause.as_millis().to_string()));
+    }
+}
+
+/// Returns the reason for which a response must not be relayed, or `None` if it may be.
+fn unusable_reason(head: &response::Parts, answer: &AnswerHead) -> Option<&'static str> {
     if head.status.is_success() && !answer.is_sealed {
         return Some("response is not sealed by the endpoint");
     }
--- a/crates/bramleywind_gateway/src/forward/request_forwarder.rs
+++ b/crates/bramleywind_gateway/src/forward/request_forwarder.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use compio::time::timeout;
 use http::{Response, response};
+use slog::Logger;
 
 use super::{
     CallFailure, FailureKind, Refusal, RefusalReason, RequestContext, RequestOutcome, RequestTrace,
@@ -75,41 +76,42 @@
             let Some(endpoint) = gateway.choose_endpoint(&context, &self.tried) else { break };
             trace.placement.get_or_insert_with(|| describe_load(&endpoint, Instant::now()));
             expose_prompt(&mut reservation, &context);
-            let (kind, failure) = match self.call::<P>(&context, &mut trace, &endpoint, None).await
-            {
-                Ok(CallOutcome::Stream(source, first)) => {
-                    let (source, last_id) = (*source, None);
-                    charge_prompt(&mut reservation, &context);
-                    let forwarder = self;
-                    return StreamRelay {
-                        gateway,
-                        context,
-                        trace,
-                        reservation,
-                        forwarder,
-                        source,
-                        last_id,
+            let (kind, failure) =
+                match self.call::<P>(&context, &mut trace, &endpoint, None, gateway.log()).await {
+                    Ok(CallOutcome::Stream(source, first)) => {
+                        let (source, last_id) = (*source, None);
+                        charge_prompt(&mut reservation, &context);
+                        let forwarder = self;
+                        return StreamRelay {
+                            gateway,
+                            context,
+                            trace,
+                            reservation,
+                            forwarder,
+                            source,
+                            last_id,
+                        }
+                        .into_response(first);
                     }
-                    .into_response(first);
-                }
-                Ok(CallOutcome::Whole(answer)) if !answer.head.status.is_server_error() => {
-                    gateway.record_answer(&context.fingerprint);
-                    gateway.record_part_proof(&context.shared_parts, Instant::now());
-                    charge_all(&mut reservation);
-                    return finish::<P>(answer, trace);
-                }
-                Ok(CallOutcome::Whole(answer)) => {
-                    let reason = format!("answered with {}", answer.head.status);
-                    failed_answer = Some(answer);
-                    (FailureKind::MayHaveRun, CallFailure::new(FailureKind::MayHaveRun, reason))
-                }
-                Err(mut failure) => {
-                    update_health(&endpoint, failure.kind, Instant::now());
-                    let progress = RunProgress::Unanswered;
-                    examine_endpoint(&gateway, &context, &endpoint, progress, &mut failure).await;
-                    (failure.kind, failure)
-                }
-            };
+                    Ok(CallOutcome::Whole(answer)) if !answer.head.status.is_server_error() => {
+                        gateway.record_answer(&context.fingerprint);
+                        gateway.record_part_proof(&context.shared_parts, Instant::now());
+                        charge_all(&mut reservation);
+                        return finish::<P>(answer, trace);
+                    }
+                    Ok(CallOutcome::Whole(answer)) => {
+                        let reason = format!("answered with {}", answer.head.status);
+                        failed_answer = Some(answer);
+                        (FailureKind::MayHaveRun, CallFailure::new(FailureKind::MayHaveRun, reason))
+                    }
+                    Err(mut failure) => {
+                        update_health(&endpoint, failure.kind, Instant::now());
+                        let progress = RunProgress::Unanswered;
+                        examine_endpoint(&gateway, &context, &endpoint, progress, &mut failure)
+                            .await;
+                        (failure.kind, failure)
+                    }
+                };
             if !kind.is_not_run() {
                 charge_prompt(&mut reservation, &context);
             }
@@ -129,7 +131,7 @@
         }
         let refusal = match crash_refusal(&gateway, &context) {
             Some(refusal) if self.counts.runs == 0 => refusal,
-            _ => self.refusal(last_failure),
+            _ => self.refusal(last_failure, return_delay(&gateway, &context)),
         };
         trace.refuse::<P::Wire>(refusal)
     }
@@ -141,12 +143,14 @@
         trace: &mut RequestTrace,
         endpoint: &Rc<Endpoint>,
         resume_after: Option<EventId>,
+        log: &Logger,
     ) -> Result<CallOutcome, CallFailure> {
         let call_deadline = self.begin_call(context, trace, endpoint);
         let result = async {
             let resume_after = resume_after.or(context.resume_after);
             let exchange =
-                send_request::<P::Wire>(context, endpoint, resume_after, call_deadline).await?;
+                send_request::<P::Wire>(context, endpoint, resume_after, call_deadline, log)
+                    .await?;
             if context.route.kind.is_stream() && exchange.head.status.is_success() {
                 let mut source = StreamSource::new(exchange);
                 let first = source.next_events(call_deadline).await?;
@@ -238,8 +242,14 @@
                 return Err(failure);
             };
             let call_deadline = self.begin_call(context, trace, &endpoint);
-            failure = match send_request::<P::Wire>(context, &endpoint, resume_after, call_deadline)
-                .await
+            failure = match send_request::<P::Wire>(
+                context,
+                &endpoint,
+                resume_after,
+                call_deadline,
+                gateway.log(),
+            )
+            .await
             {
                 Ok(exchange) if exchange.head.status.is_success() => {
                     self.counts.runs += 1;
@@ -261,13 +271,11 @@
     }
 
     /// Returns the refusal for a request that got no response: `last_failure` is that of its last call, if there was
-    /// one.
-    fn refusal(&self, last_failure: Option<FailureKind>) -> Refusal {
+    /// one. A caller whose request did not run may return after `delay`.
+    fn refusal(&self, last_failure: Option<FailureKind>, delay: Duration) -> Refusal {
         match last_failure {
-            None => Refusal::after(RefusalReason::NoEndpoint, NO_CAPACITY_RETRY_DELAY),
-            Some(_) if self.counts.runs == 0 => {
-                Refusal::after(RefusalReason::NotPlaced, NO_CAPACITY_RETRY_DELAY)
-            }
+            None => Refusal::after(RefusalReason::NoEndpoint, delay),
+            Some(_) if self.counts.runs == 0 => Refusal::after(RefusalReason::NotPlaced, delay),
             Some(FailureKind::TimedOut) => Refusal::new(RefusalReason::TimedOut),
             Some(_) => Refusal::new(RefusalReason::MayHaveRun),
         }
@@ -293,6 +301,14 @@
     }
 }
 
+/// Returns the delay after which the caller of a request that no endpoint accepted should retry.
+fn return_delay<P: Platform>(gateway: &Gateway<P>, context: &RequestContext) -> Duration {
+    let now = Instant::now();
+    let end_of_pauses = gateway.end_of_pauses(&context.service, now);
+    let pause = end_of_pauses.map(|until| until.saturating_duration_since(now));
+    pause.unwrap_or_default().max(NO_CAPACITY_RETRY_DELAY)
+}
+
 fn crash_refusal<P: Platform>(gateway: &Gateway<P>, context: &RequestContext) -> Option<Refusal> {
     gateway.crash_refusal(&context.fingerprint, &context.shared_parts)
 }
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -260,6 +260,13 @@
         (service.connection_limit / members.saturating_add(SPARE_GATEWAYS)).max(1)
     }
 
+    /// Returns when the first endpoint of a service wants requests again, if all of them want none for a while.
+    pub fn end_of_pauses(&self, service: &ServiceId, now: Instant) -> Option<Instant> {
+        let endpoints = self.endpoints.borrow();
+        let pauses = endpoints.open_endpoints(service).map(|endpoint| endpoint.paused_until(now));
+        pauses.collect::<Option<Vec<_>>>()?.into_iter().min()
+    }
+
     /// Chooses the endpoint for the next call of a request. Returns `None` if no usable endpoint is left besides those
     /// in `tried`.
     pub fn choose_endpoint(
@@ -275,7 +282,9 @@
         let shared = prefixes.split_last().and_then(|(_, shared)| shared.last());
         let prefix = shared.map_or(0, |shared| shared.hash);
         let is_usable = |endpoint: &&Rc<Endpoint>| {
-            !tried.contains(&endpoint.record().id) && endpoint.in_flight() < context.endpoint_limit
+            !tried.contains(&endpoint.record().id)
+                && endpoint.in_flight() < context.endpoint_limit
+                && endpoint.paused_until(now).is_none()
         };
         let endpoints: Vec<_> =
             known_endpoints.open_endpoints(&context.service).filter(is_usable).collect();
--- a/crates/bramleywind_gateway/src/platform_api/answer_head.rs
+++ b/crates/bramleywind_gateway/src/platform_api/answer_head.rs
@@ -11,6 +11,10 @@
     pub is_sealed: bool,
     /// Whether the endpoint states that the request did not run.
     pub is_declined: bool,
+    /// Whether the endpoint states that it is shutting down.
+    pub is_leaving: bool,
+    /// How long the endpoint wants no further request from this process, if it declined one.
+    pub pause: Option<Duration>,
     /// The endpoint's load when it wrote the answer.
     pub load: Option<LoadReport>,
     /// How long the endpoint keeps the connection open without a request.
