gateway: an answer that ends with its connection is whole only if its endpoint lives

With neither a length nor chunks, the end of an endpoint between two events looked like the end of the stream: the caller got a truncated stream as a complete one, the endpoint was never probed, and the request, and the parts of its prompt, counted as answered. A stream that ended before its first event became an empty 200. Now such an end is followed by a probe of the endpoint; if it does not accept connections, the answer counts as broken off, and is resumed or repeated where that is allowed.

faulty_answers: plain_answer_without_length (endpoint ended), stream_without_framing (ended between two events) and stream_without_framing_and_events_is_no_answer failed before; whole answers without a length still reach their callers.

--- a/crates/bramleywind_gateway/src/forward/exchange.rs
+++ b/crates/bramleywind_gateway/src/forward/exchange.rs
@@ -176,6 +176,15 @@
 }
 
 impl Exchange {
+    /// Returns whether the answer states where it ends. Otherwise it ends with its connection, as does an answer whose
+    /// endpoint ends.
+    pub(super) fn is_delimited(&self) -> bool {
+        let headers = &self.head.headers;
+        headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING)
+            || self.head.status == StatusCode::NO_CONTENT
+    }
+
     /// Records the success and returns the connection to the endpoint's pool, unless the endpoint closes it or is
     /// leaving. May be called only after the whole response was read.
     pub(super) fn recycle(self) {
--- a/crates/bramleywind_gateway/src/forward/request_forwarder.rs
+++ b/crates/bramleywind_gateway/src/forward/request_forwarder.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 use compio::time::timeout;
 use http::{Response, response};
-use slog::Logger;
 
 use super::{
     CallFailure, FailureKind, Refusal, RefusalReason, RequestContext, RequestOutcome, RequestTrace,
@@ -76,42 +75,40 @@
             let Some(endpoint) = gateway.choose_endpoint(&context, &self.tried) else { break };
             trace.placement.get_or_insert_with(|| describe_load(&endpoint, Instant::now()));
             expose_prompt(&mut reservation, &context);
-            let (kind, failure) =
-                match self.call::<P>(&context, &mut trace, &endpoint, None, gateway.log()).await {
-                    Ok(CallOutcome::Stream(source, first)) => {
-                        let (source, last_id) = (*source, None);
-                        charge_prompt(&mut reservation, &context);
-                        let forwarder = self;
-                        return StreamRelay {
-                            gateway,
-                            context,
-                            trace,
-                            reservation,
-                            forwarder,
-                            source,
-                            last_id,
-                        }
-                        .into_response(first);
+            let (kind, failure) = match self.call(&gateway, &context, &mut trace, &endpoint).await {
+                Ok(CallOutcome::Stream(source, first)) => {
+                    let (source, last_id) = (*source, None);
+                    charge_prompt(&mut reservation, &context);
+                    let forwarder = self;
+                    return StreamRelay {
+                        gateway,
+                        context,
+                        trace,
+                        reservation,
+                        forwarder,
+                        source,
+                        last_id,
                     }
-                    Ok(CallOutcome::Whole(answer)) if !answer.head.status.is_server_error() => {
-                        gateway.record_answer(&context.fingerprint);
-                        gateway.record_part_proof(&context.shared_parts, Instant::now());
-                        charge_all(&mut reservation);
-                        return finish::<P>(answer, trace);
-                    }
-                    Ok(CallOutcome::Whole(answer)) => {
-                        let reason = format!("answered with {}", answer.head.status);
-                        failed_answer = Some(answer);
-                        (FailureKind::MayHaveRun, CallFailure::new(FailureKind::MayHaveRun, reason))
-                    }
-                    Err(mut failure) => {
-                        update_health(&endpoint, failure.kind, Instant::now());
-                        let progress = RunProgress::Unanswered;
-                        examine_endpoint(&gateway, &context, &endpoint, progress, &mut failure)
-                            .await;
-                        (failure.kind, failure)
-                    }
-                };
+                    .into_response(first);
+                }
+                Ok(CallOutcome::Whole(answer)) if !answer.head.status.is_server_error() => {
+                    gateway.record_answer(&context.fingerprint);
+                    gateway.record_part_proof(&context.shared_parts, Instant::now());
+                    charge_all(&mut reservation);
+                    return finish::<P>(answer, trace);
+                }
+                Ok(CallOutcome::Whole(answer)) => {
+                    let reason = format!("answered with {}", answer.head.status);
+                    failed_answer = Some(answer);
+                    (FailureKind::MayHaveRun, CallFailure::new(FailureKind::MayHaveRun, reason))
+                }
+                Err(mut failure) => {
+                    update_health(&endpoint, failure.kind, Instant::now());
+                    let progress = RunProgress::Unanswered;
+                    examine_endpoint(&gateway, &context, &endpoint, progress, &mut failure).await;
+                    (failure.kind, failure)
+                }
+            };
             if !kind.is_not_run() {
                 charge_prompt(&mut reservation, &context);
             }
@@ -139,24 +136,40 @@
     /// Makes one call and waits for the complete response or the first events of a stream.
     async fn call<P: Platform>(
         &mut self,
+        gateway: &Gateway<P>,
         context: &RequestContext,
         trace: &mut RequestTrace,
         endpoint: &Rc<Endpoint>,
-        resume_after: Option<EventId>,
-        log: &Logger,
     ) -> Result<CallOutcome, CallFailure> {
         let call_deadline = self.begin_call(context, trace, endpoint);
         let result = async {
-            let resume_after = resume_after.or(context.resume_after);
+            let (resume_after, log) = (context.resume_after, gateway.log());
             let exchange =
                 send_request::<P::Wire>(context, endpoint, resume_after, call_deadline, log)
                     .await?;
             if context.route.kind.is_stream() && exchange.head.status.is_success() {
                 let mut source = StreamSource::new(exchange);
-                let first = source.next_events(call_deadline).await?;
-                return Ok(CallOutcome::Stream(Box::new(source), first.unwrap_or_default()));
+                let first = match source.next_events(call_deadline).await? {
+                    Some(first) => first,
+                    None if source.exchange().is_delimited() => ScannedEvents::default(),
+                    // Only the caller of a resumed stream may have all its events already.
+                    None if context.resume_after.is_some() => {
+                        confirm_end(gateway, context, endpoint, source.progress()).await?;
+                        ScannedEvents::default()
+                    }
+                    None => {
+                        let reason = "stream ended before its first event";
+                        return Err(CallFailure::new(FailureKind::ConnectionLost, reason));
+                    }
+                };
+                return Ok(CallOutcome::Stream(Box::new(source), first));
+            }
+            let is_delimited = exchange.is_delimited();
+            let answer = collect_response(exchange, call_deadline).await?;
+            if !is_delimited {
+                confirm_end(gateway, context, endpoint, RunProgress::Unanswered).await?;
             }
-            collect_response(exchange, call_deadline).await.map(CallOutcome::Whole)
+            Ok(CallOutcome::Whole(answer))
         }
         .await;
         let ran = match &result {
@@ -282,6 +295,20 @@
     }
 }
 
+/// Checks that an endpoint lives after an answer that ended with its connection. The end of the endpoint would look the
+/// same.
+pub(super) async fn confirm_end<P: Platform>(
+    gateway: &Gateway<P>,
+    context: &RequestContext,
+    endpoint: &Endpoint,
+    progress: RunProgress,
+) -> Result<(), CallFailure> {
+    let reason = "answer without a length ended, and its endpoint may have ended too";
+    let mut failure = CallFailure::new(FailureKind::ConnectionLost, reason);
+    examine_endpoint(gateway, context, endpoint, progress, &mut failure).await;
+    if failure.probe == Some(ProbeOutcome::Alive) { Ok(()) } else { Err(failure) }
+}
+
 /// Finds out whether an endpoint has ended, after a call that lost its connection, and records that it ended under this
 /// request.
 pub(super) async fn examine_endpoint<P: Platform>(
@@ -291,7 +318,7 @@
     progress: RunProgress,
     failure: &mut CallFailure,
 ) {
-    if failure.kind != FailureKind::ConnectionLost {
+    if failure.kind != FailureKind::ConnectionLost || failure.probe.is_some() {
         return;
     }
     let outcome = probe_endpoint(endpoint).await;
--- a/crates/bramleywind_gateway/src/forward/stream_relay.rs
+++ b/crates/bramleywind_gateway/src/forward/stream_relay.rs
@@ -10,7 +10,7 @@
 
 use super::{
     CallFailure, RequestContext, RequestOutcome, RequestTrace, ScannedEvents,
-    request_forwarder::{RequestForwarder, examine_endpoint},
+    request_forwarder::{RequestForwarder, confirm_end, examine_endpoint},
     stream_source::StreamSource,
 };
 use crate::{
@@ -81,6 +81,11 @@
         self.source.recycle();
     }
 
+    async fn confirm_end(&self) -> Result<(), CallFailure> {
+        let endpoint = self.source.exchange().guard.endpoint();
+        confirm_end(&self.gateway, &self.context, endpoint, self.source.progress()).await
+    }
+
     /// Records that the endpoint went on answering, once for each run.
     fn record_proof(&mut self) {
         if let Some(begun_at) = self.source.take_proof() {
@@ -122,6 +127,12 @@
             let stall_deadline = if is_movable { now + stall_time } else { self.context.deadline };
             let deadline = stall_deadline.min(self.context.deadline);
             let mut failure = match self.source.next_events(deadline).await {
+                Ok(None) if !self.source.exchange().is_delimited() => {
+                    match self.confirm_end().await {
+                        Ok(()) => return Ok(None),
+                        Err(failure) => failure,
+                    }
+                }
                 Ok(events) => return Ok(events),
                 Err(failure) => failure,
             };
