gateway: count ends of endpoints whose ports something else holds

A supervisor or sidecar before an endpoint that is down accepts connections and closes them. The probe took that for a living endpoint, so no end counted, and one repeated request ended endpoint after endpoint as before its mend. A host that is cut off left no strike either.

A connection that is lost without that proof counts once the registry entry of the endpoint goes, another start appears at its address, or another instance answers there, unless the endpoint has sent something since. The end of an endpoint that is leaving counts for nobody.

--- a/crates/bramleywind_gateway/src/background/follow_endpoints.rs
+++ b/crates/bramleywind_gateway/src/background/follow_endpoints.rs
@@ -133,11 +133,17 @@
 ) {
     let log = gateway.log();
     let mut endpoints = gateway.endpoints().borrow_mut();
+    let mut ended = Vec::new();
     match change {
         EntryChange::Written(record) => {
             let (id, address) = (record.id.clone(), record.address);
             let (service, is_leaving) = (record.service.clone(), record.is_leaving);
             let effect = endpoints.insert(record);
+            if effect == EntryEffect::Added {
+                // An earlier start under the same name has ended too.
+                ended.push(id.clone());
+                ended.extend(endpoints.others_at(address, &id));
+            }
             if effect != EntryEffect::Unchanged {
                 info!(log, "endpoint changed"; "endpoint" => %id, "service" => %service,
                     "address" => %address, "is_leaving" => is_leaving, "effect" => ?effect);
@@ -155,16 +161,23 @@
             None => {
                 if endpoints.remove(&id) {
                     info!(log, "endpoint removed"; "endpoint" => %id);
+                    ended.push(id);
                 }
             }
         },
     }
     let open = endpoints.iter().filter(|endpoint| endpoint.is_open()).count();
     gateway.metrics().open_endpoints.set(i64::try_from(open).unwrap_or(i64::MAX));
+    drop(endpoints);
+    for id in ended {
+        gateway.confirm_crashes(&id);
+    }
 }
 
 fn remove_expired<P: Platform>(gateway: &Gateway<P>) {
-    for id in gateway.endpoints().borrow_mut().remove_missing(Instant::now()) {
+    let removed = gateway.endpoints().borrow_mut().remove_missing(Instant::now());
+    for id in removed {
         info!(gateway.log(), "endpoint removed: its entry did not come back"; "endpoint" => %id);
+        gateway.confirm_crashes(&id);
     }
 }
--- a/crates/bramleywind_gateway/src/crashes.rs
+++ b/crates/bramleywind_gateway/src/crashes.rs
@@ -29,6 +29,7 @@
 mod request_hash;
 mod run_progress;
 mod shared_part;
+mod unconfirmed_crash;
 
 pub use answer_memory::AnswerMemory;
 pub use call_fingerprint::CallFingerprint;
@@ -51,6 +52,7 @@
 pub use request_hash::RequestHash;
 pub use run_progress::RunProgress;
 pub use shared_part::SharedPart;
+pub use unconfirmed_crash::{UnconfirmedCrash, UnconfirmedCrashes};
 
 /// A report about a request of the gateway.
 pub type CallCrashReport = bramleywind_claims::CrashReport<CallFingerprint>;
--- a/crates/bramleywind_gateway/src/endpoints/connection_pool.rs
+++ b/crates/bramleywind_gateway/src/endpoints/connection_pool.rs
@@ -66,6 +66,11 @@
         self.idle.retain(|entry| now < entry.usable_until);
     }
 
+    /// Reports whether the endpoint has kept a connection open.
+    pub fn has_open(&self) -> bool {
+        self.idle.iter().any(|entry| entry.connection.is_ready())
+    }
+
     /// Reports whether no connection is idle.
     pub fn is_empty(&self) -> bool {
         self.idle.is_empty()
--- a/crates/bramleywind_gateway/src/endpoints/endpoint.rs
+++ b/crates/bramleywind_gateway/src/endpoints/endpoint.rs
@@ -24,6 +24,8 @@
     health: RefCell<EndpointHealth>,
     pool: RefCell<ConnectionPool>,
     is_removed: Cell<bool>,
+    /// When the endpoint last sent something.
+    active_at: Cell<Option<Instant>>,
     /// Whether the endpoint has said in an answer that it is shutting down.
     has_announced_leaving: Cell<bool>,
     /// Until when the endpoint wants no request from this process.
@@ -43,6 +45,7 @@
             health: RefCell::default(),
             pool: RefCell::default(),
             is_removed: Cell::new(false),
+            active_at: Cell::new(None),
             has_announced_leaving: Cell::new(false),
             paused_until: Cell::new(None),
         }
@@ -71,6 +74,16 @@
             && !self.record.borrow().is_leaving
     }
 
+    /// Records that the endpoint sent something.
+    pub fn record_activity(&self, now: Instant) {
+        self.active_at.set(Some(now));
+    }
+
+    /// Returns whether the endpoint has sent nothing since `since`.
+    pub fn is_silent_since(&self, since: Instant) -> bool {
+        self.active_at.get().is_none_or(|at| at <= since)
+    }
+
     /// Sends no new requests to the endpoint, which has said in an answer that it is shutting down. Its next start is
     /// another [`Endpoint`]. Returns whether that is news.
     pub fn announce_leaving(&self) -> bool {
--- a/crates/bramleywind_gateway/src/endpoints/endpoint_set.rs
+++ b/crates/bramleywind_gateway/src/endpoints/endpoint_set.rs
@@ -1,5 +1,6 @@
 use std::{
     collections::{BTreeMap, HashSet},
+    net::SocketAddr,
     rc::Rc,
     time::Instant,
 };
@@ -105,6 +106,16 @@
             .filter(move |endpoint| endpoint.is_open() && endpoint.record().service == *service)
     }
 
+    /// Returns the names of the other endpoints that were registered at an address. They have ended if another one starts
+    /// there.
+    pub fn others_at(&self, address: SocketAddr, id: &EndpointId) -> Vec<EndpointId> {
+        let is_other = |endpoint: &&Rc<Endpoint>| {
+            let record = endpoint.record();
+            record.address == address && record.id != *id
+        };
+        self.iter().filter(is_other).map(|endpoint| endpoint.record().id.clone()).collect()
+    }
+
     /// Returns the endpoint with a name.
     pub fn get(&self, id: &EndpointId) -> Option<&Rc<Endpoint>> {
         self.endpoints.get(id)
--- a/crates/bramleywind_gateway/src/forward/exchange.rs
+++ b/crates/bramleywind_gateway/src/forward/exchange.rs
@@ -76,6 +76,7 @@
             }
         };
         let (head, body) = response.into_parts();
+        endpoint.record_activity(Instant::now());
         let answer = W::read_answer(&head);
         if let Some(reason) = foreign_reason(context, &answer, is_pooled) {
             return Err(CallFailure::new(FailureKind::MayHaveRun, reason));
--- a/crates/bramleywind_gateway/src/forward/request_forwarder.rs
+++ b/crates/bramleywind_gateway/src/forward/request_forwarder.rs
@@ -19,7 +19,7 @@
     stream_source::StreamSource,
 };
 use crate::{
-    crashes::{ProbeOutcome, RunProgress, probe_endpoint},
+    crashes::{ProbeOutcome, RunProgress, UnconfirmedCrash, probe_endpoint},
     endpoints::Endpoint,
     funds::Reservation,
     gateway::Gateway,
@@ -300,7 +300,7 @@
 pub(super) async fn confirm_end<P: Platform>(
     gateway: &Gateway<P>,
     context: &RequestContext,
-    endpoint: &Endpoint,
+    endpoint: &Rc<Endpoint>,
     progress: RunProgress,
 ) -> Result<(), CallFailure> {
     let reason = "answer without a length ended, and its endpoint may have ended too";
@@ -314,17 +314,34 @@
 pub(super) async fn examine_endpoint<P: Platform>(
     gateway: &Gateway<P>,
     context: &RequestContext,
-    endpoint: &Endpoint,
+    endpoint: &Rc<Endpoint>,
     progress: RunProgress,
     failure: &mut CallFailure,
 ) {
+    if failure.kind == FailureKind::Replaced {
+        gateway.confirm_crashes(&endpoint.record().id);
+    }
     if failure.kind != FailureKind::ConnectionLost || failure.probe.is_some() {
         return;
     }
-    let outcome = probe_endpoint(endpoint).await;
+    // An endpoint that is leaving ends as planned.
+    let (lost_at, was_open) = (Instant::now(), endpoint.is_open());
+    let outcome = probe_endpoint(endpoint, lost_at).await;
     failure.probe = Some(outcome);
+    if !was_open {
+        return;
+    }
+    let (fingerprint, shared_parts) = (&context.fingerprint, &context.shared_parts);
     if outcome == ProbeOutcome::Ended {
-        gateway.record_crash(context, endpoint, progress);
+        gateway.record_crash(fingerprint, shared_parts, endpoint, progress);
+    } else {
+        gateway.record_unconfirmed_crash(UnconfirmedCrash {
+            endpoint: Rc::clone(endpoint),
+            fingerprint: fingerprint.clone(),
+            shared_parts: shared_parts.clone(),
+            progress,
+            lost_at,
+        });
     }
 }
 
--- a/crates/bramleywind_gateway/src/forward/stream_source.rs
+++ b/crates/bramleywind_gateway/src/forward/stream_source.rs
@@ -54,6 +54,7 @@
             };
             // Trailers are not forwarded.
             let Ok(data) = frame.into_data() else { continue };
+            self.exchange.guard.endpoint().record_activity(Instant::now());
             let events = self.scanner.push(&data);
             if events.count > 0 {
                 let now = Instant::now();
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -19,7 +19,7 @@
 use crate::{
     admission::AdmissionControl,
     config::{FleetConfig, RouteTable},
-    crashes::{CrashGuard, PartGuard},
+    crashes::{CrashGuard, PartGuard, UnconfirmedCrashes},
     endpoints::{Endpoint, EndpointSet},
     forward::{RequestContext, RequestTrace},
     funds::FundsManager,
@@ -65,6 +65,8 @@
     crash_guard: RefCell<CrashGuard>,
     /// Wakes the task that tells other gateways about crashes.
     crash_news: (Sender<()>, Receiver<()>),
+    /// Lost connections whose endpoints may have ended.
+    unconfirmed_crashes: RefCell<UnconfirmedCrashes>,
     part_guard: RefCell<PartGuard>,
     /// Wakes the task that judges parts of prompts.
     part_news: (Sender<()>, Receiver<()>),
@@ -101,6 +103,7 @@
             took_connections: Cell::new(true),
             crash_guard: RefCell::new(CrashGuard::new(Instant::now())),
             crash_news: async_channel::bounded(1),
+            unconfirmed_crashes: RefCell::default(),
             part_guard: RefCell::new(PartGuard::new(Instant::now())),
             part_news: async_channel::bounded(1),
         }
--- a/crates/bramleywind_gateway/src/gateway/crash_handling.rs
+++ b/crates/bramleywind_gateway/src/gateway/crash_handling.rs
@@ -3,6 +3,7 @@
 use std::{cmp::Reverse, rc::Rc, time::Instant};
 
 use bramleywind_claims::CrashReport;
+use bramleywind_types::EndpointId;
 use slog::info;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -10,10 +11,10 @@
 use crate::{
     crashes::{
         CallCrashReport, CallFingerprint, CrashEffect, CrashNotice, NoticeReply, QuarantineRecord,
-        RunProgress, SharedPart,
+        RunProgress, SharedPart, UnconfirmedCrash,
     },
     endpoints::Endpoint,
-    forward::{Refusal, RefusalReason, RequestContext},
+    forward::{Refusal, RefusalReason},
     members::unix_millis,
     platform_api::Platform,
 };
@@ -36,16 +37,16 @@
     /// Records that an endpoint ended while this process waited for its answer to a request.
     pub fn record_crash(
         &self,
-        context: &RequestContext,
+        fingerprint: &CallFingerprint,
+        shared_parts: &[SharedPart],
         endpoint: &Endpoint,
         progress: RunProgress,
     ) {
-        let fingerprint = &context.fingerprint;
         let effect = {
             let mut guard = self.crash_guard.borrow_mut();
             guard.record_crash(fingerprint, &endpoint.record(), progress, Instant::now())
         };
-        self.record_part_crash(&context.shared_parts, endpoint.record().crash_id(), progress);
+        self.record_part_crash(shared_parts, endpoint.record().crash_id(), progress);
         info!(self.log, "endpoint ended with a request in flight"; "fingerprint" => %fingerprint,
             "endpoint" => %endpoint.record().id, "progress" => ?progress, "effect" => ?effect);
         endpoint.health().borrow_mut().record_ended(Instant::now());
@@ -56,6 +57,21 @@
         self.spread_crash_news();
     }
 
+    /// Records that a connection was lost although it is unknown whether its endpoint ended.
+    pub fn record_unconfirmed_crash(&self, crash: UnconfirmedCrash) {
+        self.unconfirmed_crashes.borrow_mut().insert(crash);
+    }
+
+    /// Records that an endpoint is known to have ended, by the evidence of its registry entry or of another instance at
+    /// its address.
+    pub fn confirm_crashes(&self, endpoint: &EndpointId) {
+        let confirmed = self.unconfirmed_crashes.borrow_mut().confirm(endpoint, Instant::now());
+        for crash in confirmed {
+            let UnconfirmedCrash { endpoint, fingerprint, shared_parts, progress, .. } = crash;
+            self.record_crash(&fingerprint, &shared_parts, &endpoint, progress);
+        }
+    }
+
     /// Records that an endpoint answered a request.
     pub fn record_answer(&self, fingerprint: &CallFingerprint) {
         let was_suspect = self.crash_guard.borrow_mut().record_answer(fingerprint, Instant::now());
