part guard: look only at parts that were in flight at enough ends

An index of the number of ends by part limits it to the few parts with enough of them, and a request whose parts were in flight at no end is placed without a search.

--- a/crates/bramleywind_gateway/src/crashes/endpoint_end.rs
+++ b/crates/bramleywind_gateway/src/crashes/endpoint_end.rs
@@ -21,11 +21,15 @@
         Self { id, at, parts: BTreeMap::new() }
     }
 
-    pub fn insert(&mut self, parts: &[SharedPart]) {
+    /// Adds the shared parts of one request. Returns those that were not known.
+    pub fn insert<'a>(&mut self, parts: &'a [SharedPart]) -> Vec<&'a SharedPart> {
+        let mut added = Vec::new();
         for (position, part) in parts.iter().enumerate() {
-            if self.parts.len() < MAX_PARTS {
-                self.parts.entry(part.clone()).or_insert(position);
+            if self.parts.len() < MAX_PARTS && !self.parts.contains_key(part) {
+                self.parts.insert(part.clone(), position);
+                added.push(part);
             }
         }
+        added
     }
 }
--- a/crates/bramleywind_gateway/src/crashes/part_guard.rs
+++ b/crates/bramleywind_gateway/src/crashes/part_guard.rs
@@ -1,6 +1,6 @@
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -68,6 +68,8 @@
 pub struct PartGuard {
     /// The last ends, the newest at the back.
     ends: VecDeque<EndpointEnd>,
+    /// The number of these ends at which each part was in flight.
+    end_counts: HashMap<SharedPart, usize>,
     refused: BTreeMap<SharedPart, RefusedPart>,
     proofs: ProofMemory,
     /// The number of ends of a part when the other gateways were last asked about it.
@@ -101,6 +103,7 @@
     pub fn new(now: Instant) -> Self {
         Self {
             ends: VecDeque::new(),
+            end_counts: HashMap::new(),
             refused: BTreeMap::new(),
             proofs: ProofMemory::new(now),
             asked: BTreeMap::new(),
@@ -135,6 +138,9 @@
             return None;
         }
         let is_suspect = |part: &&SharedPart| {
+            if !self.end_counts.contains_key(*part) {
+                return false;
+            }
             let charge = self.charge(part, now);
             let needed = if self.is_proven_before(part, &charge) { 2 } else { 1 };
             charge.crashes.len() >= needed
@@ -386,19 +392,31 @@
     }
 
     fn insert_end(&mut self, report: &PartReport, now: Instant) {
-        let known = self.ends.iter_mut().find(|end| end.id == report.crash);
-        if let Some(known) = known {
-            known.insert(&report.parts);
-            return;
+        let is_known = self.ends.iter().any(|end| end.id == report.crash);
+        if !is_known {
+            while self.ends.front().is_some_and(|end| end.at + CRASH_RETENTION <= now)
+                || self.ends.len() >= MAX_ENDS
+            {
+                self.drop_oldest_end();
+            }
+            self.ends.push_back(EndpointEnd::new(report.crash, now));
         }
-        while self.ends.front().is_some_and(|end| end.at + CRASH_RETENTION <= now)
-            || self.ends.len() >= MAX_ENDS
-        {
-            self.ends.pop_front();
+        let end = self.ends.iter_mut().rev().find(|end| end.id == report.crash);
+        for part in end.map(|end| end.insert(&report.parts)).unwrap_or_default() {
+            *self.end_counts.entry(part.clone()).or_default() += 1;
+        }
+    }
+
+    fn drop_oldest_end(&mut self) {
+        let Some(end) = self.ends.pop_front() else { return };
+        for part in end.parts.keys() {
+            if let Some(count) = self.end_counts.get_mut(part) {
+                *count -= 1;
+                if *count == 0 {
+                    self.end_counts.remove(part);
+                }
+            }
         }
-        let mut end = EndpointEnd::new(report.crash, now);
-        end.insert(&report.parts);
-        self.ends.push_back(end);
     }
 
     /// Returns the ends that count against a part.
@@ -416,20 +434,16 @@
 
     /// Returns the parts with enough ends to be refused.
     fn candidates(&self, now: Instant) -> BTreeMap<&SharedPart, Charge> {
-        let mut charges: BTreeMap<&SharedPart, Charge> = BTreeMap::new();
-        for end in &self.ends {
-            for (part, position) in &end.parts {
-                if self.counts_against(part, end, now) {
-                    charges.entry(part).or_default().add(end, *position);
-                }
-            }
-        }
-        charges.retain(|part, charge| {
-            let (threshold, assessment) = self.requirements(part, charge, now);
+        let may_be_refused = |(part, count): &(&SharedPart, &usize)| {
+            **count >= MAX_PART_CRASHES || self.refused.contains_key(*part)
+        };
+        let charge = |(part, _)| {
+            let mut charge = self.charge(part, now);
+            let (threshold, assessment) = self.requirements(part, &charge, now);
             charge.judged_at = charge.first_at.map(|first| first + assessment);
-            charge.crashes.len() >= threshold
-        });
-        charges
+            (charge.crashes.len() >= threshold).then_some((part, charge))
+        };
+        self.end_counts.iter().filter(may_be_refused).filter_map(charge).collect()
     }
 
     fn counts_against(&self, part: &SharedPart, end: &EndpointEnd, now: Instant) -> bool {
