crash notices: keep a fixed number of calls under way instead of batches

A gateway that does not answer held up its batch of 16 for 120 ms, so 294 notices took up to 2.3 s, and a judgement of a part of prompts needs two such rounds. By arithmetic, with 30 gateways gone of 295 a round takes 0.3 s now. Both kinds of notice share the code.

--- a/crates/bramleywind_gateway/src/background.rs
+++ b/crates/bramleywind_gateway/src/background.rs
@@ -6,6 +6,7 @@
 mod judge_parts;
 mod maintain_membership;
 mod maintain_presence;
+mod notice_delivery;
 mod scaled_interval;
 mod spread_crash_news;
 
--- a/crates/bramleywind_gateway/src/background/judge_parts.rs
+++ b/crates/bramleywind_gateway/src/background/judge_parts.rs
@@ -1,10 +1,9 @@
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Instant};
 
 use compio::time::timeout_at;
-use futures_util::future::join_all;
 use slog::info;
 
-use super::spread_crash_news::MAX_CONCURRENT_NOTICES;
+use super::notice_delivery::NoticeDelivery;
 use crate::{
     crashes::{PartNotice, PartOutbox, PartReport},
     gateway::Gateway,
@@ -89,23 +88,12 @@
 }
 
 async fn send_notices<P: Platform>(gateway: &Gateway<P>, notices: Vec<(SocketAddr, PartNotice)>) {
-    let (mut undelivered, mut first_error) = (0, None);
-    for batch in notices.chunks(MAX_CONCURRENT_NOTICES) {
-        let client = gateway.funds().loan_client();
-        let calls = batch.iter().map(|(peer, notice)| client.send_part_notice(*peer, notice));
-        for reply in join_all(calls).await {
-            match reply {
-                Ok(reply) => gateway.apply_part_reply(&reply),
-                Err(error) => {
-                    undelivered += 1;
-                    first_error.get_or_insert(error);
-                }
-            }
-        }
-    }
-    if undelivered > 0 {
+    let client = gateway.funds().loan_client();
+    let calls = notices.iter().map(|(peer, notice)| client.send_part_notice(*peer, notice));
+    let delivery = NoticeDelivery::run(calls, |reply| gateway.apply_part_reply(&reply)).await;
+    if delivery.undelivered > 0 {
         // These gateways learn of refused parts from the store.
-        info!(gateway.log(), "notices about parts of prompts not delivered"; "notices" => notices.len(),
-            "undelivered" => undelivered, "first_error" => first_error.as_deref());
+        info!(gateway.log(), "notices about parts of prompts not delivered"; "notices" => delivery.sent,
+            "undelivered" => delivery.undelivered, "first_error" => delivery.first_error.as_deref());
     }
 }
--- a/crates/bramleywind_gateway/src/background/spread_crash_news.rs
+++ b/crates/bramleywind_gateway/src/background/spread_crash_news.rs
@@ -1,17 +1,14 @@
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
 
-use futures_util::future::join_all;
 use slog::info;
 
+use super::notice_delivery::NoticeDelivery;
 use crate::{
     crashes::{CallCrashReport, CrashNotice, NoticeAudience},
     gateway::Gateway,
     platform_api::Platform,
 };
 
-/// The number of gateways that are told at the same time. It bounds the connections and the burst on a narrow link.
-pub(super) const MAX_CONCURRENT_NOTICES: usize = 16;
-
 /// The most reports in one notice.
 const MAX_REPORTS_PER_NOTICE: usize = 512;
 
@@ -57,23 +54,12 @@
             notices.push((peer, CrashNotice { audience, reports: reports.to_vec() }));
         }
     }
-    let (sent, mut undelivered, mut first_error) = (notices.len(), 0, None);
-    for batch in notices.chunks(MAX_CONCURRENT_NOTICES) {
-        let client = gateway.funds().loan_client();
-        let calls = batch.iter().map(|(peer, notice)| client.send_crash_notice(*peer, notice));
-        for reply in join_all(calls).await {
-            match reply {
-                Ok(reply) => gateway.apply_notice_reply(&reply),
-                Err(error) => {
-                    undelivered += 1;
-                    first_error.get_or_insert(error);
-                }
-            }
-        }
-    }
-    if undelivered > 0 {
+    let client = gateway.funds().loan_client();
+    let calls = notices.iter().map(|(peer, notice)| client.send_crash_notice(*peer, notice));
+    let delivery = NoticeDelivery::run(calls, |reply| gateway.apply_notice_reply(&reply)).await;
+    if delivery.undelivered > 0 {
         // These gateways learn of refused requests from the store.
-        info!(gateway.log(), "crash notices not delivered"; "audience" => ?audience, "notices" => sent,
-            "undelivered" => undelivered, "first_error" => first_error.as_deref());
+        info!(gateway.log(), "crash notices not delivered"; "audience" => ?audience, "notices" => delivery.sent,
+            "undelivered" => delivery.undelivered, "first_error" => delivery.first_error.as_deref());
     }
 }
--- a/crates/bramleywind_gateway/src/crashes/run_progress.rs
+++ b/crates/bramleywind_gateway/src/crashes/run_progress.rs
@@ -1,5 +1,5 @@
-/// The number of events after which an answer counts as established. What crashes an endpoint does so when it begins to write the answer,
-/// with the first event or shortly after it.
+/// The number of events after which an answer counts as established. What crashes an endpoint does so when it begins to
+/// write the answer, with the first event or shortly after it.
 pub const ESTABLISHED_EVENTS: u64 = 3;
 
 /// How far an endpoint had come with a request when it ended.
@@ -9,7 +9,7 @@
     Unanswered,
     /// Events of the answer had arrived.
     Begun,
-    /// At least [`ESTABLISHED_EVENTS`] events had arrived, so the endpoint had run the request for a while.
+    /// At least three events had arrived, so the endpoint had run the request for a while.
     Established,
 }
 
