part guard: judge a part that cannot be refused only once

With 256 parts refused, the next one stayed a candidate that nobody had been asked about, so the gateway asked all others again without a pause. part_beyond_the_limit_is_judged_once failed before. Ends remember the refused parts that explain them, so that judging does not search all refused parts for each end.

--- a/crates/bramleywind_gateway/src/crashes/endpoint_end.rs
+++ b/crates/bramleywind_gateway/src/crashes/endpoint_end.rs
@@ -14,11 +14,20 @@
     pub at: Instant,
     /// The parts, each with its position in the prompt.
     pub parts: BTreeMap<SharedPart, usize>,
+    /// The refused parts among them, which explain the end.
+    pub causes: Vec<SharedPart>,
 }
 
 impl EndpointEnd {
     pub fn new(id: CrashReportId, at: Instant) -> Self {
-        Self { id, at, parts: BTreeMap::new() }
+        Self { id, at, parts: BTreeMap::new(), causes: Vec::new() }
+    }
+
+    /// Records that a part is refused, if it was in flight.
+    pub fn add_cause(&mut self, part: &SharedPart) {
+        if self.parts.contains_key(part) && !self.causes.contains(part) {
+            self.causes.push(part.clone());
+        }
     }
 
     /// Adds the shared parts of one request. Returns those that were not known.
--- a/crates/bramleywind_gateway/src/crashes/part_guard.rs
+++ b/crates/bramleywind_gateway/src/crashes/part_guard.rs
@@ -277,10 +277,10 @@
             let first_crash_at = charge.first_at.unwrap_or(now);
             let until = now + CRASH_RETENTION;
             let is_added = self.refuse(&part, RefusedPart { until, first_crash_at, crashes }, now);
-            self.asked.remove(&part);
             if !is_added {
                 break;
             }
+            self.asked.remove(&part);
             self.outbox.refused.extend(self.refusal(&part, now));
             self.unsaved.insert(part.clone());
             refused.push(part);
@@ -366,6 +366,9 @@
             return false;
         }
         self.refused.insert(part.clone(), refused);
+        for end in &mut self.ends {
+            end.add_cause(part);
+        }
         true
     }
 
@@ -373,6 +376,9 @@
         self.refused.remove(part);
         self.asked.remove(part);
         self.unsaved.remove(part);
+        for end in &mut self.ends {
+            end.causes.retain(|cause| cause != part);
+        }
     }
 
     fn refusal(&self, part: &SharedPart, now: Instant) -> Option<PartRefusal> {
@@ -402,8 +408,12 @@
             self.ends.push_back(EndpointEnd::new(report.crash, now));
         }
         let end = self.ends.iter_mut().rev().find(|end| end.id == report.crash);
-        for part in end.map(|end| end.insert(&report.parts)).unwrap_or_default() {
+        let Some(end) = end else { return };
+        for part in end.insert(&report.parts) {
             *self.end_counts.entry(part.clone()).or_default() += 1;
+            if self.refused.contains_key(part) {
+                end.add_cause(part);
+            }
         }
     }
 
@@ -454,13 +464,9 @@
 
     /// Returns whether an end has a known cause: it led to a refusal already, or a refused part was in flight.
     fn is_explained(&self, part: &SharedPart, end: &EndpointEnd) -> bool {
-        self.refused.iter().any(|(refused, state)| {
-            if refused == part {
-                state.crashes.contains(&end.id)
-            } else {
-                end.parts.contains_key(refused)
-            }
-        })
+        let was_counted =
+            self.refused.get(part).is_some_and(|refused| refused.crashes.contains(&end.id));
+        was_counted || end.causes.iter().any(|cause| cause != part)
     }
 
     /// Returns the number of ends at which a part is refused, and the time from the first one until it is judged.
--- a/crates/bramleywind_gateway/tests/part_guard.rs
+++ b/crates/bramleywind_gateway/tests/part_guard.rs
@@ -223,3 +223,19 @@
     guard.mark_saved(&part(2));
     assert_eq!(guard.next_unsaved(NOW_MS, later), None);
 }
+
+/// Guards against asking all gateways again and again about a part that cannot be refused, since too many are already.
+#[test]
+fn part_beyond_the_limit_is_judged_once() {
+    let mut now = Instant::now();
+    let mut guard = PartGuard::new(now);
+    for number in 0..=256 {
+        for crash in 0..3 {
+            end(&mut guard, number * 3 + crash, &[&[number]], now);
+        }
+        now += ASSESSMENT_TIME;
+        let refused = judge(&mut guard, now);
+        assert_eq!(refused.len(), usize::from(number < 256), "part {number}");
+    }
+    assert_eq!(guard.next_decision(now), None);
+}
