--- a/crates/bramleywind_gateway/src/crashes/part_guard.rs
+++ b/crates/bramleywind_gateway/src/crashes/part_guard.rs
@@ -293,11 +293,6 @@
         self.refused.get(part).map_or(&[], |refused| &refused.crashes)
     }
 
-    /// Returns whether other gateways are still to be told something.
-    pub fn has_news(&self) -> bool {
-        !self.outbox.is_empty()
-    }
-
     /// Removes and returns what other gateways are still to be told.
     pub fn take_outbox(&mut self) -> PartOutbox {
         std::mem::take(&mut self.outbox)
--- a/crates/bramleywind_gateway/src/crashes/part_outbox.rs
+++ b/crates/bramleywind_gateway/src/crashes/part_outbox.rs
@@ -17,11 +17,6 @@
 }
 
 impl PartOutbox {
-    /// Returns whether nothing waits.
-    pub fn is_empty(&self) -> bool {
-        self.ends.is_empty() && self.refused.is_empty() && self.cleared.is_empty()
-    }
-
     pub(super) fn report_end(&mut self, report: PartReport) {
         if self.ends.len() < MAX_WAITING {
             self.ends.push(report);
