crashes: an end that the registry shows late counts at its own time, a whole answer leaves no suspicion

Reports of ended endpoints bear their age, so an answer between the lost connection and the removal of the registry entry clears a part. end_that_is_known_late_counts_at_its_own_time fails with the time of the report instead. A whole answer without a length no longer leaves an unconfirmed end behind.

--- a/crates/bramleywind_gateway/src/crashes/part_guard.rs
+++ b/crates/bramleywind_gateway/src/crashes/part_guard.rs
@@ -56,7 +56,7 @@
 /// let now = Instant::now();
 /// let mut guard = PartGuard::new(now);
 /// for end in 1..=3 {
-///     let report = PartReport { crash: CrashReportId(end), parts: [part.clone()].into() };
+///     let report = PartReport { crash: CrashReportId(end), age_ms: 0, parts: [part.clone()].into() };
 ///     guard.record_end(report, now);
 /// }
 /// let later = now + ASSESSMENT_TIME;
@@ -400,7 +400,9 @@
             {
                 self.drop_oldest_end();
             }
-            self.ends.push_back(EndpointEnd::new(report.crash, now));
+            let age = Duration::from_millis(report.age_ms);
+            let ended_at = now.checked_sub(age).unwrap_or(now);
+            self.ends.push_back(EndpointEnd::new(report.crash, ended_at));
         }
         let end = self.ends.iter_mut().rev().find(|end| end.id == report.crash);
         let Some(end) = end else { return };
--- a/crates/bramleywind_gateway/src/crashes/part_report.rs
+++ b/crates/bramleywind_gateway/src/crashes/part_report.rs
@@ -9,6 +9,8 @@
 pub struct PartReport {
     /// The end of the endpoint, which is the same at all gateways.
     pub crash: CrashReportId,
+    /// The time since the end, in milliseconds. It is more than a moment if the registry showed the end.
+    pub age_ms: u64,
     /// The shared parts, in the order of the prompt.
     pub parts: Box<[SharedPart]>,
 }
--- a/crates/bramleywind_gateway/src/forward/request_forwarder.rs
+++ b/crates/bramleywind_gateway/src/forward/request_forwarder.rs
@@ -303,10 +303,16 @@
     endpoint: &Rc<Endpoint>,
     progress: RunProgress,
 ) -> Result<(), CallFailure> {
+    let lost_at = Instant::now();
+    let outcome = probe_endpoint(endpoint, lost_at).await;
+    if outcome == ProbeOutcome::Alive {
+        return Ok(());
+    }
     let reason = "answer without a length ended, and its endpoint may have ended too";
     let mut failure = CallFailure::new(FailureKind::ConnectionLost, reason);
-    examine_endpoint(gateway, context, endpoint, progress, &mut failure).await;
-    if failure.probe == Some(ProbeOutcome::Alive) { Ok(()) } else { Err(failure) }
+    failure.probe = Some(outcome);
+    record_lost_connection(gateway, context, endpoint, progress, outcome, lost_at);
+    Err(failure)
 }
 
 /// Finds out whether an endpoint has ended, after a call that lost its connection, and records that it ended under this
@@ -324,16 +330,28 @@
     if failure.kind != FailureKind::ConnectionLost || failure.probe.is_some() {
         return;
     }
-    // An endpoint that is leaving ends as planned.
-    let (lost_at, was_open) = (Instant::now(), endpoint.is_open());
+    let lost_at = Instant::now();
     let outcome = probe_endpoint(endpoint, lost_at).await;
     failure.probe = Some(outcome);
-    if !was_open {
+    record_lost_connection(gateway, context, endpoint, progress, outcome, lost_at);
+}
+
+/// Records that a connection was lost at `lost_at`, and whether its endpoint is known to have ended.
+fn record_lost_connection<P: Platform>(
+    gateway: &Gateway<P>,
+    context: &RequestContext,
+    endpoint: &Rc<Endpoint>,
+    progress: RunProgress,
+    outcome: ProbeOutcome,
+    lost_at: Instant,
+) {
+    // An endpoint that is leaving ends as planned.
+    if !endpoint.is_open() {
         return;
     }
     let (fingerprint, shared_parts) = (&context.fingerprint, &context.shared_parts);
     if outcome == ProbeOutcome::Ended {
-        gateway.record_crash(fingerprint, shared_parts, endpoint, progress);
+        gateway.record_crash(fingerprint, shared_parts, endpoint, progress, lost_at);
     } else {
         gateway.record_unconfirmed_crash(UnconfirmedCrash {
             endpoint: Rc::clone(endpoint),
--- a/crates/bramleywind_gateway/src/gateway/crash_handling.rs
+++ b/crates/bramleywind_gateway/src/gateway/crash_handling.rs
@@ -41,12 +41,14 @@
         shared_parts: &[SharedPart],
         endpoint: &Endpoint,
         progress: RunProgress,
+        ended_at: Instant,
     ) {
         let effect = {
             let mut guard = self.crash_guard.borrow_mut();
             guard.record_crash(fingerprint, &endpoint.record(), progress, Instant::now())
         };
-        self.record_part_crash(shared_parts, endpoint.record().crash_id(), progress);
+        let crash = endpoint.record().crash_id();
+        self.record_part_crash(shared_parts, crash, progress, ended_at);
         info!(self.log, "endpoint ended with a request in flight"; "fingerprint" => %fingerprint,
             "endpoint" => %endpoint.record().id, "progress" => ?progress, "effect" => ?effect);
         endpoint.health().borrow_mut().record_ended(Instant::now());
@@ -67,8 +69,8 @@
     pub fn confirm_crashes(&self, endpoint: &EndpointId) {
         let confirmed = self.unconfirmed_crashes.borrow_mut().confirm(endpoint, Instant::now());
         for crash in confirmed {
-            let UnconfirmedCrash { endpoint, fingerprint, shared_parts, progress, .. } = crash;
-            self.record_crash(&fingerprint, &shared_parts, &endpoint, progress);
+            let UnconfirmedCrash { endpoint, fingerprint, shared_parts, progress, lost_at } = crash;
+            self.record_crash(&fingerprint, &shared_parts, &endpoint, progress, lost_at);
         }
     }
 
--- a/crates/bramleywind_gateway/src/gateway/part_handling.rs
+++ b/crates/bramleywind_gateway/src/gateway/part_handling.rs
@@ -19,12 +19,16 @@
         parts: &[SharedPart],
         crash: CrashReportId,
         progress: RunProgress,
+        ended_at: Instant,
     ) {
         if progress == RunProgress::Established {
             return;
         }
-        let report = PartReport { crash, parts: parts.into() };
-        self.part_guard.borrow_mut().record_end(report, Instant::now());
+        let now = Instant::now();
+        let age = now.saturating_duration_since(ended_at).as_millis();
+        let age_ms = u64::try_from(age).unwrap_or(u64::MAX);
+        let report = PartReport { crash, age_ms, parts: parts.into() };
+        self.part_guard.borrow_mut().record_end(report, now);
         self.spread_part_news();
     }
 
--- a/crates/bramleywind_gateway/tests/part_guard.rs
+++ b/crates/bramleywind_gateway/tests/part_guard.rs
@@ -27,7 +27,7 @@
 fn end(guard: &mut PartGuard, crash: u64, requests: &[&[u64]], at: Instant) {
     for parts in requests {
         let parts = parts.iter().map(|id| part(*id)).collect();
-        guard.record_end(PartReport { crash: CrashReportId(crash), parts }, at);
+        guard.record_end(PartReport { crash: CrashReportId(crash), age_ms: 0, parts }, at);
     }
 }
 
@@ -239,3 +239,19 @@
     }
     assert_eq!(guard.next_decision(now), None);
 }
+
+/// Guards against an end that the registry shows late counting against a part that was answered meanwhile.
+#[test]
+fn end_that_is_known_late_counts_at_its_own_time() {
+    let now = Instant::now();
+    let mut guard = PartGuard::new(now);
+    let answered_at = now + Duration::from_secs(2);
+    guard.record_proof(&[part(2)], answered_at, answered_at);
+    let known_at = now + Duration::from_secs(4);
+    for crash in 0..5 {
+        let parts = [part(2)].into();
+        guard
+            .record_end(PartReport { crash: CrashReportId(crash), age_ms: 3_000, parts }, known_at);
+    }
+    assert_eq!(judge(&mut guard, known_at + PROVEN_ASSESSMENT_TIME), []);
+}
--- a/crates/bramleywind_gateway/tests/part_model.rs
+++ b/crates/bramleywind_gateway/tests/part_model.rs
@@ -112,7 +112,7 @@
                 let crash = CrashReportId(index as u64 * 1_000 + endpoint.start);
                 // An answer is established five steps after it began.
                 for request in endpoint.running.drain(..).filter(|run| run.begins_at + 5 > step) {
-                    guard.record_end(PartReport { crash, parts: request.parts }, now);
+                    guard.record_end(PartReport { crash, age_ms: 0, parts: request.parts }, now);
                 }
                 endpoint.start += 1;
                 endpoint.is_down_until = step + DOWN_STEPS;
