gateway: read and log the rate of requests that endpoints name

Each gateway now logs when an endpoint begins to name a rate, names another one or none again. Requests are placed as before.

--- a/crates/bramleywind_gateway/src/endpoints/endpoint.rs
+++ b/crates/bramleywind_gateway/src/endpoints/endpoint.rs
@@ -7,6 +7,7 @@
 use bramleywind_routing::{LoadReport, SmoothedValue};
 
 use super::{ConnectionPool, EndpointHealth, EndpointRecord, InFlightGuard, PrefixTracker};
+use crate::rate_limits::RateLimit;
 
 /// Weight of a new sample in the smoothed latency of an endpoint. A few samples change the average, and a single slow
 /// request does not.
@@ -30,6 +31,7 @@
     has_announced_leaving: Cell<bool>,
     /// Until when the endpoint wants no request from this process.
     paused_until: Cell<Option<Instant>>,
+    rate_limit: RefCell<RateLimit>,
 }
 
 impl Endpoint {
@@ -48,6 +50,7 @@
             active_at: Cell::new(None),
             has_announced_leaving: Cell::new(false),
             paused_until: Cell::new(None),
+            rate_limit: RefCell::default(),
         }
     }
 
@@ -103,6 +106,11 @@
         self.paused_until.get().filter(|until| now < *until)
     }
 
+    /// The rate of requests that the endpoint takes from all gateways together.
+    pub fn rate_limit(&self) -> &RefCell<RateLimit> {
+        &self.rate_limit
+    }
+
     /// Number of this process's requests that the endpoint has not finished answering.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.get()
--- a/crates/bramleywind_gateway/src/forward/exchange.rs
+++ b/crates/bramleywind_gateway/src/forward/exchange.rs
@@ -14,6 +14,7 @@
 use crate::{
     endpoints::{Endpoint, InFlightGuard, PooledConnection},
     platform_api::{AnswerHead, CallHead, EventId, WireCodec},
+    rate_limits::{RateChange, RateStatement},
 };
 
 /// Timeout for connecting to an endpoint. A round trip takes milliseconds, but a lost SYN packet is retransmitted only
@@ -55,7 +56,8 @@
             None => connect(endpoint, call_deadline).await?,
         };
         let request = build_request::<W>(context, endpoint, resume_after);
-        let left = call_deadline.saturating_duration_since(Instant::now());
+        let sent_at = Instant::now();
+        let left = call_deadline.saturating_duration_since(sent_at);
         let response = match timeout(left, connection.send(request)).await {
             Ok(Ok(response)) => response,
             // The endpoint closed a pooled connection before the request was written, so another connection is used.
@@ -84,7 +86,7 @@
         if let Some(load) = answer.load {
             endpoint.set_load(load, Instant::now());
         }
-        note_wishes(endpoint, head.status, &answer, log);
+        note_wishes(endpoint, head.status, &answer, sent_at, log);
         if answer.is_declined {
             let reason = format!("declined with {}", head.status);
             let kind = match head.status {
@@ -150,11 +152,18 @@
 }
 
 /// Takes note of what the endpoint says about further requests.
-fn note_wishes(endpoint: &Endpoint, status: StatusCode, answer: &AnswerHead, log: &Logger) {
+fn note_wishes(
+    endpoint: &Endpoint,
+    status: StatusCode,
+    answer: &AnswerHead,
+    sent_at: Instant,
+    log: &Logger,
+) {
     // Another instance speaks for itself.
     if status == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
+    note_rate(endpoint, answer, sent_at, log);
     if answer.is_leaving && endpoint.announce_leaving() {
         info!(log, "endpoint leaving, according to its answer"; "endpoint" => %endpoint.record().id);
     }
@@ -165,6 +174,19 @@
     }
 }
 
+/// Takes note of the rate of requests that the endpoint names, or no longer names.
+fn note_rate(endpoint: &Endpoint, answer: &AnswerHead, sent_at: Instant, log: &Logger) {
+    if answer.rate == RateStatement::Unreadable {
+        info!(log, "endpoint names a rate of requests that cannot be read"; "endpoint" => %endpoint.record().id);
+    }
+    let change = endpoint.rate_limit().borrow_mut().observe(answer.rate, sent_at, Instant::now());
+    if change != RateChange::None {
+        let rate = endpoint.rate_limit().borrow().rate().map(|rate| rate.to_string());
+        info!(log, "endpoint's limit of requests changed"; "endpoint" => %endpoint.record().id,
+            "change" => ?change, "per_second" => rate, "source" => "answer");
+    }
+}
+
 /// Returns the reason for which a response must not be relayed, or `None` if it may be.
 fn unusable_reason(head: &response::Parts, answer: &AnswerHead) -> Option<&'static str> {
     if head.status.is_success() && !answer.is_sealed {
--- a/crates/bramleywind_gateway/src/lib.rs
+++ b/crates/bramleywind_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod metrics;
 pub mod placement;
 pub mod platform_api;
+pub mod rate_limits;
 pub mod settings;
 mod state_dump;
 
--- a/crates/bramleywind_gateway/src/platform_api/answer_head.rs
+++ b/crates/bramleywind_gateway/src/platform_api/answer_head.rs
@@ -2,6 +2,8 @@
 
 use bramleywind_routing::LoadReport;
 
+use crate::rate_limits::RateStatement;
+
 /// The contents of the head of an endpoint's answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AnswerHead {
@@ -15,6 +17,8 @@
     pub is_leaving: bool,
     /// How long the endpoint wants no further request from this process, if it declined one.
     pub pause: Option<Duration>,
+    /// The rate of requests that the endpoint takes from all gateways together.
+    pub rate: RateStatement,
     /// The endpoint's load when it wrote the answer.
     pub load: Option<LoadReport>,
     /// How long the endpoint keeps the connection open without a request.
