gateway: permits for requests to endpoints that limit them

Cause: a promise of the whole fleet would have had to be kept by the state of one process, and was kept by none. A rate below one request for each gateway cannot be split into shares. The first hypothesis held; the second (each gateway by itself) and third (requests on their way) are ruled out by the failing test, in which nothing changes when the limit begins.

Change: one gateway for each endpoint, by rendezvous hash among the serving ones, issues a permit for each request to it. The others ask, and place elsewhere without one; the next in the hash stands in with 0.4 of the rate. Denied gateways and refused callers get times of return at the rate of the permits; more urgent requests go first. Suspected requests go to endpoints without a limit if there are any.

--- a/crates/bramleywind_gateway/src/background.rs
+++ b/crates/bramleywind_gateway/src/background.rs
@@ -9,6 +9,7 @@
 mod notice_delivery;
 mod scaled_interval;
 mod spread_crash_news;
+mod spread_rate_news;
 
 use std::time::Duration;
 
@@ -20,6 +21,7 @@
 pub(crate) use maintain_presence::maintain_presence;
 pub(crate) use scaled_interval::ScaledInterval;
 pub(crate) use spread_crash_news::spread_crash_news;
+pub(crate) use spread_rate_news::spread_rate_news;
 
 /// The duration of one watch. The kernel's keepalive probes detect a dead connection within three seconds; this bounds
 /// the time if the probes are answered although the connection is dead.
--- a/crates/bramleywind_gateway/src/daemon.rs
+++ b/crates/bramleywind_gateway/src/daemon.rs
@@ -21,7 +21,7 @@
     Args, Gateway, StopPhase,
     background::{
         follow_config, follow_endpoints, judge_parts, maintain_membership, maintain_presence,
-        spread_crash_news,
+        spread_crash_news, spread_rate_news,
     },
     config::CallerLimits,
     forward::handle_request,
@@ -162,6 +162,7 @@
     let presence = compio::runtime::spawn(maintain_presence(Rc::clone(&gateway)));
     let crash_news = compio::runtime::spawn(spread_crash_news(Rc::clone(&gateway)));
     let part_news = compio::runtime::spawn(judge_parts(Rc::clone(&gateway)));
+    let rate_news = compio::runtime::spawn(spread_rate_news(Rc::clone(&gateway)));
     let state = Rc::clone(&gateway);
     let funds = compio::runtime::spawn(async move {
         state.funds().run(state.store(), state.log()).await;
@@ -183,6 +184,7 @@
     stop_requested.await;
     drain(&gateway, &callers).await;
     drop((config, endpoints, presence, loans, returns, pools, reloads, crash_news, part_news));
+    drop(rate_news);
     // The task ends by itself once the process has left the member list.
     membership.detach();
     gateway.funds().stop();
--- a/crates/bramleywind_gateway/src/endpoints/endpoint.rs
+++ b/crates/bramleywind_gateway/src/endpoints/endpoint.rs
@@ -1,5 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     rc::Rc,
     time::Instant,
 };
@@ -7,7 +8,7 @@
 use bramleywind_routing::{LoadReport, SmoothedValue};
 
 use super::{ConnectionPool, EndpointHealth, EndpointRecord, InFlightGuard, PrefixTracker};
-use crate::rate_limits::RateLimit;
+use crate::rate_limits::{PermitBucket, RateLimit};
 
 /// Weight of a new sample in the smoothed latency of an endpoint. A few samples change the average, and a single slow
 /// request does not.
@@ -32,6 +33,10 @@
     /// Until when the endpoint wants no request from this process.
     paused_until: Cell<Option<Instant>>,
     rate_limit: RefCell<RateLimit>,
+    /// The permits that this process issues for requests to the endpoint.
+    permits: RefCell<PermitBucket>,
+    /// Until when no permit is to be had, by the rank of the request that got none.
+    denied_until: RefCell<BTreeMap<u32, Instant>>,
 }
 
 impl Endpoint {
@@ -51,6 +56,8 @@
             has_announced_leaving: Cell::new(false),
             paused_until: Cell::new(None),
             rate_limit: RefCell::default(),
+            permits: RefCell::new(PermitBucket::new(Instant::now())),
+            denied_until: RefCell::default(),
         }
     }
 
@@ -101,16 +108,34 @@
         self.paused_until.set(self.paused_until.get().max(Some(until)));
     }
 
-    /// The time until which the endpoint wants no request, if that is not over.
-    pub fn paused_until(&self, now: Instant) -> Option<Instant> {
-        self.paused_until.get().filter(|until| now < *until)
-    }
-
     /// The rate of requests that the endpoint takes from all gateways together.
     pub fn rate_limit(&self) -> &RefCell<RateLimit> {
         &self.rate_limit
     }
 
+    /// The permits that this process issues for requests to the endpoint while it limits them.
+    pub fn permits(&self) -> &RefCell<PermitBucket> {
+        &self.permits
+    }
+
+    /// Sends no requests of this rank, or less urgent ones, to the endpoint until `until`, since there was no permit for one.
+    pub fn deny_until(&self, rank: u32, until: Instant) {
+        self.denied_until.borrow_mut().insert(rank, until);
+    }
+
+    /// Lets requests be sent without permits: the endpoint takes any rate.
+    pub fn end_denials(&self) {
+        self.denied_until.borrow_mut().clear();
+    }
+
+    /// The time at which requests of a rank may be sent to the endpoint again, if they may not now: it asked for a pause, or
+    /// there was no permit for a request that was as urgent.
+    pub fn opens_at(&self, rank: u32, now: Instant) -> Option<Instant> {
+        let denied_until = self.denied_until.borrow();
+        let denials = denied_until.range(..=rank).map(|(_, until)| *until);
+        denials.chain(self.paused_until.get()).filter(|until| now < *until).max()
+    }
+
     /// Number of this process's requests that the endpoint has not finished answering.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.get()
--- a/crates/bramleywind_gateway/src/forward/exchange.rs
+++ b/crates/bramleywind_gateway/src/forward/exchange.rs
@@ -13,8 +13,8 @@
 use super::{CallFailure, FailureKind, RequestContext};
 use crate::{
     endpoints::{Endpoint, InFlightGuard, PooledConnection},
-    platform_api::{AnswerHead, CallHead, EventId, WireCodec},
-    rate_limits::{RateChange, RateStatement},
+    gateway::Gateway,
+    platform_api::{AnswerHead, CallHead, EventId, Platform, WireCodec},
 };
 
 /// Timeout for connecting to an endpoint. A round trip takes milliseconds, but a lost SYN packet is retransmitted only
@@ -32,12 +32,12 @@
 }
 
 /// Sends a request to an endpoint and waits until `call_deadline` for the head of the response.
-pub(super) async fn send_request<W: WireCodec>(
+pub(super) async fn send_request<P: Platform>(
+    gateway: &Gateway<P>,
     context: &RequestContext,
     endpoint: &Rc<Endpoint>,
     resume_after: Option<EventId>,
     call_deadline: Instant,
-    log: &Logger,
 ) -> Result<Exchange, CallFailure> {
     let now = Instant::now();
     let uncached_tokens = context.prompt.as_ref().map(|prompt| {
@@ -55,7 +55,7 @@
             Some(connection) => connection,
             None => connect(endpoint, call_deadline).await?,
         };
-        let request = build_request::<W>(context, endpoint, resume_after);
+        let request = build_request::<P::Wire>(context, endpoint, resume_after);
         let sent_at = Instant::now();
         let left = call_deadline.saturating_duration_since(sent_at);
         let response = match timeout(left, connection.send(request)).await {
@@ -79,14 +79,17 @@
         };
         let (head, body) = response.into_parts();
         endpoint.record_activity(Instant::now());
-        let answer = W::read_answer(&head);
+        let answer = P::Wire::read_answer(&head);
         if let Some(reason) = foreign_reason(context, &answer, is_pooled) {
             return Err(CallFailure::new(FailureKind::MayHaveRun, reason));
         }
         if let Some(load) = answer.load {
             endpoint.set_load(load, Instant::now());
         }
-        note_wishes(endpoint, head.status, &answer, sent_at, log);
+        note_wishes(endpoint, head.status, &answer, gateway.log());
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            gateway.observe_rate(endpoint, answer.rate, sent_at);
+        }
         if answer.is_declined {
             let reason = format!("declined with {}", head.status);
             let kind = match head.status {
@@ -152,18 +155,11 @@
 }
 
 /// Takes note of what the endpoint says about further requests.
-fn note_wishes(
-    endpoint: &Endpoint,
-    status: StatusCode,
-    answer: &AnswerHead,
-    sent_at: Instant,
-    log: &Logger,
-) {
+fn note_wishes(endpoint: &Endpoint, status: StatusCode, answer: &AnswerHead, log: &Logger) {
     // Another instance speaks for itself.
     if status == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
-    note_rate(endpoint, answer, sent_at, log);
     if answer.is_leaving && endpoint.announce_leaving() {
         info!(log, "endpoint leaving, according to its answer"; "endpoint" => %endpoint.record().id);
     }
@@ -174,19 +170,6 @@
     }
 }
 
-/// Takes note of the rate of requests that the endpoint names, or no longer names.
-fn note_rate(endpoint: &Endpoint, answer: &AnswerHead, sent_at: Instant, log: &Logger) {
-    if answer.rate == RateStatement::Unreadable {
-        info!(log, "endpoint names a rate of requests that cannot be read"; "endpoint" => %endpoint.record().id);
-    }
-    let change = endpoint.rate_limit().borrow_mut().observe(answer.rate, sent_at, Instant::now());
-    if change != RateChange::None {
-        let rate = endpoint.rate_limit().borrow().rate().map(|rate| rate.to_string());
-        info!(log, "endpoint's limit of requests changed"; "endpoint" => %endpoint.record().id,
-            "change" => ?change, "per_second" => rate, "source" => "answer");
-    }
-}
-
 /// Returns the reason for which a response must not be relayed, or `None` if it may be.
 fn unusable_reason(head: &response::Parts, answer: &AnswerHead) -> Option<&'static str> {
     if head.status.is_success() && !answer.is_sealed {
--- a/crates/bramleywind_gateway/src/forward/refusal.rs
+++ b/crates/bramleywind_gateway/src/forward/refusal.rs
@@ -37,6 +37,8 @@
     NoEndpoint,
     /// All endpoints that were tried declined the request or could not be reached. The request did not run.
     NotPlaced,
+    /// All endpoints of the service limit their requests, and take no more for now.
+    EndpointsLimited,
     /// This gateway is shutting down.
     Stopping,
     /// An endpoint may have run the request but returned no usable response.
@@ -63,6 +65,7 @@
             Self::PartCrashesEndpoints => "part of the prompt crashes endpoints",
             Self::NoEndpoint => "no endpoint",
             Self::NotPlaced => "not placed",
+            Self::EndpointsLimited => "endpoints limit their requests",
             Self::Stopping => "stopping",
             Self::MayHaveRun => "may have run",
             Self::TimedOut => "timed out",
@@ -86,6 +89,7 @@
             | Self::PartCrashesEndpoints
             | Self::NoEndpoint
             | Self::NotPlaced
+            | Self::EndpointsLimited
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::MayHaveRun => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/bramleywind_gateway/src/forward/request_forwarder.rs
+++ b/crates/bramleywind_gateway/src/forward/request_forwarder.rs
@@ -22,7 +22,7 @@
     crashes::{ProbeOutcome, RunProgress, UnconfirmedCrash, probe_endpoint},
     endpoints::Endpoint,
     funds::Reservation,
-    gateway::Gateway,
+    gateway::{Gateway, ServiceClosure},
     platform_api::{EventId, Platform, WireCodec},
 };
 
@@ -72,7 +72,9 @@
             if crash_refusal(&gateway, &context).is_some() {
                 break;
             }
-            let Some(endpoint) = gateway.choose_endpoint(&context, &self.tried) else { break };
+            let Some(endpoint) = gateway.choose_permitted(&context, &self.tried).await else {
+                break;
+            };
             trace.placement.get_or_insert_with(|| describe_load(&endpoint, Instant::now()));
             expose_prompt(&mut reservation, &context);
             let (kind, failure) = match self.call(&gateway, &context, &mut trace, &endpoint).await {
@@ -128,7 +130,7 @@
         }
         let refusal = match crash_refusal(&gateway, &context) {
             Some(refusal) if self.counts.runs == 0 => refusal,
-            _ => self.refusal(last_failure, return_delay(&gateway, &context)),
+            _ => self.refusal(last_failure, gateway.service_closure(&context)),
         };
         trace.refuse::<P::Wire>(refusal)
     }
@@ -143,10 +145,9 @@
     ) -> Result<CallOutcome, CallFailure> {
         let call_deadline = self.begin_call(context, trace, endpoint);
         let result = async {
-            let (resume_after, log) = (context.resume_after, gateway.log());
+            let resume_after = context.resume_after;
             let exchange =
-                send_request::<P::Wire>(context, endpoint, resume_after, call_deadline, log)
-                    .await?;
+                send_request(gateway, context, endpoint, resume_after, call_deadline).await?;
             if context.route.kind.is_stream() && exchange.head.status.is_success() {
                 let mut source = StreamSource::new(exchange);
                 let first = match source.next_events(call_deadline).await? {
@@ -251,18 +252,12 @@
                 return Err(failure);
             }
             trace.log_failure(&failure, true);
-            let Some(endpoint) = gateway.choose_endpoint(context, &self.tried) else {
+            let Some(endpoint) = gateway.choose_permitted(context, &self.tried).await else {
                 return Err(failure);
             };
             let call_deadline = self.begin_call(context, trace, &endpoint);
-            failure = match send_request::<P::Wire>(
-                context,
-                &endpoint,
-                resume_after,
-                call_deadline,
-                gateway.log(),
-            )
-            .await
+            failure = match send_request(gateway, context, &endpoint, resume_after, call_deadline)
+                .await
             {
                 Ok(exchange) if exchange.head.status.is_success() => {
                     self.counts.runs += 1;
@@ -284,9 +279,17 @@
     }
 
     /// Returns the refusal for a request that got no response: `last_failure` is that of its last call, if there was
-    /// one. A caller whose request did not run may return after `delay`.
-    fn refusal(&self, last_failure: Option<FailureKind>, delay: Duration) -> Refusal {
+    /// one. `closure` tells when its caller may return if it did not run.
+    fn refusal(
+        &self,
+        last_failure: Option<FailureKind>,
+        closure: Option<ServiceClosure>,
+    ) -> Refusal {
+        let delay = closure.map_or(Duration::ZERO, |closure| closure.return_delay);
+        let delay = delay.max(NO_CAPACITY_RETRY_DELAY);
+        let is_limited = closure.is_some_and(|closure| closure.is_limited);
         match last_failure {
+            None if is_limited => Refusal::after(RefusalReason::EndpointsLimited, delay),
             None => Refusal::after(RefusalReason::NoEndpoint, delay),
             Some(_) if self.counts.runs == 0 => Refusal::after(RefusalReason::NotPlaced, delay),
             Some(FailureKind::TimedOut) => Refusal::new(RefusalReason::TimedOut),
@@ -363,14 +366,6 @@
     }
 }
 
-/// Returns the delay after which the caller of a request that no endpoint accepted should retry.
-fn return_delay<P: Platform>(gateway: &Gateway<P>, context: &RequestContext) -> Duration {
-    let now = Instant::now();
-    let end_of_pauses = gateway.end_of_pauses(&context.service, now);
-    let pause = end_of_pauses.map(|until| until.saturating_duration_since(now));
-    pause.unwrap_or_default().max(NO_CAPACITY_RETRY_DELAY)
-}
-
 fn crash_refusal<P: Platform>(gateway: &Gateway<P>, context: &RequestContext) -> Option<Refusal> {
     gateway.crash_refusal(&context.fingerprint, &context.shared_parts)
 }
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 mod crash_handling;
 mod part_handling;
+mod rate_handling;
 
 use std::{
     cell::{Cell, RefCell},
@@ -16,6 +17,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use self::crash_handling::choose_for_suspect;
+pub use self::rate_handling::{RateOutbox, ServiceClosure};
 use crate::{
     admission::AdmissionControl,
     config::{FleetConfig, RouteTable},
@@ -27,6 +29,7 @@
     metrics::GatewayMetrics,
     placement::{Candidate, LatencyPlacement, PlacementPolicy, PlacementRequest},
     platform_api::Platform,
+    rate_limits::ReturnSchedule,
     settings::GatewaySettings,
 };
 
@@ -70,6 +73,10 @@
     part_guard: RefCell<PartGuard>,
     /// Wakes the task that judges parts of prompts.
     part_news: (Sender<()>, Receiver<()>),
+    rate_outbox: RefCell<RateOutbox>,
+    /// Wakes the task that tells other gateways about the rates of endpoints.
+    rate_news: (Sender<()>, Receiver<()>),
+    return_schedules: RefCell<HashMap<ServiceId, ReturnSchedule>>,
 }
 
 impl<P: Platform> Gateway<P> {
@@ -106,6 +113,9 @@
             unconfirmed_crashes: RefCell::default(),
             part_guard: RefCell::new(PartGuard::new(Instant::now())),
             part_news: async_channel::bounded(1),
+            rate_outbox: RefCell::default(),
+            rate_news: async_channel::bounded(1),
+            return_schedules: RefCell::default(),
         }
     }
 
@@ -225,7 +235,7 @@
     pub fn set_stop_phase(&self, phase: StopPhase) {
         self.stop_phase.set(phase);
         if phase != StopPhase::Running {
-            self.members.borrow_mut().leave();
+            self.members.borrow_mut().leave(Instant::now());
             self.update_primaries();
         }
     }
@@ -263,13 +273,6 @@
         (service.connection_limit / members.saturating_add(SPARE_GATEWAYS)).max(1)
     }
 
-    /// Returns when the first endpoint of a service wants requests again, if all of them want none for a while.
-    pub fn end_of_pauses(&self, service: &ServiceId, now: Instant) -> Option<Instant> {
-        let endpoints = self.endpoints.borrow();
-        let pauses = endpoints.open_endpoints(service).map(|endpoint| endpoint.paused_until(now));
-        pauses.collect::<Option<Vec<_>>>()?.into_iter().min()
-    }
-
     /// Chooses the endpoint for the next call of a request. Returns `None` if no usable endpoint is left besides those
     /// in `tried`.
     pub fn choose_endpoint(
@@ -287,7 +290,7 @@
         let is_usable = |endpoint: &&Rc<Endpoint>| {
             !tried.contains(&endpoint.record().id)
                 && endpoint.in_flight() < context.endpoint_limit
-                && endpoint.paused_until(now).is_none()
+                && endpoint.opens_at(context.rank, now).is_none()
         };
         let endpoints: Vec<_> =
             known_endpoints.open_endpoints(&context.service).filter(is_usable).collect();
--- a/crates/bramleywind_gateway/src/gateway/crash_handling.rs
+++ b/crates/bramleywind_gateway/src/gateway/crash_handling.rs
@@ -162,7 +162,9 @@
 ) -> Option<Rc<Endpoint>> {
     let rank = |endpoint: &&&Rc<Endpoint>| {
         let score = xxh3_64_with_seed(endpoint.record().id.as_str().as_bytes(), seed);
-        (endpoint.health().borrow().is_avoided(now), Reverse(score))
+        // Permits for an endpoint that limits its requests would scatter the copies.
+        let is_limited = endpoint.rate_limit().borrow().rate().is_some();
+        (endpoint.health().borrow().is_avoided(now), is_limited, Reverse(score))
     };
     endpoints.iter().min_by_key(rank).map(|endpoint| Rc::clone(endpoint))
 }
--- a/crates/bramleywind_gateway/src/loans/loan_client.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_client.rs
@@ -15,12 +15,15 @@
 use super::{
     LoanAnswer, LoanRequest, TokenGift,
     loan_messages::EarlierLoanAnswer,
-    loan_server::{CLOCK_PATH, CRASH_PATH, GIFT_PATH, LOAN_PATH, PART_PATH},
+    loan_server::{
+        CLOCK_PATH, CRASH_PATH, GIFT_PATH, LOAN_PATH, PART_PATH, PERMIT_PATH, RATE_PATH,
+    },
     message_codec::{decode_either, decode_message, encode_message},
 };
 use crate::{
     crashes::{CrashNotice, NoticeReply, PartNotice, PartReply},
     endpoints::{ConnectionPool, PooledConnection},
+    rate_limits::{PermitReply, PermitRequest, RateNotice},
 };
 
 /// The timeout of a call to another gateway. Gateways of a region are milliseconds apart; a lender may wait for the store
@@ -121,6 +124,36 @@
         self.send_notice(peer, PART_PATH, notice).await
     }
 
+    /// Sends a notice about the rates of endpoints to a gateway.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the gateway did not confirm the notice. It may have received it.
+    pub async fn send_rate_notice(
+        &self,
+        peer: SocketAddr,
+        notice: &RateNotice,
+    ) -> Result<(), Box<str>> {
+        self.send_notice(peer, RATE_PATH, notice).await
+    }
+
+    /// Asks a gateway for a permit to send a request to an endpoint that limits its requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the gateway did not answer. A permit may be lost with its answer.
+    pub async fn request_permit(
+        &self,
+        issuer: SocketAddr,
+        request: &PermitRequest,
+    ) -> Result<PermitReply, Box<str>> {
+        let reply = self.send_notice(issuer, PERMIT_PATH, request).await;
+        if reply.is_err() {
+            self.avoid(issuer);
+        }
+        reply
+    }
+
     async fn send_notice<R: DeserializeOwned>(
         &self,
         peer: SocketAddr,
--- a/crates/bramleywind_gateway/src/loans/loan_server.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_server.rs
@@ -34,8 +34,14 @@
 /// The path of notices about parts of prompts that crash endpoints.
 pub(super) const PART_PATH: &str = "/crashing-parts";
 
+/// The path of notices about the rates of requests that endpoints take.
+pub(super) const RATE_PATH: &str = "/rates";
+
+/// The path of requests for permits to send a request to an endpoint that limits its requests.
+pub(super) const PERMIT_PATH: &str = "/permits";
+
 /// The paths that a stopping gateway still answers. Tokens that change hands then could be lost when the process ends.
-const PATHS_WHILE_STOPPING: [&str; 3] = [CLOCK_PATH, CRASH_PATH, PART_PATH];
+const PATHS_WHILE_STOPPING: [&str; 5] = [CLOCK_PATH, CRASH_PATH, PART_PATH, RATE_PATH, PERMIT_PATH];
 
 /// The maximum size of a message: a gift with tokens of 4,000 budgets.
 const MAX_MESSAGE_BYTES: usize = 256 * 1024;
@@ -67,6 +73,14 @@
             Ok(notice) => encode_response(&gateway.apply_part_notice(&notice)),
             Err(error) => Err(error),
         },
+        RATE_PATH => match read_message(request).await {
+            Ok(notice) => encode_response(&gateway.apply_rate_notice(&notice)),
+            Err(error) => Err(error),
+        },
+        PERMIT_PATH => match read_message(request).await {
+            Ok(permit) => encode_response(&gateway.answer_permit(&permit)),
+            Err(error) => Err(error),
+        },
         _ => return empty_response(StatusCode::NOT_FOUND),
     };
     response.unwrap_or_else(|error| {
--- a/crates/bramleywind_gateway/src/members.rs
+++ b/crates/bramleywind_gateway/src/members.rs
@@ -2,9 +2,11 @@
 
 mod clocks;
 mod fleet_clock;
+mod issuer_order;
 mod lender_order;
 mod member_record;
 mod member_registry;
+mod permit_issuers;
 mod presence_record;
 mod processor_capacity;
 mod serving_set;
@@ -14,5 +16,6 @@
 pub use lender_order::lender_order;
 pub use member_record::{EarlierMemberRecord, MemberRecord};
 pub use member_registry::MemberRegistry;
+pub use permit_issuers::PermitIssuers;
 pub use presence_record::PresenceRecord;
 pub use processor_capacity::ProcessorCapacity;
--- a/crates/bramleywind_gateway/src/members/member_registry.rs
+++ b/crates/bramleywind_gateway/src/members/member_registry.rs
@@ -4,10 +4,16 @@
     time::{Duration, Instant},
 };
 
-use bramleywind_types::{InstanceId, WorkspaceId};
+use bramleywind_types::{EndpointId, InstanceId, WorkspaceId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{MemberRecord, lender_order::lender_score, serving_set::serving_set};
+use super::{
+    MemberRecord, PermitIssuers,
+    issuer_order::{IssuerCandidate, IssuerOrder},
+    lender_order::lender_score,
+    serving_set::serving_set,
+};
+use crate::rate_limits::IssuerRole;
 
 /// How long the known members are kept after most of them vanish at once. Leases expire together in an outage of the
 /// store, and are taken again within a second of its return.
@@ -22,6 +28,10 @@
 /// The number of gateways that count the crashes of one request in a larger fleet.
 const CRASH_COUNTERS: usize = 2;
 
+/// How long the member lists of gateways may differ after a change: the interval at which they read the list, and a slow
+/// answer of the store.
+const SETTLING_TIME: Duration = Duration::from_millis(2_500);
+
 /// The gateways that callers may connect to.
 #[derive(Debug)]
 pub struct MemberRegistry {
@@ -33,6 +43,12 @@
     is_joined: bool,
     /// The instances to which callers are sent.
     serving: BTreeSet<InstanceId>,
+    /// When a list was last accepted.
+    accepted_at: Option<Instant>,
+    issuers: IssuerOrder,
+    /// The issuers before the latest changes, by which other gateways may still go.
+    earlier_issuers: IssuerOrder,
+    issuers_changed_at: Option<Instant>,
 }
 
 impl MemberRegistry {
@@ -46,6 +62,10 @@
             is_own_leaving: false,
             is_joined: false,
             serving,
+            accepted_at: None,
+            issuers: IssuerOrder::default(),
+            earlier_issuers: IssuerOrder::default(),
+            issuers_changed_at: None,
         }
     }
 
@@ -72,14 +92,17 @@
         self.shrunk_at = None;
         self.others = others;
         self.is_joined |= is_joined;
+        self.accepted_at = Some(now);
         self.update_serving();
+        self.update_issuers(now);
         true
     }
 
     /// Marks this process as stopping, so that callers are no longer sent to it.
-    pub fn leave(&mut self) {
+    pub fn leave(&mut self, now: Instant) {
         self.is_own_leaving = true;
         self.update_serving();
+        self.update_issuers(now);
     }
 
     fn update_serving(&mut self) {
@@ -87,6 +110,60 @@
         self.serving = serving_set(own.into_iter().chain(&self.others));
     }
 
+    fn update_issuers(&mut self, now: Instant) {
+        let candidate = |member: &MemberRecord, peer_address| IssuerCandidate {
+            instance: member.instance.clone(),
+            is_serving: self.serving.contains(&member.instance),
+            peer_address,
+        };
+        let is_own_listed = self.is_joined && !self.is_own_leaving;
+        let own = is_own_listed.then(|| candidate(&self.own, None));
+        let others = self.others.iter().map(|other| candidate(other, Some(other.peer_address)));
+        let issuers = IssuerOrder::new(own.into_iter().chain(others).collect());
+        if issuers == self.issuers {
+            return;
+        }
+        let before = std::mem::replace(&mut self.issuers, issuers);
+        if !self.is_settling(now) {
+            self.earlier_issuers = before;
+        }
+        self.issuers_changed_at = Some(now);
+    }
+
+    /// Returns whether other gateways may still go by an earlier member list.
+    fn is_settling(&self, now: Instant) -> bool {
+        self.issuers_changed_at.is_some_and(|changed_at| now < changed_at + SETTLING_TIME)
+    }
+
+    /// Returns the gateways that issue permits for requests to an endpoint that limits them.
+    ///
+    /// This process issues all of them only if it was the issuer for long enough, and knows the current members. Otherwise another
+    /// one may believe to be the issuer.
+    pub fn permit_issuers(&self, endpoint: &EndpointId, now: Instant) -> PermitIssuers {
+        let (first, second) = self.issuers.first_two(endpoint);
+        let is_own = |candidate: &Option<&IssuerCandidate>| {
+            candidate.is_some_and(|candidate| candidate.peer_address.is_none())
+        };
+        let is_current = self.accepted_at.is_some_and(|at| now < at + SETTLING_TIME);
+        let is_own_first = is_own(&first);
+        let is_only =
+            is_current && (!self.is_settling(now) || self.earlier_issuers.is_own_first(endpoint));
+        let own_role = match (is_own_first, is_own(&second)) {
+            (true, _) if is_only => IssuerRole::Issuer,
+            (true, _) | (_, true) => IssuerRole::Substitute,
+            (false, false) => IssuerRole::None,
+        };
+        let others = match is_own_first {
+            true => Vec::new(),
+            false => [first, second]
+                .into_iter()
+                .flatten()
+                .filter_map(|other| other.peer_address)
+                .collect(),
+        };
+        PermitIssuers { own_role, is_own_first, others }
+    }
+
     /// Returns the other gateways.
     pub fn others(&self) -> &[MemberRecord] {
         &self.others
--- a/crates/bramleywind_gateway/src/metrics/gateway_metrics.rs
+++ b/crates/bramleywind_gateway/src/metrics/gateway_metrics.rs
@@ -32,6 +32,11 @@
     effect: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PermitLabels {
+    outcome: &'static str,
+}
+
 /// Holds the metrics of the process.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -39,6 +44,7 @@
     requests: Family<OutcomeLabels, Counter>,
     call_failures: Family<FailureLabels, Counter>,
     crashes: Family<CrashLabels, Counter>,
+    permits: Family<PermitLabels, Counter>,
     first_piece: Histogram,
     duration: Histogram,
     /// Revision of the configuration in force.
@@ -64,6 +70,9 @@
         let crashes = Family::<CrashLabels, Counter>::default();
         let help = "Requests that were in flight on an endpoint that ended, by what that changed";
         registry.register("crashes", help, crashes.clone());
+        let permits = Family::<PermitLabels, Counter>::default();
+        let help = "Requests for permits for endpoints that limit the rate of their requests";
+        registry.register("permits", help, permits.clone());
         let first_piece = Histogram::new(LATENCY_BUCKETS);
         let help = "Seconds from arrival to the first piece of the response";
         registry.register("first_piece_seconds", help, first_piece.clone());
@@ -98,6 +107,7 @@
             requests,
             call_failures,
             crashes,
+            permits,
             first_piece,
             duration,
             config_revision,
@@ -153,6 +163,11 @@
         self.crashes.get_or_create(&CrashLabels { effect }).inc();
     }
 
+    /// Records whether there was a permit for a request to an endpoint that limits its requests.
+    pub fn record_permit(&self, outcome: &'static str) {
+        self.permits.get_or_create(&PermitLabels { outcome }).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/bramleywind_gateway/src/rate_limits/rate_limit.rs
+++ b/crates/bramleywind_gateway/src/rate_limits/rate_limit.rs
@@ -45,20 +45,21 @@
         now: Instant,
     ) -> RateChange {
         match statement {
-            RateStatement::Limited(rate) => self.apply(Some(rate), now),
+            RateStatement::Limited(rate) => self.apply(Some(rate), Some(now)),
             RateStatement::Unlimited if self.rate.is_some() && self.stated_at < Some(sent_at) => {
-                self.apply(None, now)
+                self.apply(None, Some(now))
             }
             RateStatement::Unlimited | RateStatement::Unreadable => RateChange::None,
         }
     }
 
-    /// Applies a statement that the endpoint made at `stated_at`, unless a later one is known.
-    pub fn apply(&mut self, rate: Option<RequestRate>, stated_at: Instant) -> RateChange {
-        if self.stated_at > Some(stated_at) {
+    /// Applies a statement that the endpoint made at `stated_at`, or before all that the clock can tell, unless a later one is
+    /// known.
+    pub fn apply(&mut self, rate: Option<RequestRate>, stated_at: Option<Instant>) -> RateChange {
+        if self.stated_at > stated_at {
             return RateChange::None;
         }
-        self.stated_at = Some(stated_at);
+        self.stated_at = stated_at;
         let before = std::mem::replace(&mut self.rate, rate);
         match (before, rate) {
             (None, Some(_)) => RateChange::Begins,
--- a/crates/bramleywind_gateway/src/state_dump.rs
+++ b/crates/bramleywind_gateway/src/state_dump.rs
@@ -19,6 +19,7 @@
                 "in_flight": endpoint.in_flight(), "backlog_tokens": endpoint.backlog_tokens(), "pace_ms": endpoint.pace_ms(),
                 "reported": load.map(|(load, _)| load),
                 "report_age_ms": load.map(|(_, at)| now.saturating_duration_since(at).as_millis() as u64),
+                "rate_limit": endpoint.rate_limit().borrow().rate().map(|rate| rate.per_second()),
                 "failures_in_row": endpoint.health().borrow().consecutive_failures(),
             })
         })
--- a/crates/bramleywind_gateway/tests/members.rs
+++ b/crates/bramleywind_gateway/tests/members.rs
@@ -47,14 +47,14 @@
 fn leaving_gateway_does_not_name_itself() {
     let mut registry = MemberRegistry::new(member(1));
     registry.update(members(1..=2), Instant::now());
-    registry.leave();
+    registry.leave(Instant::now());
     assert_eq!(registry.entries(), vec![member(2).caller_address]);
 }
 
 #[test]
 fn last_gateway_names_itself_though_it_leaves() {
     let mut registry = MemberRegistry::new(member(1));
-    registry.leave();
+    registry.leave(Instant::now());
     assert_eq!(registry.entries(), vec![member(1).caller_address]);
 }
 
@@ -157,6 +157,6 @@
     assert!(!registry.is_primary(&workspace));
     registry.update(members(1..=1), Instant::now());
     assert!(registry.is_primary(&workspace));
-    registry.leave();
+    registry.leave(Instant::now());
     assert!(!registry.is_primary(&workspace));
 }
