members: no new role in issuing permits before member lists agree

A model of the fleet (permit_model) counts the permits of one endpoint in any 4 s while members end, stop, start, and lose the store or each other.

Cause: after an outage in which leases ran out, gateways read lists with only some members and each took itself for the issuer; one that came back from a cut issued the whole rate beside its successor, whose list was a second older.

--- a/crates/bramleywind_gateway/src/members/issuer_order.rs
+++ b/crates/bramleywind_gateway/src/members/issuer_order.rs
@@ -3,6 +3,8 @@
 use bramleywind_types::{EndpointId, InstanceId};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::rate_limits::IssuerRole;
+
 /// A gateway that may issue permits.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct IssuerCandidate {
@@ -12,6 +14,13 @@
     pub peer_address: Option<SocketAddr>,
 }
 
+impl IssuerCandidate {
+    /// Returns whether this is this process.
+    pub(super) fn is_own(&self) -> bool {
+        self.peer_address.is_none()
+    }
+}
+
 /// The gateways that may issue permits for requests to endpoints, according to one member list.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(super) struct IssuerOrder(Vec<IssuerCandidate>);
@@ -47,8 +56,12 @@
         (first.map(|(_, candidate)| candidate), second.map(|(_, candidate)| candidate))
     }
 
-    /// Returns whether this process is the issuer of an endpoint's permits.
-    pub(super) fn is_own_first(&self, endpoint: &EndpointId) -> bool {
-        self.first_two(endpoint).0.is_some_and(|first| first.peer_address.is_none())
+    /// Returns the role of this process.
+    pub(super) fn own_role(&self, endpoint: &EndpointId) -> IssuerRole {
+        match self.first_two(endpoint) {
+            (Some(first), _) if first.is_own() => IssuerRole::Issuer,
+            (_, Some(second)) if second.is_own() => IssuerRole::Substitute,
+            _ => IssuerRole::None,
+        }
     }
 }
--- a/crates/bramleywind_gateway/src/members/member_registry.rs
+++ b/crates/bramleywind_gateway/src/members/member_registry.rs
@@ -49,6 +49,8 @@
     /// The issuers before the latest changes, by which other gateways may still go.
     earlier_issuers: IssuerOrder,
     issuers_changed_at: Option<Instant>,
+    /// When a list was accepted after a long time without one.
+    caught_up_at: Option<Instant>,
 }
 
 impl MemberRegistry {
@@ -66,6 +68,7 @@
             issuers: IssuerOrder::default(),
             earlier_issuers: IssuerOrder::default(),
             issuers_changed_at: None,
+            caught_up_at: None,
         }
     }
 
@@ -92,9 +95,13 @@
         self.shrunk_at = None;
         self.others = others;
         self.is_joined |= is_joined;
+        if !self.is_current(now) {
+            self.caught_up_at = Some(now);
+        }
+        let was_settling = self.is_settling();
         self.accepted_at = Some(now);
         self.update_serving();
-        self.update_issuers(now);
+        self.update_issuers(was_settling, now);
         true
     }
 
@@ -102,7 +109,7 @@
     pub fn leave(&mut self, now: Instant) {
         self.is_own_leaving = true;
         self.update_serving();
-        self.update_issuers(now);
+        self.update_issuers(self.is_settling(), now);
     }
 
     fn update_serving(&mut self) {
@@ -110,7 +117,7 @@
         self.serving = serving_set(own.into_iter().chain(&self.others));
     }
 
-    fn update_issuers(&mut self, now: Instant) {
+    fn update_issuers(&mut self, was_settling: bool, now: Instant) {
         let candidate = |member: &MemberRecord, peer_address| IssuerCandidate {
             instance: member.instance.clone(),
             is_serving: self.serving.contains(&member.instance),
@@ -124,43 +131,43 @@
             return;
         }
         let before = std::mem::replace(&mut self.issuers, issuers);
-        if !self.is_settling(now) {
+        if !was_settling {
             self.earlier_issuers = before;
         }
         self.issuers_changed_at = Some(now);
     }
 
-    /// Returns whether other gateways may still go by an earlier member list.
-    fn is_settling(&self, now: Instant) -> bool {
-        self.issuers_changed_at.is_some_and(|changed_at| now < changed_at + SETTLING_TIME)
+    /// Returns whether other gateways may still go by an earlier member list: until lists have shown no change for a while.
+    /// Without lists, that stays open.
+    fn is_settling(&self) -> bool {
+        let settled_at = self.issuers_changed_at.map(|changed_at| changed_at + SETTLING_TIME);
+        settled_at.is_some_and(|settled_at| self.accepted_at < Some(settled_at))
+    }
+
+    /// Returns whether the known members are those of the last seconds.
+    fn is_current(&self, now: Instant) -> bool {
+        self.accepted_at.is_some_and(|accepted_at| now < accepted_at + SETTLING_TIME)
     }
 
     /// Returns the gateways that issue permits for requests to an endpoint that limits them.
     ///
-    /// This process issues all of them only if it was the issuer for long enough, and knows the current members. Otherwise another
-    /// one may believe to be the issuer.
+    /// Gateways that go by different member lists may each take themselves for the issuer. So this process has a role only
+    /// if it had it by the list before as well, and issues all permits only if it is the issuer by a list that is and was current.
     pub fn permit_issuers(&self, endpoint: &EndpointId, now: Instant) -> PermitIssuers {
         let (first, second) = self.issuers.first_two(endpoint);
-        let is_own = |candidate: &Option<&IssuerCandidate>| {
-            candidate.is_some_and(|candidate| candidate.peer_address.is_none())
-        };
-        let is_current = self.accepted_at.is_some_and(|at| now < at + SETTLING_TIME);
-        let is_own_first = is_own(&first);
-        let is_only =
-            is_current && (!self.is_settling(now) || self.earlier_issuers.is_own_first(endpoint));
-        let own_role = match (is_own_first, is_own(&second)) {
-            (true, _) if is_only => IssuerRole::Issuer,
-            (true, _) | (_, true) => IssuerRole::Substitute,
-            (false, false) => IssuerRole::None,
+        let is_own_first = first.is_some_and(IssuerCandidate::is_own);
+        let has_caught_up = self.caught_up_at.is_none_or(|at| now >= at + SETTLING_TIME);
+        let longest_role = match self.is_current(now) && has_caught_up {
+            true => IssuerRole::Issuer,
+            false => IssuerRole::Substitute,
         };
-        let others = match is_own_first {
-            true => Vec::new(),
-            false => [first, second]
-                .into_iter()
-                .flatten()
-                .filter_map(|other| other.peer_address)
-                .collect(),
+        let earlier_role = match self.is_settling() {
+            true => self.earlier_issuers.own_role(endpoint),
+            false => IssuerRole::Issuer,
         };
+        let own_role = self.issuers.own_role(endpoint).min(earlier_role).min(longest_role);
+        let asked = [first, second].into_iter().flatten().take_while(|_| !is_own_first);
+        let others = asked.filter_map(|other| other.peer_address).collect();
         PermitIssuers { own_role, is_own_first, others }
     }
 
--- a/crates/bramleywind_gateway/src/rate_limits/issuer_role.rs
+++ b/crates/bramleywind_gateway/src/rate_limits/issuer_role.rs
@@ -1,11 +1,11 @@
-/// The role of a gateway in issuing the permits for one endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// The role of a gateway in issuing the permits for one endpoint, least first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum IssuerRole {
-    /// It issues all permits that the endpoint's rate allows.
-    Issuer,
-    /// It issues a share of them, because another gateway may issue the rest: it is next after the issuer, has just become
-    /// the issuer, or does not know the current members.
-    Substitute,
     /// It issues none.
     None,
+    /// It issues a share of the permits that the endpoint's rate allows, because another gateway may issue the rest: it is next
+    /// after the issuer, or became the issuer lately, or does not know the current members.
+    Substitute,
+    /// It issues all of them.
+    Issuer,
 }
