gateway: a stopping process answers each request that it took

Cause: the phase of the stop was looked at once, when the head arrived, before the wait for the body, for funds and for endpoints; and nothing answered what was still open at the end.

Change: the phase is looked at again after the body and before the first call; a request that has not run is not sent again by a process that refuses new ones, and no call begins that cannot end before the process does. 150 ms before the end, requests whose endpoints have not answered get 502.

Streams that have begun are still cut short at the end, which their callers can see.

--- a/crates/bramleywind_gateway/src/daemon.rs
+++ b/crates/bramleywind_gateway/src/daemon.rs
@@ -44,6 +44,9 @@
 /// Interval at which a stopping process checks whether its requests have ended.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time in which the last answers of a stopping process reach their callers.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(150);
+
 /// Time for returning grants to the store when the process ends.
 const GRANT_RETURN_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -205,13 +208,19 @@
     let stop_times = gateway.settings().stop;
     let started = Instant::now();
     let end_time = started + stop_times.end_after;
+    gateway.set_last_answer_time(end_time.checked_sub(LAST_ANSWER_TIME).unwrap_or(end_time));
     gateway.set_stop_phase(StopPhase::Leaving);
     gateway.funds().leave();
     info!(gateway.log(), "stopping: callers are sent elsewhere"; "open_requests" => gateway.open_requests());
     sleep(stop_times.refuse_after).await;
     gateway.set_stop_phase(StopPhase::Refusing);
     info!(gateway.log(), "stopping: new requests are refused"; "open_requests" => gateway.open_requests());
-    callers.close(end_time).await;
+    callers.close(end_time.checked_sub(LAST_ANSWER_TIME).unwrap_or(end_time)).await;
+    if gateway.open_requests() > 0 {
+        info!(gateway.log(), "stopping: no longer waiting for endpoints"; "open_requests" => gateway.open_requests());
+        gateway.end_answers();
+        callers.close(end_time).await;
+    }
     while gateway.open_requests() > 0 && Instant::now() < end_time {
         sleep(STOP_POLL_INTERVAL).await;
     }
--- a/crates/bramleywind_gateway/src/forward/request_forwarder.rs
+++ b/crates/bramleywind_gateway/src/forward/request_forwarder.rs
@@ -1,4 +1,5 @@
 use std::{
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -7,6 +8,7 @@
 use bramleywind_types::{EndpointId, TokenCount};
 use bytes::Bytes;
 use compio::time::timeout;
+use futures_util::future::{Either, select};
 use http::{Response, response};
 
 use super::{
@@ -14,6 +16,7 @@
     ScannedEvents,
     body_reader::{BodyReadOutcome, read_body},
     exchange::{Exchange, send_request},
+    request_handler::refuse_if_stopping,
     retry_decision::{AttemptCounts, RetryDecision},
     stream_relay::StreamRelay,
     stream_source::StreamSource,
@@ -75,9 +78,16 @@
             let Some(endpoint) = gateway.choose_permitted(&context, &self.tried).await else {
                 break;
             };
+            // The wait for funds and permits may have taken a while.
+            if self.counts.runs == 0
+                && let Err(refusal) = refuse_if_stopping(&gateway)
+            {
+                return trace.refuse::<P::Wire>(refusal);
+            }
             trace.placement.get_or_insert_with(|| describe_load(&endpoint, Instant::now()));
             expose_prompt(&mut reservation, &context);
-            let (kind, failure) = match self.call(&gateway, &context, &mut trace, &endpoint).await {
+            let result = self.call_until_stop(&gateway, &context, &mut trace, &endpoint).await;
+            let (kind, failure) = match result {
                 Ok(CallOutcome::Stream(source, first)) => {
                     let (source, last_id) = (*source, None);
                     charge_prompt(&mut reservation, &context);
@@ -135,6 +145,25 @@
         trace.refuse::<P::Wire>(refusal)
     }
 
+    /// Makes one call, and waits for its outcome until the process no longer waits for answers.
+    async fn call_until_stop<P: Platform>(
+        &mut self,
+        gateway: &Gateway<P>,
+        context: &RequestContext,
+        trace: &mut RequestTrace,
+        endpoint: &Rc<Endpoint>,
+    ) -> Result<CallOutcome, CallFailure> {
+        {
+            let call = pin!(self.call(gateway, context, trace, endpoint));
+            let stop = pin!(gateway.wait_for_end_of_answers());
+            if let Either::Left((result, _)) = select(call, stop).await {
+                return result;
+            }
+        }
+        self.counts.runs += 1;
+        Err(CallFailure::new(FailureKind::MayHaveRun, "no answer before the gateway stops"))
+    }
+
     /// Makes one call and waits for the complete response or the first events of a stream.
     async fn call<P: Platform>(
         &mut self,
@@ -231,6 +260,9 @@
             context.deadline,
             now,
         );
+        if !self.fits_before_stop(gateway, context, now) {
+            return false;
+        }
         match decision {
             RetryDecision::Never => false,
             RetryDecision::Free => true,
@@ -238,6 +270,19 @@
         }
     }
 
+    /// Returns whether one more call can end before the process does. A request that has not run is better sent through another
+    /// gateway than by one that refuses new requests.
+    fn fits_before_stop<P: Platform>(
+        &self,
+        gateway: &Gateway<P>,
+        context: &RequestContext,
+        now: Instant,
+    ) -> bool {
+        let needed = context.route.target_latency * CALL_TIMEOUT_FACTOR;
+        let is_in_time = gateway.last_answer_at().is_none_or(|last_at| now + needed <= last_at);
+        is_in_time && (self.counts.runs > 0 || refuse_if_stopping(gateway).is_ok())
+    }
+
     /// Resumes a stream at another endpoint after the last event that was relayed.
     pub(super) async fn resume<P: Platform>(
         &mut self,
--- a/crates/bramleywind_gateway/src/forward/request_handler.rs
+++ b/crates/bramleywind_gateway/src/forward/request_handler.rs
@@ -82,9 +82,7 @@
         return Err(Refusal::new(RefusalReason::UnknownKey));
     }
     trace.workspace = workspace.as_ref().map(|workspace| workspace.id.clone());
-    if gateway.stop_phase() == StopPhase::Refusing {
-        return Err(Refusal::after(RefusalReason::Stopping, Duration::ZERO));
-    }
+    refuse_if_stopping(gateway)?;
     let rank = workspace.as_ref().and_then(|workspace| workspace.rank).unwrap_or(route.rank);
     // The trace already counts this request as open.
     let others = gateway.open_requests().saturating_sub(1);
@@ -102,6 +100,8 @@
     }
     let deadline = head.deadline_within(arrival, route.timeout);
     let body = read_whole_body(body, table.limits().body_bytes, deadline).await?;
+    // The body may have taken a while.
+    refuse_if_stopping(gateway)?;
     let Some(service) = pick_service(&route) else {
         return Err(Refusal::after(RefusalReason::NoEndpoint, NOT_READY_RETRY_DELAY));
     };
@@ -161,6 +161,14 @@
     Ok((context, reservation))
 }
 
+/// Refuses a request that has not been sent to an endpoint once the process is too close to its end.
+pub(super) fn refuse_if_stopping<P: Platform>(gateway: &Gateway<P>) -> Result<(), Refusal> {
+    match gateway.stop_phase() {
+        StopPhase::Running | StopPhase::Leaving => Ok(()),
+        StopPhase::Refusing => Err(Refusal::after(RefusalReason::Stopping, Duration::ZERO)),
+    }
+}
+
 /// Returns the parts that a prompt shares with other requests to the service.
 fn shared_parts(service: &ServiceId, prompt: Option<&PromptProfile>) -> Box<[SharedPart]> {
     let ids = prompt.into_iter().flat_map(PromptProfile::shared_parts);
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    convert::Infallible,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -60,6 +61,10 @@
     metrics: Rc<GatewayMetrics>,
     open_requests: Rc<Cell<usize>>,
     stop_phase: Cell<StopPhase>,
+    /// When requests that have no answer yet get one from a stopping process.
+    last_answer_at: Cell<Option<Instant>>,
+    /// Closed when that time has come.
+    answers_end: (Sender<Infallible>, Receiver<Infallible>),
     fleet_clock: FleetClock,
     placement: LatencyPlacement,
     admission: AdmissionControl,
@@ -104,6 +109,8 @@
             metrics: Rc::default(),
             open_requests: Rc::default(),
             stop_phase: Cell::new(StopPhase::Running),
+            last_answer_at: Cell::new(None),
+            answers_end: async_channel::bounded(1),
             fleet_clock: FleetClock::default(),
             placement: LatencyPlacement,
             admission,
@@ -240,6 +247,27 @@
         }
     }
 
+    /// Sets when a stopping process answers the requests that have no answer yet.
+    pub fn set_last_answer_time(&self, last_answer_at: Instant) {
+        self.last_answer_at.set(Some(last_answer_at));
+    }
+
+    /// When a stopping process answers the requests that have no answer yet; `None` while it is not stopping.
+    pub fn last_answer_at(&self) -> Option<Instant> {
+        self.last_answer_at.get()
+    }
+
+    /// Ends the wait for answers of endpoints, so that callers get one before the process ends.
+    pub fn end_answers(&self) {
+        self.answers_end.0.close();
+    }
+
+    /// Completes when the process no longer waits for answers of endpoints.
+    pub async fn wait_for_end_of_answers(&self) {
+        // Nothing is ever sent: the channel is closed.
+        let _ = self.answers_end.1.recv().await;
+    }
+
     /// Returns whether callers should be sent to this process.
     pub fn is_ready(&self) -> bool {
         self.stop_phase.get() == StopPhase::Running && self.table.borrow().is_some()
