store: one odd record hides no other of the instance list

Another operator's report: one odd entry (deeply nested, a number too large, a port out of range) and machines stop following the list. It happened in the router daemon: the list was decoded as one document, so that one record made all of it malformed, and endpoints marked as leaving went on getting work.

Each record is now decoded by itself.

--- a/crates/bramleywind_store/src/instance_directory.rs
+++ b/crates/bramleywind_store/src/instance_directory.rs
@@ -1,6 +1,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use http::{Method, StatusCode};
+use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::{
     InstanceList, UnavailableReason,
@@ -12,10 +14,19 @@
 pub enum DirectoryOutcome {
     /// The platform returned the list, which may be outdated.
     Found(InstanceList),
+    /// The platform returned the list, with records that cannot be read, and the reasons. The other records hold.
+    PartlyFound(InstanceList, Vec<Box<str>>),
     /// The platform gave no usable answer. The last known list remains valid.
     Unavailable(UnavailableReason),
 }
 
+/// The instance list with records that are not decoded yet, so that one that cannot be read hides no other.
+#[derive(Deserialize)]
+struct ListMessage<'a> {
+    #[serde(borrow)]
+    instances: Vec<&'a RawValue>,
+}
+
 /// A client of the platform's instance list.
 ///
 /// ```
@@ -45,10 +56,7 @@
         let deadline = self.client.deadline();
         match self.client.send_request(Method::GET, "/v1/instances", None, deadline).await {
             Ok(response) => match response.status {
-                StatusCode::OK => serde_json::from_slice(&response.body).map_or(
-                    DirectoryOutcome::Unavailable(UnavailableReason::Malformed),
-                    DirectoryOutcome::Found,
-                ),
+                StatusCode::OK => decode_list(&response.body),
                 StatusCode::TOO_MANY_REQUESTS => {
                     DirectoryOutcome::Unavailable(UnavailableReason::RateLimited)
                 }
@@ -61,3 +69,20 @@
         }
     }
 }
+
+fn decode_list(body: &[u8]) -> DirectoryOutcome {
+    let Ok(message) = serde_json::from_slice::<ListMessage<'_>>(body) else {
+        return DirectoryOutcome::Unavailable(UnavailableReason::Malformed);
+    };
+    let (mut list, mut unreadable) = (InstanceList::default(), Vec::new());
+    for record in message.instances {
+        match serde_json::from_str(record.get()) {
+            Ok(record) => list.instances.push(record),
+            Err(error) => unreadable.push(error.to_string().into()),
+        }
+    }
+    match unreadable.is_empty() {
+        true => DirectoryOutcome::Found(list),
+        false => DirectoryOutcome::PartlyFound(list, unreadable),
+    }
+}
--- a/crates/bramleywind_store/tests/http_mapping.rs
+++ b/crates/bramleywind_store/tests/http_mapping.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant};
 
 use bramleywind_store::{
-    HttpStore, Lease, LeaseOutcome, ListOutcome, NotAppliedReason, ReadOutcome, RenewOutcome,
-    Store as _, StoreKey, StoreVersion, UnavailableReason, WatchOutcome, WriteOutcome,
+    DirectoryOutcome, HttpStore, InstanceDirectory, Lease, LeaseOutcome, ListOutcome,
+    NotAppliedReason, ReadOutcome, RenewOutcome, Store as _, StoreKey, StoreVersion,
+    UnavailableReason, WatchOutcome, WriteOutcome,
 };
 use bramleywind_types::FencingToken;
 use compio::{
@@ -143,3 +144,44 @@
     let outcome = run(script, async |store| store.renew_lease(&lease, CALL_TIMEOUT).await);
     assert_eq!(outcome, renewed);
 }
+
+/// Returns what the client of the instance list makes of this list.
+fn fetch_list(list: &str) -> DirectoryOutcome {
+    let response = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{list}", list.len());
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let directory =
+            InstanceDirectory::new(listener.local_addr().unwrap(), CALL_TIMEOUT).unwrap();
+        let _server = compio::runtime::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let BufResult(read, _) = stream.read(Vec::with_capacity(4096)).await;
+            read.unwrap();
+            stream.write_all(response.into_bytes()).await.0.unwrap();
+        });
+        directory.fetch().await
+    })
+}
+
+/// Guards against one odd record that hides all others, so that a router goes on sending work to instances that leave.
+#[test_case(r#"{"instance":"i2","data_centre":"a","address":"10.0.0.2:70000","kind":"endpoint","state":"live"}"#; "port out of range")]
+#[test_case(r#"{"instance":"i2","data_centre":"a","address":"10.0.0.2:80","kind":"printer","state":"live"}"#; "unknown kind")]
+#[test_case(r#"{"instance":"i2","data_centre":"a","address":1e999,"kind":"endpoint","state":"live"}"#; "number too large for its field")]
+#[test_case(r#"{"instance":1e999}"#; "number too large")]
+#[test_case(r#"{"instance":"i2"}"#; "missing fields")]
+#[test_case("[]"; "list")]
+#[test_case("null"; "null")]
+#[test_case(&format!("{}{}", "[".repeat(50_000), "]".repeat(50_000)); "deeply nested")]
+fn odd_record_hides_no_other(odd: &str) {
+    let sound = r#"{"instance":"i1","data_centre":"a","address":"10.0.0.1:80","kind":"endpoint","state":"leaving"}"#;
+    for list in [
+        format!(r#"{{"instances":[{odd},{sound}]}}"#),
+        format!(r#"{{"instances":[{sound},{odd}]}}"#),
+    ] {
+        let outcome = fetch_list(&list);
+        let DirectoryOutcome::PartlyFound(list, unreadable) = outcome else {
+            panic!("{outcome:?}")
+        };
+        let names: Vec<_> = list.instances.iter().map(|record| record.instance.as_str()).collect();
+        assert_eq!((names, unreadable.len()), (vec!["i1"], 1));
+    }
+}
