router: a request whose body comes after the grace of a drain is refused

The same fault as in the gateway: the phase of the drain was looked at before the body was read, so a router that refuses new requests, or has finished, passed one on. It is looked at again when the request starts. a_request_completed_after_the_grace_is_refused got 200 on the code before.

--- a/crates/bramleywind_router/src/caller_handler.rs
+++ b/crates/bramleywind_router/src/caller_handler.rs
@@ -275,6 +275,8 @@
     state: &Rc<RouterState>,
     checked: CheckedRequest<R>,
 ) -> Result<Response<ResponseBody>, Refusal> {
+    // The body may have taken a while.
+    check_phase(state)?;
     let (caller, response) = CallerChannel::new(state.limits.write_time);
     let CheckedRequest { context, target, route, idempotent, reserved, runner } = checked;
     let task = RequestTask {
--- a/crates/bramleywind_router/tests/router/drains.rs
+++ b/crates/bramleywind_router/tests/router/drains.rs
@@ -4,7 +4,11 @@
 use bramleywind_standins::EngineOptions;
 use bramleywind_store::{InstanceKind, InstanceRecord, InstanceState};
 use bramleywind_types::{EntryList, RefusalCode, RunState};
-use compio::time::timeout;
+use compio::{
+    io::{AsyncRead as _, AsyncWriteExt as _},
+    net::TcpStream,
+    time::timeout,
+};
 use http::StatusCode;
 use test_case::test_case;
 
@@ -131,3 +135,30 @@
         assert_eq!(reader.await.unwrap().tokens().len(), 650);
     });
 }
+
+/// Guards against a request that is passed on by a router that refuses new ones, because its body came late.
+#[test]
+fn a_request_completed_after_the_grace_is_refused() {
+    run_test(async {
+        let limits = |limits: &mut RequestLimits| limits.drain_grace = Duration::from_millis(200);
+        let fleet = TestFleet::start(FleetOptions { limits, ..FleetOptions::default() }).await;
+        let body = r#"{"model":"m","messages":[{"role":"user","content":"late"}],"max_tokens":5,"stream":false}"#
+            .replace("\"m\"", &format!("\"{}\"", crate::harness::MODEL));
+        let head = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: router\r\nauthorization: Bearer {KEY}\r\n\
+             content-type: application/json\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        let mut stream = TcpStream::connect(fleet.caller()).await.unwrap();
+        stream.write_all(head.into_bytes()).await.0.unwrap();
+        compio::time::sleep(Duration::from_millis(50)).await;
+        fleet.routers[0].state().begin_drain("test");
+        compio::time::sleep(Duration::from_millis(400)).await;
+        stream.write_all(body.into_bytes()).await.0.unwrap();
+        let read = stream.read(Vec::with_capacity(4_096)).await;
+        read.0.unwrap();
+        let answer = String::from_utf8(read.1).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 503") && answer.contains("leaving"), "{answer}");
+        assert_eq!(fleet.engines[0].stats().requests_finished, 0);
+    });
+}
