--- a/crates/bramleywind_gateway/src/members/issuer_order.rs
+++ b/crates/bramleywind_gateway/src/members/issuer_order.rs
@@ -56,6 +56,11 @@
         (first.map(|(_, candidate)| candidate), second.map(|(_, candidate)| candidate))
     }
 
+    /// Returns whether there are no candidates.
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Returns the role of this process.
     pub(super) fn own_role(&self, endpoint: &EndpointId) -> IssuerRole {
         match self.first_two(endpoint) {
--- a/crates/bramleywind_gateway/src/members/member_registry.rs
+++ b/crates/bramleywind_gateway/src/members/member_registry.rs
@@ -149,6 +149,16 @@
         self.accepted_at.is_some_and(|accepted_at| now < accepted_at + SETTLING_TIME)
     }
 
+    /// Returns the role of this process in issuing permits by the list before the latest changes. A process that has known no
+    /// such list since its start does not wait for lists that never come.
+    fn earlier_role(&self, endpoint: &EndpointId, now: Instant) -> IssuerRole {
+        let has_waited = self.issuers_changed_at.is_none_or(|at| now >= at + SETTLING_TIME);
+        match self.earlier_issuers.is_empty() && has_waited {
+            true => IssuerRole::Substitute,
+            false => self.earlier_issuers.own_role(endpoint),
+        }
+    }
+
     /// Returns the gateways that issue permits for requests to an endpoint that limits them.
     ///
     /// Gateways that go by different member lists may each take themselves for the issuer. So this process has a role only
@@ -162,7 +172,7 @@
             false => IssuerRole::Substitute,
         };
         let earlier_role = match self.is_settling() {
-            true => self.earlier_issuers.own_role(endpoint),
+            true => self.earlier_role(endpoint, now),
             false => IssuerRole::Issuer,
         };
         let own_role = self.issuers.own_role(endpoint).min(earlier_role).min(longest_role);
