--- a/crates/bramleywind_gateway/src/forward/request_forwarder.rs
+++ b/crates/bramleywind_gateway/src/forward/request_forwarder.rs
@@ -25,8 +25,9 @@
     crashes::{ProbeOutcome, RunProgress, UnconfirmedCrash, probe_endpoint},
     endpoints::Endpoint,
     funds::Reservation,
-    gateway::{Gateway, ServiceClosure},
+    gateway::Gateway,
     platform_api::{EventId, Platform, WireCodec},
+    rate_limits::ServiceClosure,
 };
 
 /// Maximum size of a buffered response of a plain service, in bytes. Responses are buffered until they are complete, so
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -18,7 +18,6 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use self::crash_handling::choose_for_suspect;
-pub use self::rate_handling::{RateOutbox, ServiceClosure};
 use crate::{
     admission::AdmissionControl,
     config::{FleetConfig, RouteTable},
@@ -30,7 +29,7 @@
     metrics::GatewayMetrics,
     placement::{Candidate, LatencyPlacement, PlacementPolicy, PlacementRequest},
     platform_api::Platform,
-    rate_limits::ReturnSchedule,
+    rate_limits::{RateOutbox, ReturnSchedule},
     settings::GatewaySettings,
 };
 
--- a/crates/bramleywind_gateway/src/gateway/rate_handling.rs
+++ b/crates/bramleywind_gateway/src/gateway/rate_handling.rs
@@ -1,7 +1,7 @@
 //! What the gateway does about endpoints that limit the rate of requests that they take from all gateways together.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -16,7 +16,8 @@
     forward::RequestContext,
     platform_api::Platform,
     rate_limits::{
-        IssuerRole, PermitReply, PermitRequest, RateChange, RateNotice, RateReport, RateStatement,
+        IssuerRole, PermitReply, PermitRequest, RateChange, RateNotice, RateOutbox, RateReport,
+        RateStatement, ServiceClosure,
     },
 };
 
@@ -26,22 +27,6 @@
 /// How long an endpoint gets no requests after no issuer of its permits has answered.
 const UNANSWERED_DELAY: Duration = Duration::from_millis(500);
 
-/// The endpoints about whose rates other gateways are still to be told.
-#[derive(Debug, Default)]
-pub struct RateOutbox {
-    for_issuers: BTreeSet<EndpointId>,
-    for_everyone: BTreeSet<EndpointId>,
-}
-
-/// When a service takes requests again of which no endpoint takes any now.
-#[derive(Debug, Clone, Copy)]
-pub struct ServiceClosure {
-    /// The delay after which the caller of a refused request should return.
-    pub return_delay: Duration,
-    /// Whether that is because endpoints limit their requests.
-    pub is_limited: bool,
-}
-
 impl<P: Platform> Gateway<P> {
     /// Records what an endpoint's answer says about the rate that it takes. The call began at `sent_at`.
     pub fn observe_rate(&self, endpoint: &Endpoint, statement: RateStatement, sent_at: Instant) {
--- a/crates/bramleywind_gateway/src/members.rs
+++ b/crates/bramleywind_gateway/src/members.rs
@@ -2,6 +2,7 @@
 
 mod clocks;
 mod fleet_clock;
+mod issuer_candidate;
 mod issuer_order;
 mod lender_order;
 mod member_record;
--- a/crates/bramleywind_gateway/src/members/issuer_order.rs
+++ b/crates/bramleywind_gateway/src/members/issuer_order.rs
@@ -1,26 +1,9 @@
-use std::net::SocketAddr;
-
-use bramleywind_types::{EndpointId, InstanceId};
+use bramleywind_types::EndpointId;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use super::issuer_candidate::IssuerCandidate;
 use crate::rate_limits::IssuerRole;
 
-/// A gateway that may issue permits.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct IssuerCandidate {
-    pub instance: InstanceId,
-    pub is_serving: bool,
-    /// The address at which it is asked; `None` for this process.
-    pub peer_address: Option<SocketAddr>,
-}
-
-impl IssuerCandidate {
-    /// Returns whether this is this process.
-    pub(super) fn is_own(&self) -> bool {
-        self.peer_address.is_none()
-    }
-}
-
 /// The gateways that may issue permits for requests to endpoints, according to one member list.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(super) struct IssuerOrder(Vec<IssuerCandidate>);
@@ -41,19 +24,9 @@
             let score = xxh3_64_with_seed(candidate.instance.as_str().as_bytes(), seed);
             (!candidate.is_serving, score)
         };
-        let (mut first, mut second) = (None, None);
-        for candidate in &self.0 {
-            let ranked = Some((rank(candidate), candidate));
-            let is_before = |other: &Option<((bool, u64), &IssuerCandidate)>| {
-                other.as_ref().is_none_or(|(other_rank, _)| rank(candidate) < *other_rank)
-            };
-            if is_before(&first) {
-                second = std::mem::replace(&mut first, ranked);
-            } else if is_before(&second) {
-                second = ranked;
-            }
-        }
-        (first.map(|(_, candidate)| candidate), second.map(|(_, candidate)| candidate))
+        let mut ranked: Vec<_> = self.0.iter().collect();
+        ranked.sort_by_cached_key(|candidate| rank(candidate));
+        (ranked.first().copied(), ranked.get(1).copied())
     }
 
     /// Returns whether there are no candidates.
--- a/crates/bramleywind_gateway/src/members/member_registry.rs
+++ b/crates/bramleywind_gateway/src/members/member_registry.rs
@@ -8,10 +8,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
-    MemberRecord, PermitIssuers,
-    issuer_order::{IssuerCandidate, IssuerOrder},
-    lender_order::lender_score,
-    serving_set::serving_set,
+    MemberRecord, PermitIssuers, issuer_candidate::IssuerCandidate, issuer_order::IssuerOrder,
+    lender_order::lender_score, serving_set::serving_set,
 };
 use crate::rate_limits::IssuerRole;
 
--- a/crates/bramleywind_gateway/src/rate_limits.rs
+++ b/crates/bramleywind_gateway/src/rate_limits.rs
@@ -11,14 +11,18 @@
 mod permit_bucket;
 mod permit_messages;
 mod rate_limit;
+mod rate_outbox;
 mod rate_statement;
 mod request_rate;
 mod return_schedule;
+mod service_closure;
 
 pub use issuer_role::IssuerRole;
 pub use permit_bucket::PermitBucket;
 pub use permit_messages::{PermitReply, PermitRequest, RateNotice, RateReport};
 pub use rate_limit::{RateChange, RateLimit};
+pub use rate_outbox::RateOutbox;
 pub use rate_statement::RateStatement;
 pub use request_rate::{ParseRateError, RequestRate};
 pub use return_schedule::ReturnSchedule;
+pub use service_closure::ServiceClosure;
