members: the gateways that issue permits in a type of their own

IssuerTracker takes over from MemberRegistry what follows from two member lists and their age. No behaviour changes. The choice of the first two no longer sorts all members.

--- a/crates/bramleywind_gateway/src/members.rs
+++ b/crates/bramleywind_gateway/src/members.rs
@@ -4,6 +4,7 @@
 mod fleet_clock;
 mod issuer_candidate;
 mod issuer_order;
+mod issuer_tracker;
 mod lender_order;
 mod member_record;
 mod member_registry;
--- a/crates/bramleywind_gateway/src/members/issuer_order.rs
+++ b/crates/bramleywind_gateway/src/members/issuer_order.rs
@@ -24,9 +24,9 @@
             let score = xxh3_64_with_seed(candidate.instance.as_str().as_bytes(), seed);
             (!candidate.is_serving, score)
         };
-        let mut ranked: Vec<_> = self.0.iter().collect();
-        ranked.sort_by_cached_key(|candidate| rank(candidate));
-        (ranked.first().copied(), ranked.get(1).copied())
+        let first = self.0.iter().min_by_key(|candidate| rank(candidate));
+        let others = self.0.iter().filter(|candidate| Some(*candidate) != first);
+        (first, others.min_by_key(|candidate| rank(candidate)))
     }
 
     /// Returns whether there are no candidates.
--- a/crates/bramleywind_gateway/src/members/member_registry.rs
+++ b/crates/bramleywind_gateway/src/members/member_registry.rs
@@ -9,9 +9,8 @@
 
 use super::{
     MemberRecord, PermitIssuers, issuer_candidate::IssuerCandidate, issuer_order::IssuerOrder,
-    lender_order::lender_score, serving_set::serving_set,
+    issuer_tracker::IssuerTracker, lender_order::lender_score, serving_set::serving_set,
 };
-use crate::rate_limits::IssuerRole;
 
 /// How long the known members are kept after most of them vanish at once. Leases expire together in an outage of the
 /// store, and are taken again within a second of its return.
@@ -26,10 +25,6 @@
 /// The number of gateways that count the crashes of one request in a larger fleet.
 const CRASH_COUNTERS: usize = 2;
 
-/// How long the member lists of gateways may differ after a change: the interval at which they read the list, and a slow
-/// answer of the store.
-const SETTLING_TIME: Duration = Duration::from_millis(2_500);
-
 /// The gateways that callers may connect to.
 #[derive(Debug)]
 pub struct MemberRegistry {
@@ -41,14 +36,7 @@
     is_joined: bool,
     /// The instances to which callers are sent.
     serving: BTreeSet<InstanceId>,
-    /// When a list was last accepted.
-    accepted_at: Option<Instant>,
-    issuers: IssuerOrder,
-    /// The issuers before the latest changes, by which other gateways may still go.
-    earlier_issuers: IssuerOrder,
-    issuers_changed_at: Option<Instant>,
-    /// When a list was accepted after a long time without one.
-    caught_up_at: Option<Instant>,
+    issuer_tracker: IssuerTracker,
 }
 
 impl MemberRegistry {
@@ -62,11 +50,7 @@
             is_own_leaving: false,
             is_joined: false,
             serving,
-            accepted_at: None,
-            issuers: IssuerOrder::default(),
-            earlier_issuers: IssuerOrder::default(),
-            issuers_changed_at: None,
-            caught_up_at: None,
+            issuer_tracker: IssuerTracker::default(),
         }
     }
 
@@ -93,13 +77,8 @@
         self.shrunk_at = None;
         self.others = others;
         self.is_joined |= is_joined;
-        if !self.is_current(now) {
-            self.caught_up_at = Some(now);
-        }
-        let was_settling = self.is_settling();
-        self.accepted_at = Some(now);
         self.update_serving();
-        self.update_issuers(was_settling, now);
+        self.issuer_tracker.accept(self.issuer_order(), now);
         true
     }
 
@@ -107,7 +86,7 @@
     pub fn leave(&mut self, now: Instant) {
         self.is_own_leaving = true;
         self.update_serving();
-        self.update_issuers(self.is_settling(), now);
+        self.issuer_tracker.replace(self.issuer_order(), now);
     }
 
     fn update_serving(&mut self) {
@@ -115,7 +94,8 @@
         self.serving = serving_set(own.into_iter().chain(&self.others));
     }
 
-    fn update_issuers(&mut self, was_settling: bool, now: Instant) {
+    /// Returns the gateways that may issue permits, according to the current list.
+    fn issuer_order(&self) -> IssuerOrder {
         let candidate = |member: &MemberRecord, peer_address| IssuerCandidate {
             instance: member.instance.clone(),
             is_serving: self.serving.contains(&member.instance),
@@ -124,59 +104,12 @@
         let is_own_listed = self.is_joined && !self.is_own_leaving;
         let own = is_own_listed.then(|| candidate(&self.own, None));
         let others = self.others.iter().map(|other| candidate(other, Some(other.peer_address)));
-        let issuers = IssuerOrder::new(own.into_iter().chain(others).collect());
-        if issuers == self.issuers {
-            return;
-        }
-        let before = std::mem::replace(&mut self.issuers, issuers);
-        if !was_settling {
-            self.earlier_issuers = before;
-        }
-        self.issuers_changed_at = Some(now);
-    }
-
-    /// Returns whether other gateways may still go by an earlier member list: until lists have shown no change for a while.
-    /// Without lists, that stays open.
-    fn is_settling(&self) -> bool {
-        let settled_at = self.issuers_changed_at.map(|changed_at| changed_at + SETTLING_TIME);
-        settled_at.is_some_and(|settled_at| self.accepted_at < Some(settled_at))
-    }
-
-    /// Returns whether the known members are those of the last seconds.
-    fn is_current(&self, now: Instant) -> bool {
-        self.accepted_at.is_some_and(|accepted_at| now < accepted_at + SETTLING_TIME)
-    }
-
-    /// Returns the role of this process in issuing permits by the list before the latest changes. A process that has known no
-    /// such list since its start does not wait for lists that never come.
-    fn earlier_role(&self, endpoint: &EndpointId, now: Instant) -> IssuerRole {
-        let has_waited = self.issuers_changed_at.is_none_or(|at| now >= at + SETTLING_TIME);
-        match self.earlier_issuers.is_empty() && has_waited {
-            true => IssuerRole::Substitute,
-            false => self.earlier_issuers.own_role(endpoint),
-        }
+        IssuerOrder::new(own.into_iter().chain(others).collect())
     }
 
     /// Returns the gateways that issue permits for requests to an endpoint that limits them.
-    ///
-    /// Gateways that go by different member lists may each take themselves for the issuer. So this process has a role only
-    /// if it had it by the list before as well, and issues all permits only if it is the issuer by a list that is and was current.
     pub fn permit_issuers(&self, endpoint: &EndpointId, now: Instant) -> PermitIssuers {
-        let (first, second) = self.issuers.first_two(endpoint);
-        let is_own_first = first.is_some_and(IssuerCandidate::is_own);
-        let has_caught_up = self.caught_up_at.is_none_or(|at| now >= at + SETTLING_TIME);
-        let longest_role = match self.is_current(now) && has_caught_up {
-            true => IssuerRole::Issuer,
-            false => IssuerRole::Substitute,
-        };
-        let earlier_role = match self.is_settling() {
-            true => self.earlier_role(endpoint, now),
-            false => IssuerRole::Issuer,
-        };
-        let own_role = self.issuers.own_role(endpoint).min(earlier_role).min(longest_role);
-        let asked = [first, second].into_iter().flatten().take_while(|_| !is_own_first);
-        let others = asked.filter_map(|other| other.peer_address).collect();
-        PermitIssuers { own_role, is_own_first, others }
+        self.issuer_tracker.permit_issuers(endpoint, now)
     }
 
     /// Returns the other gateways.
