--- a/crates/bramleywind_gateway/src/gateway/rate_handling.rs
+++ b/crates/bramleywind_gateway/src/gateway/rate_handling.rs
@@ -17,7 +17,7 @@
     platform_api::Platform,
     rate_limits::{
         IssuerRole, PermitReply, PermitRequest, RateChange, RateNotice, RateOutbox, RateReport,
-        RateStatement, ServiceClosure,
+        RateSource, RateStatement, ServiceClosure,
     },
 };
 
@@ -35,17 +35,17 @@
         }
         let now = Instant::now();
         let change = endpoint.rate_limit().borrow_mut().observe(statement, sent_at, now);
-        self.handle_rate_change(endpoint, change, "answer");
+        self.handle_rate_change(endpoint, change, RateSource::Answer);
     }
 
     /// Applies another gateway's notice about the rates of endpoints.
     pub fn apply_rate_notice(&self, notice: &RateNotice) {
         for report in &notice.reports {
-            self.apply_rate_report(report, "notice");
+            self.apply_rate_report(report, RateSource::Notice);
         }
     }
 
-    fn apply_rate_report(&self, report: &RateReport, source: &'static str) -> Option<Rc<Endpoint>> {
+    fn apply_rate_report(&self, report: &RateReport, source: RateSource) -> Option<Rc<Endpoint>> {
         let endpoint = self.endpoints.borrow().get(&report.endpoint).map(Rc::clone)?;
         // A later start of the endpoint speaks for itself.
         if endpoint.record().started_at_ms != report.started_at_ms {
@@ -57,14 +57,14 @@
         Some(endpoint)
     }
 
-    fn handle_rate_change(&self, endpoint: &Endpoint, change: RateChange, source: &'static str) {
+    fn handle_rate_change(&self, endpoint: &Endpoint, change: RateChange, source: RateSource) {
         if change == RateChange::None {
             return;
         }
         let id = endpoint.record().id.clone();
         let rate = endpoint.rate_limit().borrow().rate();
         info!(self.log, "endpoint's limit of requests changed"; "endpoint" => %id, "change" => ?change,
-            "per_second" => rate.map(|rate| rate.to_string()), "source" => source);
+            "per_second" => rate.map(|rate| rate.to_string()), "source" => ?source);
         if change == RateChange::Ends {
             endpoint.end_denials();
         }
@@ -75,7 +75,7 @@
             if change != RateChange::Adjusted {
                 outbox.for_everyone.insert(id);
             }
-        } else if source == "answer" {
+        } else if source == RateSource::Answer {
             outbox.for_issuers.insert(id);
         }
         drop(outbox);
@@ -112,7 +112,8 @@
 
     /// Answers another gateway that asks whether it may send a request to an endpoint that limits its requests.
     pub fn answer_permit(&self, request: &PermitRequest) -> PermitReply {
-        let Some(endpoint) = self.apply_rate_report(&request.report, "request for a permit") else {
+        let Some(endpoint) = self.apply_rate_report(&request.report, RateSource::PermitRequest)
+        else {
             return PermitReply::NotIssuer;
         };
         let now = Instant::now();
@@ -171,7 +172,7 @@
                     break;
                 }
                 Ok(PermitReply::Unlimited(report)) => {
-                    self.apply_rate_report(&report, "answer to a request for a permit");
+                    self.apply_rate_report(&report, RateSource::PermitReply);
                     return self.record_permit("not needed");
                 }
                 Ok(PermitReply::NotIssuer) => error = Some("the gateway issues no permits".into()),
--- a/crates/bramleywind_gateway/src/rate_limits/permit_bucket.rs
+++ b/crates/bramleywind_gateway/src/rate_limits/permit_bucket.rs
@@ -2,8 +2,8 @@
 
 use super::{IssuerRole, RequestRate};
 
-/// The share of an endpoint's rate for which a substitute issues permits. Together with an issuer, it keeps below the one and
-/// a half times of the rate that endpoints tolerate.
+/// The share of an endpoint's rate for which a substitute issues permits. Endpoints tolerate one and a half times their rate,
+/// which an issuer and a substitute together do not reach.
 const SUBSTITUTE_SHARE: f64 = 0.4;
 
 /// The lowest rate of permits per second. Only an answer tells that an endpoint limits its requests no longer.
@@ -18,8 +18,8 @@
 /// Permits that can be saved up beside these, in seconds of the rate.
 const SAVING_TIME: f64 = 0.25;
 
-/// The step between the times of return of gateways that cannot all be sent to turns of their own, as a part of the longest wait. Multiples of
-/// the golden ratio are spread evenly, however many there are.
+/// The step between the times of return of gateways that get no turn of their own, as a part of the longest wait. Multiples of the
+/// golden ratio are spread evenly, however many there are.
 const RETURN_STEP: f64 = 0.618_033_988_75;
 
 /// The longest time until which a gateway that got no permit is sent away.
