gateway: a service whose endpoints all name a rate of 0 is refused for that

The refusal said `no endpoint`, and callers were not spread, since the sum of the rates was taken for whether there is a limit.

Also from the read-through, without a change of behaviour: the last answer time of a stop is computed once, and notices about rates are not copied.

--- a/crates/bramleywind_gateway/src/background/spread_rate_news.rs
+++ b/crates/bramleywind_gateway/src/background/spread_rate_news.rs
@@ -9,11 +9,9 @@
 pub(crate) async fn spread_rate_news<P: Platform>(gateway: Rc<Gateway<P>>) {
     loop {
         gateway.wait_for_rate_news().await;
-        let notices: Vec<_> = gateway.take_rate_notices().into_iter().collect();
         let client = gateway.funds().loan_client();
-        let calls = notices.iter().map(|(peer, reports)| {
-            let notice = RateNotice { reports: reports.clone() };
-            async move { client.send_rate_notice(*peer, &notice).await }
+        let calls = gateway.take_rate_notices().into_iter().map(|(peer, reports)| async move {
+            client.send_rate_notice(peer, &RateNotice { reports }).await
         });
         let delivery = NoticeDelivery::run(calls, |()| ()).await;
         if delivery.undelivered > 0 {
--- a/crates/bramleywind_gateway/src/daemon.rs
+++ b/crates/bramleywind_gateway/src/daemon.rs
@@ -208,14 +208,15 @@
     let stop_times = gateway.settings().stop;
     let started = Instant::now();
     let end_time = started + stop_times.end_after;
-    gateway.set_last_answer_time(end_time.checked_sub(LAST_ANSWER_TIME).unwrap_or(end_time));
+    let last_answer_at = end_time.checked_sub(LAST_ANSWER_TIME).unwrap_or(end_time);
+    gateway.set_last_answer_time(last_answer_at);
     gateway.set_stop_phase(StopPhase::Leaving);
     gateway.funds().leave();
     info!(gateway.log(), "stopping: callers are sent elsewhere"; "open_requests" => gateway.open_requests());
     sleep(stop_times.refuse_after).await;
     gateway.set_stop_phase(StopPhase::Refusing);
     info!(gateway.log(), "stopping: new requests are refused"; "open_requests" => gateway.open_requests());
-    callers.close(end_time.checked_sub(LAST_ANSWER_TIME).unwrap_or(end_time)).await;
+    callers.close(last_answer_at).await;
     if gateway.open_requests() > 0 {
         info!(gateway.log(), "stopping: no longer waiting for endpoints"; "open_requests" => gateway.open_requests());
         gateway.end_answers();
--- a/crates/bramleywind_gateway/src/gateway/rate_handling.rs
+++ b/crates/bramleywind_gateway/src/gateway/rate_handling.rs
@@ -207,15 +207,15 @@
         let now = Instant::now();
         let endpoints = self.endpoints.borrow();
         let mut opens_at: Option<Instant> = None;
-        let mut per_second = 0.0;
+        let (mut per_second, mut is_limited) = (0.0, false);
         for endpoint in endpoints.open_endpoints(&context.service) {
             let opening = endpoint.opens_at(context.rank, now)?;
             opens_at = Some(opens_at.map_or(opening, |earliest| earliest.min(opening)));
-            per_second +=
-                endpoint.rate_limit().borrow().rate().map_or(0.0, |rate| rate.per_second());
+            if let Some(rate) = endpoint.rate_limit().borrow().rate() {
+                (per_second, is_limited) = (per_second + rate.per_second(), true);
+            }
         }
         let opens_at = opens_at?;
-        let is_limited = per_second > 0.0;
         let return_delay = if is_limited {
             let own_share = per_second / self.members.borrow().count() as f64;
             let mut schedules = self.return_schedules.borrow_mut();
