--- a/crates/bramleywind_gateway/src/background/follow_endpoints.rs
+++ b/crates/bramleywind_gateway/src/background/follow_endpoints.rs
@@ -73,13 +73,23 @@
         end.saturating_duration_since(Instant::now()).clamp(MIN_WATCH_TIME, WATCH_TIME)
     });
     let Some(after) = version else {
+        let (asked_at, bytes_before) = (Instant::now(), gateway.store().received_bytes());
         let page = gateway.store().list_endpoints().await?;
+        let millis = u64::try_from(asked_at.elapsed().as_millis()).ok();
+        info!(gateway.log(), "registry read"; "entries" => page.entries.len(), "version" => %page.version,
+            "bytes" => gateway.store().received_bytes() - bytes_before, "took_ms" => millis,
+            "list_age_ms" => gateway.list_freshness().age(asked_at).and_then(|age| u64::try_from(age.as_millis()).ok()));
+        gateway.list_freshness().confirm(asked_at);
         let grace_end = current_grace_end(grace_until);
         apply_list(gateway, page.entries, grace_end, unreadable);
         return Ok(Some(page.version));
     };
+    let asked_at = Instant::now();
     match gateway.store().watch_endpoints(after, wait).await? {
         StoreChanges::Changed { changes, version } => {
+            // The store answers a watch without changes only at its end.
+            let complete_until = if changes.is_empty() { asked_at + wait } else { asked_at };
+            gateway.list_freshness().confirm(complete_until.min(Instant::now()));
             let grace_end = current_grace_end(grace_until);
             for change in changes {
                 apply_change(gateway, change, grace_end, unreadable);
--- a/crates/bramleywind_gateway/src/daemon.rs
+++ b/crates/bramleywind_gateway/src/daemon.rs
@@ -21,7 +21,7 @@
     Args, Gateway, StopPhase,
     background::{
         follow_config, follow_endpoints, judge_parts, maintain_membership, maintain_presence,
-        spread_crash_news, spread_rate_news,
+        report_traffic, spread_crash_news, spread_rate_news,
     },
     config::CallerLimits,
     forward::handle_request,
@@ -183,11 +183,12 @@
         state.funds().run_returns(&state.settings().instance, lenders, state.log()).await;
     });
     let pools = compio::runtime::spawn(close_expired_connections(Rc::clone(&gateway)));
+    let traffic = compio::runtime::spawn(report_traffic(Rc::clone(&gateway)));
     let reloads = compio::runtime::spawn(log_reloads(gateway.log().clone()));
     stop_requested.await;
     drain(&gateway, &callers).await;
     drop((config, endpoints, presence, loans, returns, pools, reloads, crash_news, part_news));
-    drop(rate_news);
+    drop((rate_news, traffic));
     // The task ends by itself once the process has left the member list.
     membership.detach();
     gateway.funds().stop();
--- a/crates/bramleywind_gateway/src/forward/exchange.rs
+++ b/crates/bramleywind_gateway/src/forward/exchange.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use slog::{Logger, info};
 
-use super::{CallFailure, FailureKind, RequestContext};
+use super::{CallFailure, FailureKind, RequestContext, RequestTrace};
 use crate::{
     endpoints::{Endpoint, InFlightGuard, PooledConnection},
     gateway::Gateway,
@@ -35,6 +35,7 @@
 pub(super) async fn send_request<P: Platform>(
     gateway: &Gateway<P>,
     context: &RequestContext,
+    trace: &mut RequestTrace,
     endpoint: &Rc<Endpoint>,
     resume_after: Option<EventId>,
     call_deadline: Instant,
@@ -57,6 +58,7 @@
         };
         let request = build_request::<P::Wire>(context, endpoint, resume_after);
         let sent_at = Instant::now();
+        trace.record_sending(gateway.list_freshness().age(sent_at));
         let left = call_deadline.saturating_duration_since(sent_at);
         let response = match timeout(left, connection.send(request)).await {
             Ok(Ok(response)) => response,
--- a/crates/bramleywind_gateway/src/forward/request_forwarder.rs
+++ b/crates/bramleywind_gateway/src/forward/request_forwarder.rs
@@ -177,7 +177,8 @@
         let result = async {
             let resume_after = context.resume_after;
             let exchange =
-                send_request(gateway, context, endpoint, resume_after, call_deadline).await?;
+                send_request(gateway, context, trace, endpoint, resume_after, call_deadline)
+                    .await?;
             if context.route.kind.is_stream() && exchange.head.status.is_success() {
                 let mut source = StreamSource::new(exchange);
                 let first = match source.next_events(call_deadline).await? {
@@ -220,7 +221,7 @@
     ) -> Instant {
         self.counts.calls += 1;
         self.tried.push(endpoint.record().id.clone());
-        trace.endpoints.push(endpoint.record().id.clone());
+        trace.record_choice(endpoint.record().id.clone());
         self.call_deadline(context)
     }
 
@@ -302,9 +303,9 @@
                 return Err(failure);
             };
             let call_deadline = self.begin_call(context, trace, &endpoint);
-            failure = match send_request(gateway, context, &endpoint, resume_after, call_deadline)
-                .await
-            {
+            let sent =
+                send_request(gateway, context, trace, &endpoint, resume_after, call_deadline);
+            failure = match sent.await {
                 Ok(exchange) if exchange.head.status.is_success() => {
                     self.counts.runs += 1;
                     return Ok(StreamSource::new(exchange));
--- a/crates/bramleywind_gateway/src/forward/request_trace.rs
+++ b/crates/bramleywind_gateway/src/forward/request_trace.rs
@@ -1,4 +1,8 @@
-use std::{cell::Cell, rc::Rc, time::Instant};
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bramleywind_http::ResponseBody;
 use bramleywind_types::{ConfigRevision, EndpointId, WorkspaceId};
@@ -33,6 +37,12 @@
     pub parts: Box<str>,
     /// The load of the first endpoint when it was chosen.
     pub placement: Option<Box<str>>,
+    /// Milliseconds from arrival until the last endpoint was chosen.
+    pub chosen_ms: Option<u64>,
+    /// Milliseconds from arrival until the request was written to the last endpoint.
+    pub sent_ms: Option<u64>,
+    /// The age of the list of endpoints at that time, in milliseconds.
+    pub list_age_ms: Option<u64>,
     /// The endpoints that were called, in order.
     pub endpoints: Vec<EndpointId>,
     /// The status code of the response.
@@ -68,6 +78,9 @@
             fingerprint: None,
             parts: "".into(),
             placement: None,
+            chosen_ms: None,
+            sent_ms: None,
+            list_age_ms: None,
             endpoints: Vec::new(),
             status: None,
             first_piece_ms: None,
@@ -82,6 +95,19 @@
         self.arrival
     }
 
+    /// Records the choice of an endpoint.
+    pub fn record_choice(&mut self, endpoint: EndpointId) {
+        self.chosen_ms = Some(self.elapsed_ms());
+        self.sent_ms = None;
+        self.endpoints.push(endpoint);
+    }
+
+    /// Records that the request is written to the chosen endpoint, and how old the list of endpoints is by then.
+    pub fn record_sending(&mut self, list_age: Option<Duration>) {
+        self.sent_ms = Some(self.elapsed_ms());
+        self.list_age_ms = list_age.and_then(|age| u64::try_from(age.as_millis()).ok());
+    }
+
     /// Records the time of the first piece of the response. Later calls have no effect.
     pub fn record_first_piece(&mut self) {
         if self.first_piece_ms.is_none() {
@@ -125,7 +151,9 @@
             "outcome" => self.outcome.name(), "reason" => reason, "status" => self.status,
             "route" => self.route.as_deref(), "workspace" => self.workspace.as_ref().map(ToString::to_string),
             "fingerprint" => self.fingerprint.map(|hash| hash.to_string()), "parts" => &*self.parts,
-            "endpoints" => endpoints.join(","), "placement" => self.placement.as_deref(), "revision" => self.revision.map(|revision| revision.0),
+            "endpoints" => endpoints.join(","), "placement" => self.placement.as_deref(),
+            "chosen_ms" => self.chosen_ms, "sent_ms" => self.sent_ms, "list_age_ms" => self.list_age_ms,
+            "revision" => self.revision.map(|revision| revision.0),
             "first_piece_ms" => self.first_piece_ms, "elapsed_ms" => self.elapsed_ms(),
             "events" => self.events, "tokens_set_aside" => reserved, "tokens_charged" => charged);
     }
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -22,7 +22,7 @@
     admission::AdmissionControl,
     config::{FleetConfig, RouteTable},
     crashes::{CrashGuard, PartGuard, UnconfirmedCrashes},
-    endpoints::{Endpoint, EndpointSet},
+    endpoints::{Endpoint, EndpointSet, ListFreshness},
     forward::{RequestContext, RequestTrace},
     funds::FundsManager,
     members::{FleetClock, MemberRecord, MemberRegistry},
@@ -54,6 +54,7 @@
     store: P::Store,
     table: RefCell<Option<Rc<RouteTable>>>,
     endpoints: RefCell<EndpointSet>,
+    list_freshness: ListFreshness,
     funds: FundsManager,
     members: RefCell<MemberRegistry>,
     retry_budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
@@ -102,6 +103,7 @@
             store,
             table: RefCell::default(),
             endpoints: RefCell::default(),
+            list_freshness: ListFreshness::default(),
             funds: FundsManager::new(incarnation),
             members: RefCell::new(MemberRegistry::new(own)),
             retry_budgets: RefCell::default(),
@@ -183,6 +185,11 @@
         &self.endpoints
     }
 
+    /// How old the list of endpoints is.
+    pub fn list_freshness(&self) -> &ListFreshness {
+        &self.list_freshness
+    }
+
     /// The workspaces' budgets and this process's grants.
     pub fn funds(&self) -> &FundsManager {
         &self.funds
--- a/crates/bramleywind_gateway/src/platform_api/fleet_store.rs
+++ b/crates/bramleywind_gateway/src/platform_api/fleet_store.rs
@@ -21,6 +21,9 @@
     reason = "the runtime is single-threaded, so no caller needs a `Send` bound"
 )]
 pub trait FleetStore: 'static {
+    /// The number of bytes of the store's answers that this process has received so far.
+    fn received_bytes(&self) -> u64;
+
     /// Reads the operators' configuration and its version.
     async fn read_config(&self) -> Result<(LoadedConfig, StoreVersion), UnavailableReason>;
 
--- a/crates/bramleywind_gateway/tests/support/budget_store.rs
+++ b/crates/bramleywind_gateway/tests/support/budget_store.rs
@@ -87,6 +87,10 @@
         Err(UnavailableReason::Outage)
     }
 
+    fn received_bytes(&self) -> u64 {
+        0
+    }
+
     async fn list_fleet(&self) -> Result<FleetListing, UnavailableReason> {
         Err(UnavailableReason::Outage)
     }
