--- a/crates/bramleywind_gateway/src/admission.rs
+++ b/crates/bramleywind_gateway/src/admission.rs
@@ -12,7 +12,7 @@
 mod link_rate;
 mod memory_size;
 
-pub use admission_control::AdmissionControl;
+pub use admission_control::{AdmissionControl, MAX_ACCEPT_DELAY};
 pub use admission_decision::{AdmissionDecision, AdmissionInput};
 pub use instance_limits::InstanceLimits;
 pub use link_delays::LinkDelays;
--- a/crates/bramleywind_gateway/src/admission/admission_control.rs
+++ b/crates/bramleywind_gateway/src/admission/admission_control.rs
@@ -9,7 +9,7 @@
 
 /// The delay of the link from which on no new connections are accepted. Requests on them could neither be read nor refused in
 /// time.
-const MAX_ACCEPT_DELAY: Duration = Duration::from_millis(60);
+pub const MAX_ACCEPT_DELAY: Duration = Duration::from_millis(60);
 
 /// How long no connections are accepted then. It is longer than a burst of arrivals, and short compared to the time after
 /// which an instance that takes no connections counts as failed.
--- a/crates/bramleywind_gateway/src/background/follow_endpoints.rs
+++ b/crates/bramleywind_gateway/src/background/follow_endpoints.rs
@@ -1,193 +1,297 @@
 use std::{
+    cell::RefCell,
     collections::HashSet,
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use bramleywind_store::{StoreVersion, UnavailableReason};
 use bramleywind_types::EndpointId;
-use compio::time::sleep;
-use slog::{info, warn};
+use compio::{runtime::JoinHandle, time::sleep};
+use slog::info;
 
-use super::{DependencyTracker, ScaledInterval, WATCH_TIME};
+use super::DependencyTracker;
 use crate::{
-    endpoints::EntryEffect,
     gateway::Gateway,
-    platform_api::{EntryChange, FleetStore, Platform, StoreChanges},
+    platform_api::{EntryChange, FleetStore, ListPage, Platform, StoreChanges},
 };
 
+/// The duration of one watch of the registry. Its end shows that nothing has changed, so it also bounds the age of the list.
+const WATCH_TIME: Duration = Duration::from_millis(900);
+
+/// How long another gateway may delay its answer: until its own watch has ended.
+const QUERY_WAIT: Duration = Duration::from_millis(1_000);
+
 /// The minimum duration of a watch.
 const MIN_WATCH_TIME: Duration = Duration::from_millis(50);
 
 /// The interval between two watches, which batches changes that occur together, such as the start of all endpoints.
-/// Each change wakes all gateways. The maximum is below the time within which a leaving endpoint must be known.
-const BATCH_INTERVAL: ScaledInterval = ScaledInterval {
-    min: Duration::from_millis(250),
-    base_members: 12,
-    max: Duration::from_secs(1),
-};
+const BATCH_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The age up to which another gateway's list is as good as the registry itself.
+const MAX_RELAYED_AGE: Duration = Duration::from_millis(1_500);
+
+/// The number of other gateways that are asked in turn.
+const MAX_READERS_ASKED: usize = 2;
 
 /// How long endpoints whose entries vanished in an outage of the store are kept after its return. Live endpoints
 /// register again within about two seconds.
 const GRACE_TIME: Duration = Duration::from_millis(1_900);
 
-/// Keeps the list of endpoints in sync with the registry in the store.
+/// Keeps the list of endpoints in sync with the registry.
 pub(crate) async fn follow_endpoints<P: Platform>(gateway: Rc<Gateway<P>>) {
-    let mut tracker = DependencyTracker::new("endpoint registry", gateway.log());
-    let mut version = None;
-    let mut grace_until = None;
-    let mut unreadable = HashSet::new();
+    let mut follower = ListFollower {
+        tracker: DependencyTracker::new("endpoint registry", gateway.log()),
+        gateway,
+        grace_until: None,
+        unreadable: HashSet::new(),
+        is_doubtful: false,
+        pending_list: None,
+        relayed_by: None,
+    };
     loop {
-        match next_version(&gateway, version, grace_until, &mut unreadable).await {
-            Ok(next) => {
-                if tracker.record_success().is_some() {
-                    grace_until = Some(Instant::now() + GRACE_TIME);
+        follower.update_list().await;
+        follower.gateway.remove_expired_endpoints();
+        follower.gateway.announce_list();
+        sleep(BATCH_INTERVAL).await;
+    }
+}
+
+type ListResult = Result<ListPage<EntryChange>, UnavailableReason>;
+
+/// A read of the whole registry that goes on in the background, so that changes are heard of meanwhile.
+struct PendingList {
+    result: Rc<RefCell<Option<ListResult>>>,
+    _task: JoinHandle<()>,
+}
+
+/// Follows the changes of the registry: through a gateway that reads it for others, or in the store itself.
+struct ListFollower<P: Platform> {
+    gateway: Rc<Gateway<P>>,
+    tracker: DependencyTracker,
+    grace_until: Option<Instant>,
+    unreadable: HashSet<Option<EndpointId>>,
+    /// Whether changes may be missing that the known version covers. An interrupted watch may have missed them.
+    is_doubtful: bool,
+    pending_list: Option<PendingList>,
+    /// The gateway that answered last, if the list comes from another gateway.
+    relayed_by: Option<SocketAddr>,
+}
+
+impl<P: Platform> ListFollower<P> {
+    /// Waits for changes and applies them.
+    async fn update_list(&mut self) {
+        let readers = self.gateway.members().borrow().registry_readers();
+        let is_known = self.gateway.list_version().is_some();
+        if is_known && !readers.is_own {
+            let relayed_by = self.ask_readers(readers.others.clone(), QUERY_WAIT).await;
+            if relayed_by != self.relayed_by {
+                info!(self.gateway.log(), "source of the list of endpoints changed"; "from" => ?self.relayed_by,
+                    "to" => ?relayed_by);
+                self.relayed_by = relayed_by;
+            }
+            if relayed_by.is_some() {
+                // The readers see to it that nothing is missing.
+                self.is_doubtful = false;
+                self.pending_list = None;
+                return;
+            }
+        }
+        match self.follow_store().await {
+            Ok(()) => {
+                if self.tracker.record_success().is_some() {
+                    self.grace_until = Some(Instant::now() + GRACE_TIME);
+                }
+                if self.is_doubtful {
+                    self.ask_readers(readers.others, Duration::ZERO).await;
                 }
-                version = next;
             }
             Err(reason) => {
                 // Entries missing from the first answer after this may only have expired.
-                grace_until = Some(Instant::now() + Duration::from_secs(3600));
-                // An interrupted watch may have missed changes that the store's version already covers.
-                version = None;
-                tracker.back_off(reason).await;
+                self.grace_until = Some(Instant::now() + Duration::from_secs(3600));
+                self.is_doubtful = true;
+                self.ask_readers(readers.others, Duration::ZERO).await;
+                self.tracker.back_off(reason).await;
             }
         }
-        remove_expired(&gateway);
-        let members = gateway.members().borrow().count();
-        sleep(BATCH_INTERVAL.for_members(members)).await;
     }
-}
 
-/// Reads the registry, or waits for changes. Returns the version to watch from, or `None` if the registry must be read
-/// again.
-async fn next_version<P: Platform>(
-    gateway: &Gateway<P>,
-    version: Option<StoreVersion>,
-    grace_until: Option<Instant>,
-    unreadable: &mut HashSet<Option<EndpointId>>,
-) -> Result<Option<StoreVersion>, UnavailableReason> {
-    // A watch must not outlast the time at which a missing endpoint has to be removed.
-    let removal_time = gateway.endpoints().borrow().next_removal_time();
-    let wait = removal_time.map_or(WATCH_TIME, |end| {
-        end.saturating_duration_since(Instant::now()).clamp(MIN_WATCH_TIME, WATCH_TIME)
-    });
-    let Some(after) = version else {
-        let (asked_at, bytes_before) = (Instant::now(), gateway.store().received_bytes());
-        let page = gateway.store().list_endpoints().await?;
-        let millis = u64::try_from(asked_at.elapsed().as_millis()).ok();
-        info!(gateway.log(), "registry read"; "entries" => page.entries.len(), "version" => %page.version,
-            "bytes" => gateway.store().received_bytes() - bytes_before, "took_ms" => millis,
-            "list_age_ms" => gateway.list_freshness().age(asked_at).and_then(|age| u64::try_from(age.as_millis()).ok()));
-        gateway.list_freshness().confirm(asked_at);
-        let grace_end = current_grace_end(grace_until);
-        apply_list(gateway, page.entries, grace_end, unreadable);
-        return Ok(Some(page.version));
-    };
-    let asked_at = Instant::now();
-    match gateway.store().watch_endpoints(after, wait).await? {
-        StoreChanges::Changed { changes, version } => {
-            // The store answers a watch without changes only at its end.
-            let complete_until = if changes.is_empty() { asked_at + wait } else { asked_at };
-            gateway.list_freshness().confirm(complete_until.min(Instant::now()));
-            let grace_end = current_grace_end(grace_until);
-            for change in changes {
-                apply_change(gateway, change, grace_end, unreadable);
+    /// Asks other gateways in turn for what has changed, until one has a current list. Returns the one that has.
+    async fn ask_readers(&self, readers: Vec<SocketAddr>, wait: Duration) -> Option<SocketAddr> {
+        let client = self.gateway.funds().loan_client();
+        for reader in client.order_by_health(readers).into_iter().take(MAX_READERS_ASKED) {
+            // Only the reader that was current before is worth a wait.
+            let wait = if self.relayed_by == Some(reader) { wait } else { Duration::ZERO };
+            let query = self.gateway.list_query(wait);
+            let asked_at = Instant::now();
+            let answer = match client.query_list(reader, &query).await {
+                Ok(answer) => answer,
+                Err(error) => {
+                    info!(self.gateway.log(), "no answer about the list of endpoints"; "asked" => %reader, "error" => &*error);
+                    continue;
+                }
+            };
+            let (version, age_ms, parts) = (answer.version, answer.age_ms, answer.parts.len());
+            let is_applied = self.gateway.apply_list_answer(answer, asked_at);
+            let age = self.gateway.list_freshness().age(Instant::now());
+            let is_current = is_applied && age.is_some_and(|age| age <= MAX_RELAYED_AGE);
+            if parts > 0 || !is_current {
+                info!(self.gateway.log(), "list of endpoints compared with another gateway's"; "asked" => %reader,
+                    "version" => %version, "age_ms" => age_ms, "parts" => parts, "applied" => is_applied);
+            }
+            if is_current {
+                return Some(reader);
             }
-            Ok(Some(version))
-        }
-        StoreChanges::HistoryLost => {
-            info!(gateway.log(), "registry history lost; reading it again"; "after" => %after);
-            Ok(None)
         }
+        None
     }
-}
 
-/// Returns until when an endpoint is kept whose entry vanishes now, or `None` if it is to be removed at once.
-fn current_grace_end(grace_until: Option<Instant>) -> Option<Instant> {
-    let now = Instant::now();
-    grace_until.filter(|until| now < *until).map(|until| until.min(now + GRACE_TIME))
-}
-
-fn apply_list<P: Platform>(
-    gateway: &Gateway<P>,
-    entries: Vec<EntryChange>,
-    grace_until: Option<Instant>,
-    unreadable: &mut HashSet<Option<EndpointId>>,
-) {
-    let mut listed = HashSet::new();
-    for entry in entries {
-        match &entry {
-            EntryChange::Written(record) => {
-                listed.insert(record.id.clone());
+    /// Reads the registry in the store, or waits for changes there.
+    async fn follow_store(&mut self) -> Result<(), UnavailableReason> {
+        let Some(after) = self.gateway.list_version() else {
+            let asked_at = Instant::now();
+            let page = self.gateway.store().list_endpoints().await?;
+            self.log_list(&page, asked_at);
+            self.gateway.apply_list(page.entries, self.grace_end(), &mut self.unreadable);
+            self.gateway.set_list_version(Some(page.version));
+            self.gateway.list_freshness().confirm(asked_at);
+            self.is_doubtful = false;
+            return Ok(());
+        };
+        if self.is_doubtful {
+            self.begin_list();
+        }
+        if after == StoreVersion::MISSING {
+            sleep(MIN_WATCH_TIME).await;
+            return self.finish_list().await;
+        }
+        let (asked_at, wait) = (Instant::now(), self.watch_time());
+        match self.gateway.store().watch_endpoints(after, wait).await? {
+            StoreChanges::Changed { changes, version } => {
+                // The store answers a watch without changes only at its end.
+                let complete_until = if changes.is_empty() { asked_at + wait } else { asked_at };
+                self.apply_changes(changes);
+                self.gateway.set_list_version(Some(version));
+                if !self.is_doubtful {
+                    self.gateway.list_freshness().confirm(complete_until.min(Instant::now()));
+                }
             }
-            // An invalid entry does not remove the endpoint that it may belong to.
-            EntryChange::Unreadable { endpoint: Some(id), .. } => {
-                listed.insert(id.clone());
+            StoreChanges::HistoryLost => {
+                info!(self.gateway.log(), "registry history lost; reading it again"; "after" => %after);
+                // The versions of the store may have begun anew.
+                self.gateway.set_list_version(Some(StoreVersion::MISSING));
+                self.is_doubtful = true;
+                self.begin_list();
             }
-            EntryChange::Unreadable { endpoint: None, .. } | EntryChange::Removed(_) => {}
         }
-        apply_change(gateway, entry, grace_until, unreadable);
+        self.finish_list().await
     }
-    let missing = gateway.endpoints().borrow().missing_from(&listed);
-    for id in missing {
-        apply_change(gateway, EntryChange::Removed(id), grace_until, unreadable);
+
+    /// Begins to read the whole registry, if that is not under way.
+    fn begin_list(&mut self) {
+        if self.pending_list.is_some() {
+            return;
+        }
+        let result = Rc::<RefCell<Option<ListResult>>>::default();
+        let (gateway, slot) = (Rc::clone(&self.gateway), Rc::clone(&result));
+        let task = compio::runtime::spawn(async move {
+            let outcome = gateway.store().list_endpoints().await;
+            *slot.borrow_mut() = Some(outcome);
+        });
+        self.pending_list = Some(PendingList { result, _task: task });
     }
-}
 
-fn apply_change<P: Platform>(
-    gateway: &Gateway<P>,
-    change: EntryChange,
-    grace_until: Option<Instant>,
-    unreadable: &mut HashSet<Option<EndpointId>>,
-) {
-    let log = gateway.log();
-    let mut endpoints = gateway.endpoints().borrow_mut();
-    let mut ended = Vec::new();
-    match change {
-        EntryChange::Written(record) => {
-            let (id, address) = (record.id.clone(), record.address);
-            let (service, is_leaving) = (record.service.clone(), record.is_leaving);
-            let effect = endpoints.insert(record);
-            if effect == EntryEffect::Added {
-                // An earlier start under the same name has ended too.
-                ended.push(id.clone());
-                ended.extend(endpoints.others_at(address, &id));
+    /// Applies the list that was read in the background, once it is there, with all changes since.
+    async fn finish_list(&mut self) -> Result<(), UnavailableReason> {
+        let Some(result) = self.pending_list.as_ref().and_then(|list| list.result.take()) else {
+            return Ok(());
+        };
+        self.pending_list = None;
+        let page = result?;
+        let asked_at = Instant::now();
+        self.log_list(&page, asked_at);
+        // Changes that this process already knows must not be undone by the list, which may be older.
+        let (mut version, mut changes) = (page.version, Vec::new());
+        loop {
+            match self.gateway.store().watch_endpoints(version, MIN_WATCH_TIME).await? {
+                StoreChanges::Changed { changes: later, version: reached } => {
+                    changes.extend(later);
+                    version = reached;
+                }
+                StoreChanges::HistoryLost => return Ok(()),
             }
-            if effect != EntryEffect::Unchanged {
-                info!(log, "endpoint changed"; "endpoint" => %id, "service" => %service,
-                    "address" => %address, "is_leaving" => is_leaving, "effect" => ?effect);
+            if self.gateway.list_version().is_none_or(|known| version >= known) {
+                break;
             }
         }
-        EntryChange::Unreadable { endpoint, reason } => {
-            if unreadable.insert(endpoint.clone()) {
-                let endpoint = endpoint.map(|id| id.to_string());
-                warn!(log, "registry entry unreadable; it is ignored"; "endpoint" => endpoint,
-                    "reason" => &*reason);
-            }
+        let mut entries = page.entries;
+        let changed: HashSet<_> = changes.iter().filter_map(changed_endpoint).collect();
+        entries.retain(|entry| changed_endpoint(entry).is_none_or(|id| !changed.contains(&id)));
+        let (written, removed): (Vec<_>, Vec<_>) = newest_changes(changes)
+            .into_iter()
+            .partition(|change| !matches!(change, EntryChange::Removed(_)));
+        entries.extend(written);
+        let grace_end = self.grace_end();
+        self.gateway.apply_list(entries, grace_end, &mut self.unreadable);
+        for change in removed {
+            self.gateway.apply_change(change, grace_end, &mut self.unreadable);
         }
-        EntryChange::Removed(id) => match grace_until {
-            Some(until) => endpoints.mark_missing(&id, until),
-            None => {
-                if endpoints.remove(&id) {
-                    info!(log, "endpoint removed"; "endpoint" => %id);
-                    ended.push(id);
-                }
-            }
-        },
+        self.gateway.set_list_version(Some(version));
+        self.gateway.list_freshness().confirm(asked_at);
+        self.is_doubtful = false;
+        Ok(())
     }
-    let open = endpoints.iter().filter(|endpoint| endpoint.is_open()).count();
-    gateway.metrics().open_endpoints.set(i64::try_from(open).unwrap_or(i64::MAX));
-    drop(endpoints);
-    for id in ended {
-        gateway.confirm_crashes(&id);
+
+    fn apply_changes(&mut self, changes: Vec<EntryChange>) {
+        let grace_end = self.grace_end();
+        for change in changes {
+            self.gateway.apply_change(change, grace_end, &mut self.unreadable);
+        }
+    }
+
+    /// Returns how long to watch. A watch must outlast neither the age up to which the list is current nor the time at which a
+    /// missing endpoint has to be removed.
+    fn watch_time(&self) -> Duration {
+        let now = Instant::now();
+        let age = self.gateway.list_freshness().age(now).unwrap_or_default();
+        let removal_time = self.gateway.endpoints().borrow().next_removal_time();
+        let until_removal = removal_time.map(|end| end.saturating_duration_since(now));
+        let wait = WATCH_TIME.saturating_sub(age);
+        until_removal.map_or(wait, |until| until.min(wait)).max(MIN_WATCH_TIME)
+    }
+
+    /// Returns until when an endpoint is kept whose entry vanishes now, or `None` if it is to be removed at once.
+    fn grace_end(&self) -> Option<Instant> {
+        let now = Instant::now();
+        self.grace_until.filter(|until| now < *until).map(|until| until.min(now + GRACE_TIME))
+    }
+
+    fn log_list(&self, page: &ListPage<EntryChange>, asked_at: Instant) {
+        let millis = |duration: Duration| u64::try_from(duration.as_millis()).ok();
+        info!(self.gateway.log(), "registry read"; "entries" => page.entries.len(), "version" => %page.version,
+            "took_ms" => millis(asked_at.elapsed()),
+            "list_age_ms" => self.gateway.list_freshness().age(asked_at).and_then(millis));
     }
 }
 
-fn remove_expired<P: Platform>(gateway: &Gateway<P>) {
-    let removed = gateway.endpoints().borrow_mut().remove_missing(Instant::now());
-    for id in removed {
-        info!(gateway.log(), "endpoint removed: its entry did not come back"; "endpoint" => %id);
-        gateway.confirm_crashes(&id);
+/// Returns the endpoint that a change concerns, if its entry names one.
+fn changed_endpoint(change: &EntryChange) -> Option<EndpointId> {
+    match change {
+        EntryChange::Written(record) => Some(record.id.clone()),
+        EntryChange::Unreadable { endpoint, .. } => endpoint.clone(),
+        EntryChange::Removed(id) => Some(id.clone()),
     }
 }
+
+/// Returns the last change of each endpoint.
+fn newest_changes(changes: Vec<EntryChange>) -> Vec<EntryChange> {
+    let mut seen = HashSet::new();
+    let mut newest: Vec<_> = changes
+        .into_iter()
+        .rev()
+        .filter(|change| changed_endpoint(change).is_none_or(|id| seen.insert(id)))
+        .collect();
+    newest.reverse();
+    newest
+}
--- a/crates/bramleywind_gateway/src/endpoints/endpoint.rs
+++ b/crates/bramleywind_gateway/src/endpoints/endpoint.rs
@@ -28,6 +28,8 @@
     is_removed: Cell<bool>,
     /// When the endpoint last sent something.
     active_at: Cell<Option<Instant>>,
+    /// When the endpoint got the latest request that it answered without saying that it is shutting down.
+    answered_at: Cell<Option<Instant>>,
     /// Whether the endpoint has said in an answer that it is shutting down.
     has_announced_leaving: Cell<bool>,
     /// Until when the endpoint wants no request from this process.
@@ -53,6 +55,7 @@
             pool: RefCell::default(),
             is_removed: Cell::new(false),
             active_at: Cell::new(None),
+            answered_at: Cell::new(None),
             has_announced_leaving: Cell::new(false),
             paused_until: Cell::new(None),
             rate_limit: RefCell::default(),
@@ -89,6 +92,16 @@
         self.active_at.set(Some(now));
     }
 
+    /// Records that the endpoint answered a request that was sent to it at `sent_at`, and did not say that it is shutting down.
+    pub fn record_open_answer(&self, sent_at: Instant) {
+        self.answered_at.set(self.answered_at.get().max(Some(sent_at)));
+    }
+
+    /// When the endpoint got the latest request that it answered without saying that it is shutting down.
+    pub fn answered_at(&self) -> Option<Instant> {
+        self.answered_at.get()
+    }
+
     /// Returns whether the endpoint has sent nothing since `since`.
     pub fn is_silent_since(&self, since: Instant) -> bool {
         self.active_at.get().is_none_or(|at| at <= since)
--- a/crates/bramleywind_gateway/src/endpoints/endpoint_set.rs
+++ b/crates/bramleywind_gateway/src/endpoints/endpoint_set.rs
@@ -26,6 +26,8 @@
     endpoints: BTreeMap<EndpointId, Rc<Endpoint>>,
     /// Endpoints whose entries disappeared while the store was unavailable, with the time until which they stay in use.
     missing: BTreeMap<EndpointId, Instant>,
+    /// The number of changes of the registry entries so far.
+    generation: u64,
 }
 
 impl EndpointSet {
@@ -38,6 +40,9 @@
         };
         let (is_same_start, was_leaving) = {
             let old = known.record();
+            if *old == record {
+                return EntryEffect::Unchanged;
+            }
             let is_same_start = old.started_at_ms == record.started_at_ms
                 && old.address == record.address
                 && old.service == record.service;
@@ -49,11 +54,13 @@
         }
         let is_leaving = record.is_leaving;
         known.update(record);
+        self.generation += 1;
         if is_leaving && !was_leaving { EntryEffect::Leaving } else { EntryEffect::Unchanged }
     }
 
     fn add(&mut self, record: EndpointRecord) -> EntryEffect {
         let id = record.id.clone();
+        self.generation += 1;
         self.endpoints.insert(id, Rc::new(Endpoint::new(record)));
         EntryEffect::Added
     }
@@ -64,6 +71,7 @@
         let removed = self.endpoints.remove(id);
         if let Some(endpoint) = &removed {
             endpoint.mark_removed();
+            self.generation += 1;
         }
         removed.is_some()
     }
@@ -116,6 +124,11 @@
         self.iter().filter(is_other).map(|endpoint| endpoint.record().id.clone()).collect()
     }
 
+    /// Returns a number that changes with each change of the registry entries.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// Returns the endpoint with a name.
     pub fn get(&self, id: &EndpointId) -> Option<&Rc<Endpoint>> {
         self.endpoints.get(id)
--- a/crates/bramleywind_gateway/src/forward/call_failure.rs
+++ b/crates/bramleywind_gateway/src/forward/call_failure.rs
@@ -7,6 +7,8 @@
 pub enum FailureKind {
     /// The request was not sent.
     NotSent,
+    /// The request was not sent, since the endpoint left, or may have left, after it was chosen.
+    Left,
     /// The endpoint declined the request and stated that it did not run.
     Declined,
     /// Another instance answered at the endpoint's address and stated that the request did not run.
@@ -22,7 +24,7 @@
 impl FailureKind {
     /// Returns whether the request is known not to have run.
     pub fn is_not_run(self) -> bool {
-        matches!(self, Self::NotSent | Self::Declined | Self::Replaced)
+        matches!(self, Self::NotSent | Self::Left | Self::Declined | Self::Replaced)
     }
 }
 
--- a/crates/bramleywind_gateway/src/forward/exchange.rs
+++ b/crates/bramleywind_gateway/src/forward/exchange.rs
@@ -56,8 +56,13 @@
             Some(connection) => connection,
             None => connect(endpoint, call_deadline).await?,
         };
-        let request = build_request::<P::Wire>(context, endpoint, resume_after);
         let sent_at = Instant::now();
+        // The wait for a connection, a permit or funds may have taken a while.
+        if !gateway.may_send_to(endpoint, sent_at) {
+            let reason = "the endpoint left, or may have left, before the request was sent";
+            return Err(CallFailure::new(FailureKind::Left, reason));
+        }
+        let request = build_request::<P::Wire>(context, endpoint, resume_after);
         trace.record_sending(gateway.list_freshness().age(sent_at));
         let left = call_deadline.saturating_duration_since(sent_at);
         let response = match timeout(left, connection.send(request)).await {
@@ -92,6 +97,12 @@
         if head.status != StatusCode::MISDIRECTED_REQUEST {
             gateway.observe_rate(endpoint, answer.rate, sent_at);
         }
+        if head.status != StatusCode::MISDIRECTED_REQUEST
+            && !answer.is_leaving
+            && !answer.is_closing
+        {
+            endpoint.record_open_answer(sent_at);
+        }
         if answer.is_declined {
             let reason = format!("declined with {}", head.status);
             let kind = match head.status {
--- a/crates/bramleywind_gateway/src/forward/refusal.rs
+++ b/crates/bramleywind_gateway/src/forward/refusal.rs
@@ -39,6 +39,8 @@
     NotPlaced,
     /// All endpoints of the service limit their requests, and take no more for now.
     EndpointsLimited,
+    /// The list of endpoints is too old: those that it contains may have left.
+    ListOutdated,
     /// This gateway is shutting down.
     Stopping,
     /// An endpoint may have run the request but returned no usable response.
@@ -66,6 +68,7 @@
             Self::NoEndpoint => "no endpoint",
             Self::NotPlaced => "not placed",
             Self::EndpointsLimited => "endpoints limit their requests",
+            Self::ListOutdated => "list of endpoints outdated",
             Self::Stopping => "stopping",
             Self::MayHaveRun => "may have run",
             Self::TimedOut => "timed out",
@@ -90,6 +93,7 @@
             | Self::NoEndpoint
             | Self::NotPlaced
             | Self::EndpointsLimited
+            | Self::ListOutdated
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::MayHaveRun => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/bramleywind_gateway/src/forward/request_forwarder.rs
+++ b/crates/bramleywind_gateway/src/forward/request_forwarder.rs
@@ -28,6 +28,7 @@
     gateway::Gateway,
     platform_api::{EventId, Platform, WireCodec},
     rate_limits::ServiceClosure,
+    registry::ListGate,
 };
 
 /// Maximum size of a buffered response of a plain service, in bytes. Responses are buffered until they are complete, so
@@ -141,7 +142,10 @@
         }
         let refusal = match crash_refusal(&gateway, &context) {
             Some(refusal) if self.counts.runs == 0 => refusal,
-            _ => self.refusal(last_failure, gateway.service_closure(&context)),
+            _ => {
+                let is_list_old = gateway.list_gate(Instant::now()) != ListGate::Open;
+                self.refusal(last_failure, gateway.service_closure(&context), is_list_old)
+            }
         };
         trace.refuse::<P::Wire>(refusal)
     }
@@ -326,16 +330,19 @@
     }
 
     /// Returns the refusal for a request that got no response: `last_failure` is that of its last call, if there was
-    /// one. `closure` tells when its caller may return if it did not run.
+    /// one. `closure` tells when its caller may return if it did not run, `is_list_old` whether the list of endpoints is too old to
+    /// place requests.
     fn refusal(
         &self,
         last_failure: Option<FailureKind>,
         closure: Option<ServiceClosure>,
+        is_list_old: bool,
     ) -> Refusal {
         let delay = closure.map_or(Duration::ZERO, |closure| closure.return_delay);
         let delay = delay.max(NO_CAPACITY_RETRY_DELAY);
         let is_limited = closure.is_some_and(|closure| closure.is_limited);
         match last_failure {
+            None if is_list_old => Refusal::after(RefusalReason::ListOutdated, delay),
             None if is_limited => Refusal::after(RefusalReason::EndpointsLimited, delay),
             None => Refusal::after(RefusalReason::NoEndpoint, delay),
             Some(_) if self.counts.runs == 0 => Refusal::after(RefusalReason::NotPlaced, delay),
@@ -421,7 +428,7 @@
 fn update_health(endpoint: &Endpoint, kind: FailureKind, now: Instant) {
     let mut health = endpoint.health().borrow_mut();
     match kind {
-        FailureKind::Declined => {}
+        FailureKind::Declined | FailureKind::Left => {}
         FailureKind::Replaced => health.record_replaced(now),
         FailureKind::NotSent
         | FailureKind::ConnectionLost
--- a/crates/bramleywind_gateway/src/forward/retry_decision.rs
+++ b/crates/bramleywind_gateway/src/forward/retry_decision.rs
@@ -41,7 +41,7 @@
             return Self::Never;
         }
         match failure {
-            FailureKind::NotSent => Self::Free,
+            FailureKind::NotSent | FailureKind::Left => Self::Free,
             FailureKind::Declined | FailureKind::Replaced => Self::Budgeted,
             FailureKind::ConnectionLost | FailureKind::MayHaveRun | FailureKind::TimedOut => {
                 if kind.is_repeatable() && counts.runs < run_limit {
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -1,4 +1,5 @@
 mod crash_handling;
+mod list_handling;
 mod part_handling;
 mod rate_handling;
 
@@ -13,7 +14,9 @@
 use async_channel::{Receiver, Sender};
 use bramleywind_http::TrafficTotals;
 use bramleywind_routing::RetryBudget;
+use bramleywind_store::StoreVersion;
 use bramleywind_types::{EndpointId, IncarnationId, ServiceId};
+use futures_channel::oneshot;
 use slog::{Logger, info};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -30,6 +33,7 @@
     placement::{Candidate, LatencyPlacement, PlacementPolicy, PlacementRequest},
     platform_api::Platform,
     rate_limits::{RateOutbox, ReturnSchedule},
+    registry::ListDigest,
     settings::GatewaySettings,
 };
 
@@ -55,6 +59,11 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     endpoints: RefCell<EndpointSet>,
     list_freshness: ListFreshness,
+    list_version: Cell<Option<StoreVersion>>,
+    /// The digest of the list of endpoints, with the generation that it belongs to.
+    list_digest: RefCell<Option<(u64, ListDigest)>>,
+    /// Wakes the queries of other gateways that wait for news of the list.
+    list_waiters: RefCell<Vec<oneshot::Sender<()>>>,
     funds: FundsManager,
     members: RefCell<MemberRegistry>,
     retry_budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
@@ -104,6 +113,9 @@
             table: RefCell::default(),
             endpoints: RefCell::default(),
             list_freshness: ListFreshness::default(),
+            list_version: Cell::new(None),
+            list_digest: RefCell::new(None),
+            list_waiters: RefCell::default(),
             funds: FundsManager::new(incarnation),
             members: RefCell::new(MemberRegistry::new(own)),
             retry_budgets: RefCell::default(),
@@ -321,10 +333,12 @@
         // All parts of a prompt but the last are shared between requests.
         let shared = prefixes.split_last().and_then(|(_, shared)| shared.last());
         let prefix = shared.map_or(0, |shared| shared.hash);
+        let gate = self.list_gate(now);
         let is_usable = |endpoint: &&Rc<Endpoint>| {
             !tried.contains(&endpoint.record().id)
                 && endpoint.in_flight() < context.endpoint_limit
                 && endpoint.opens_at(context.rank, now).is_none()
+                && gate.admits(endpoint.answered_at())
         };
         let endpoints: Vec<_> =
             known_endpoints.open_endpoints(&context.service).filter(is_usable).collect();
--- /dev/null
+++ b/crates/bramleywind_gateway/src/gateway/list_handling.rs
@@ -0,0 +1,271 @@
+//! How the gateway updates its list of endpoints, from the store or from another gateway, and answers other gateways about it.
+
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
+
+use bramleywind_http::TrafficTotals;
+use bramleywind_store::StoreVersion;
+use bramleywind_types::EndpointId;
+use compio::time::timeout;
+use futures_channel::oneshot;
+use slog::{info, warn};
+
+use super::Gateway;
+use crate::{
+    admission::MAX_ACCEPT_DELAY,
+    endpoints::{Endpoint, EntryEffect},
+    platform_api::{EntryChange, FleetStore, Platform},
+    registry::{ListAnswer, ListDigest, ListGate, ListGateInput, ListPart, ListQuery, part_of},
+};
+
+/// The longest time for which an answer about the list of endpoints is delayed.
+const MAX_QUERY_WAIT: Duration = Duration::from_secs(1);
+
+impl<P: Platform> Gateway<P> {
+    /// Returns which endpoints may get requests now, by the age of the list.
+    pub fn list_gate(&self, now: Instant) -> ListGate {
+        let Some(complete_until) = self.list_freshness.complete_until() else {
+            return ListGate::Open;
+        };
+        let max_age = self.settings.max_list_age;
+        if now <= complete_until + max_age {
+            return ListGate::Open;
+        }
+        let delays = self.admission.record_traffic(TrafficTotals::current(), now);
+        let input = ListGateInput {
+            complete_until,
+            store_answered_at: self.store.answered_at(),
+            is_link_saturated: delays.longest() > MAX_ACCEPT_DELAY,
+            max_age,
+        };
+        ListGate::decide(&input, now)
+    }
+
+    /// Returns whether an endpoint may get a request that was placed on it before.
+    pub fn may_send_to(&self, endpoint: &Endpoint, now: Instant) -> bool {
+        endpoint.is_open() && self.list_gate(now).admits(endpoint.answered_at())
+    }
+
+    /// The version of the registry that the list of endpoints has.
+    pub fn list_version(&self) -> Option<StoreVersion> {
+        self.list_version.get()
+    }
+
+    /// Sets the version of the registry that the list of endpoints has; `None` if the store no longer has its changes.
+    pub fn set_list_version(&self, version: Option<StoreVersion>) {
+        self.list_version.set(version);
+    }
+
+    /// Returns the question to another gateway how its list of endpoints differs from this one's.
+    pub fn list_query(&self, wait: Duration) -> ListQuery {
+        ListQuery {
+            version: self.list_version.get().unwrap_or(StoreVersion::MISSING),
+            digest: self.list_digest(),
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// Answers another gateway's question about the list of endpoints: once the lists differ, this one is confirmed again, or the
+    /// query's time is over.
+    pub async fn answer_list_query(&self, query: &ListQuery) -> ListAnswer {
+        let asked_at = Instant::now();
+        let confirmed_before = self.list_freshness.complete_until();
+        let answer_at = asked_at + MAX_QUERY_WAIT.min(Duration::from_millis(query.wait_ms));
+        loop {
+            let now = Instant::now();
+            let version = self.list_version.get().unwrap_or(StoreVersion::MISSING);
+            // A list that is older than the asking gateway's has no news for it.
+            let parts = if version >= query.version {
+                self.differing_parts(&query.digest)
+            } else {
+                Vec::new()
+            };
+            let is_confirmed = self.list_freshness.complete_until() > confirmed_before;
+            if parts.is_empty() && !is_confirmed && now < answer_at {
+                // A timeout ends the wait, too.
+                let _ = timeout(answer_at - now, self.wait_for_list_news()).await;
+                continue;
+            }
+            let millis =
+                |duration: Duration| u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+            return ListAnswer {
+                version,
+                age_ms: self.list_freshness.age(now).map(millis),
+                waited_ms: millis(now.saturating_duration_since(asked_at)),
+                parts,
+            };
+        }
+    }
+
+    /// Applies another gateway's answer to a query of `asked_at`. Returns `false` if that gateway knows less than this one.
+    pub fn apply_list_answer(&self, answer: ListAnswer, asked_at: Instant) -> bool {
+        let own = self.list_version.get().unwrap_or(StoreVersion::MISSING);
+        let Some(age_ms) = answer.age_ms else { return false };
+        if answer.version < own {
+            return false;
+        }
+        for part in answer.parts {
+            self.apply_part(part);
+        }
+        self.list_version.set(Some(answer.version));
+        // The answer was made no earlier than this.
+        let answered_at = asked_at
+            + Duration::from_millis(answer.waited_ms.min(MAX_QUERY_WAIT.as_millis() as u64));
+        let complete_until = answered_at.checked_sub(Duration::from_millis(age_ms));
+        if let Some(complete_until) = complete_until {
+            self.list_freshness.confirm(complete_until.min(Instant::now()));
+        }
+        self.announce_list();
+        true
+    }
+
+    /// Applies the complete list of the registry's entries. Endpoints without an entry are removed, or kept until `grace_until`.
+    pub fn apply_list(
+        &self,
+        entries: Vec<EntryChange>,
+        grace_until: Option<Instant>,
+        unreadable: &mut HashSet<Option<EndpointId>>,
+    ) {
+        let mut listed = HashSet::new();
+        for entry in entries {
+            match &entry {
+                EntryChange::Written(record) => {
+                    listed.insert(record.id.clone());
+                }
+                // An invalid entry does not remove the endpoint that it may belong to.
+                EntryChange::Unreadable { endpoint: Some(id), .. } => {
+                    listed.insert(id.clone());
+                }
+                EntryChange::Unreadable { endpoint: None, .. } | EntryChange::Removed(_) => {}
+            }
+            self.apply_change(entry, grace_until, unreadable);
+        }
+        let missing = self.endpoints.borrow().missing_from(&listed);
+        for id in missing {
+            self.apply_change(EntryChange::Removed(id), grace_until, unreadable);
+        }
+    }
+
+    /// Applies a change of the registry. An endpoint whose entry was removed is kept until `grace_until`, if that is given.
+    pub fn apply_change(
+        &self,
+        change: EntryChange,
+        grace_until: Option<Instant>,
+        unreadable: &mut HashSet<Option<EndpointId>>,
+    ) {
+        let mut endpoints = self.endpoints.borrow_mut();
+        let mut ended = Vec::new();
+        match change {
+            EntryChange::Written(record) => {
+                let (id, address) = (record.id.clone(), record.address);
+                let (service, is_leaving) = (record.service.clone(), record.is_leaving);
+                let effect = endpoints.insert(record);
+                if effect == EntryEffect::Added {
+                    // An earlier start under the same name has ended too.
+                    ended.push(id.clone());
+                    ended.extend(endpoints.others_at(address, &id));
+                }
+                if effect != EntryEffect::Unchanged {
+                    info!(self.log, "endpoint changed"; "endpoint" => %id, "service" => %service,
+                        "address" => %address, "is_leaving" => is_leaving, "effect" => ?effect);
+                }
+            }
+            EntryChange::Unreadable { endpoint, reason } => {
+                if unreadable.insert(endpoint.clone()) {
+                    let endpoint = endpoint.map(|id| id.to_string());
+                    warn!(self.log, "registry entry unreadable; it is ignored"; "endpoint" => endpoint,
+                        "reason" => &*reason);
+                }
+            }
+            EntryChange::Removed(id) => match grace_until {
+                Some(until) => endpoints.mark_missing(&id, until),
+                None => {
+                    if endpoints.remove(&id) {
+                        info!(self.log, "endpoint removed"; "endpoint" => %id);
+                        ended.push(id);
+                    }
+                }
+            },
+        }
+        drop(endpoints);
+        for id in ended {
+            self.confirm_crashes(&id);
+        }
+    }
+
+    /// Removes the endpoints whose entries did not come back in time after an outage of the store.
+    pub fn remove_expired_endpoints(&self) {
+        let removed = self.endpoints.borrow_mut().remove_missing(Instant::now());
+        for id in removed {
+            info!(self.log, "endpoint removed: its entry did not come back"; "endpoint" => %id);
+            self.confirm_crashes(&id);
+        }
+    }
+
+    /// Lets the queries of other gateways be answered that wait for news of the list, and updates the metrics.
+    pub fn announce_list(&self) {
+        let endpoints = self.endpoints.borrow();
+        let open = endpoints.iter().filter(|endpoint| endpoint.is_open()).count();
+        self.metrics.open_endpoints.set(i64::try_from(open).unwrap_or(i64::MAX));
+        drop(endpoints);
+        for waiter in self.list_waiters.take() {
+            // A query that has ended meanwhile waits no longer.
+            let _ = waiter.send(());
+        }
+    }
+
+    /// Waits until the list of endpoints has changed or was confirmed.
+    async fn wait_for_list_news(&self) {
+        let (sender, receiver) = oneshot::channel();
+        {
+            let mut waiters = self.list_waiters.borrow_mut();
+            waiters.retain(|waiter| !waiter.is_canceled());
+            waiters.push(sender);
+        }
+        // The sender is dropped only with the gateway.
+        let _ = receiver.await;
+    }
+
+    fn apply_part(&self, part: ListPart) {
+        let listed: HashSet<_> = part.records.iter().map(|record| record.id.clone()).collect();
+        let known = self.endpoints.borrow().missing_from(&listed);
+        let missing = known.into_iter().filter(|id| part_of(id) == part.number);
+        let mut unreadable = HashSet::new();
+        let written = part.records.into_iter().map(EntryChange::Written);
+        for change in written.chain(missing.map(EntryChange::Removed)) {
+            self.apply_change(change, None, &mut unreadable);
+        }
+    }
+
+    fn differing_parts(&self, other: &ListDigest) -> Vec<ListPart> {
+        let own = self.list_digest();
+        let endpoints = self.endpoints.borrow();
+        let part = |number| ListPart {
+            number,
+            records: endpoints
+                .iter()
+                .map(|endpoint| endpoint.record().clone())
+                .filter(|record| part_of(&record.id) == number)
+                .collect(),
+        };
+        own.differing_parts(other).map(part).collect()
+    }
+
+    fn list_digest(&self) -> ListDigest {
+        let endpoints = self.endpoints.borrow();
+        let generation = endpoints.generation();
+        let mut cached = self.list_digest.borrow_mut();
+        match &*cached {
+            Some((cached_generation, digest)) if *cached_generation == generation => digest.clone(),
+            _ => {
+                let records: Vec<_> =
+                    endpoints.iter().map(|endpoint| endpoint.record().clone()).collect();
+                let digest = ListDigest::of(records.iter());
+                *cached = Some((generation, digest.clone()));
+                digest
+            }
+        }
+    }
+}
--- a/crates/bramleywind_gateway/src/lib.rs
+++ b/crates/bramleywind_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod placement;
 pub mod platform_api;
 pub mod rate_limits;
+pub mod registry;
 pub mod settings;
 mod state_dump;
 
--- a/crates/bramleywind_gateway/src/loans/loan_client.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_client.rs
@@ -16,7 +16,7 @@
     LoanAnswer, LoanRequest, TokenGift,
     loan_messages::EarlierLoanAnswer,
     loan_server::{
-        CLOCK_PATH, CRASH_PATH, GIFT_PATH, LOAN_PATH, PART_PATH, PERMIT_PATH, RATE_PATH,
+        CLOCK_PATH, CRASH_PATH, GIFT_PATH, LIST_PATH, LOAN_PATH, PART_PATH, PERMIT_PATH, RATE_PATH,
     },
     message_codec::{decode_either, decode_message, encode_message},
 };
@@ -24,12 +24,16 @@
     crashes::{CrashNotice, NoticeReply, PartNotice, PartReply},
     endpoints::{ConnectionPool, PooledConnection},
     rate_limits::{PermitReply, PermitRequest, RateNotice},
+    registry::{ListAnswer, ListQuery},
 };
 
 /// The timeout of a call to another gateway. Gateways of a region are milliseconds apart; a lender may wait for the store
 /// for [`LEND_PATIENCE`](crate::funds::LEND_PATIENCE).
 const CALL_TIMEOUT: Duration = Duration::from_millis(120);
 
+/// How long an answer about the list of endpoints may be on its way. It may hold the whole list, and have to pass a link that is full.
+const LIST_ANSWER_TIME: Duration = Duration::from_millis(600);
+
 /// How long a gateway that did not answer is asked after the others. A gateway that ended leaves the member list a few
 /// seconds later.
 const AVOIDANCE_TIME: Duration = Duration::from_secs(2);
@@ -154,6 +158,24 @@
         reply
     }
 
+    /// Asks a gateway how its list of endpoints differs from this one's.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the gateway did not answer within the query's time and [`LIST_ANSWER_TIME`].
+    pub async fn query_list(
+        &self,
+        peer: SocketAddr,
+        query: &ListQuery,
+    ) -> Result<ListAnswer, Box<str>> {
+        let time_limit = Duration::from_millis(query.wait_ms) + LIST_ANSWER_TIME;
+        match timeout(time_limit, self.call(peer, LIST_PATH, query)).await {
+            Ok(Ok(body)) => decode_message(&body).map_err(|error| error.to_string().into()),
+            Ok(Err(error)) => Err(error.reason),
+            Err(_) => Err("the gateway did not answer in time".into()),
+        }
+    }
+
     async fn send_notice<R: DeserializeOwned>(
         &self,
         peer: SocketAddr,
--- a/crates/bramleywind_gateway/src/loans/loan_server.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_server.rs
@@ -40,8 +40,12 @@
 /// The path of requests for permits to send a request to an endpoint that limits its requests.
 pub(super) const PERMIT_PATH: &str = "/permits";
 
+/// The path of queries about the list of endpoints.
+pub(super) const LIST_PATH: &str = "/endpoints";
+
 /// The paths that a stopping gateway still answers. Tokens that change hands then could be lost when the process ends.
-const PATHS_WHILE_STOPPING: [&str; 5] = [CLOCK_PATH, CRASH_PATH, PART_PATH, RATE_PATH, PERMIT_PATH];
+const PATHS_WHILE_STOPPING: [&str; 6] =
+    [CLOCK_PATH, CRASH_PATH, PART_PATH, RATE_PATH, PERMIT_PATH, LIST_PATH];
 
 /// The maximum size of a message: a gift with tokens of 4,000 budgets.
 const MAX_MESSAGE_BYTES: usize = 256 * 1024;
@@ -81,6 +85,10 @@
             Ok(permit) => encode_response(&gateway.answer_permit(&permit)),
             Err(error) => Err(error),
         },
+        LIST_PATH => match read_message(request).await {
+            Ok(query) => encode_response(&gateway.answer_list_query(&query).await),
+            Err(error) => Err(error),
+        },
         _ => return empty_response(StatusCode::NOT_FOUND),
     };
     response.unwrap_or_else(|error| {
--- a/crates/bramleywind_gateway/src/members.rs
+++ b/crates/bramleywind_gateway/src/members.rs
@@ -11,6 +11,7 @@
 mod permit_issuers;
 mod presence_record;
 mod processor_capacity;
+mod registry_readers;
 mod serving_set;
 
 pub use clocks::{boot_millis, unix_millis};
@@ -21,3 +22,4 @@
 pub use permit_issuers::PermitIssuers;
 pub use presence_record::PresenceRecord;
 pub use processor_capacity::ProcessorCapacity;
+pub use registry_readers::RegistryReaders;
--- a/crates/bramleywind_gateway/src/members/member_registry.rs
+++ b/crates/bramleywind_gateway/src/members/member_registry.rs
@@ -1,15 +1,17 @@
 use std::{
-    collections::BTreeSet,
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use bramleywind_types::{EndpointId, InstanceId, WorkspaceId};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::{
-    MemberRecord, PermitIssuers, issuer_candidate::IssuerCandidate, issuer_order::IssuerOrder,
-    issuer_tracker::IssuerTracker, lender_order::lender_score, serving_set::serving_set,
+    MemberRecord, PermitIssuers, RegistryReaders, issuer_candidate::IssuerCandidate,
+    issuer_order::IssuerOrder, issuer_tracker::IssuerTracker, lender_order::lender_score,
+    serving_set::serving_set,
 };
 
 /// How long the known members are kept after most of them vanish at once. Leases expire together in an outage of the
@@ -25,6 +27,12 @@
 /// The number of gateways that count the crashes of one request in a larger fleet.
 const CRASH_COUNTERS: usize = 2;
 
+/// The largest fleet in which each gateway reads the registry from the store itself.
+const MAX_FLEET_OF_READERS: usize = 12;
+
+/// The number of gateways in each data centre that read the registry for the others, so that the loss of one leaves another.
+const READERS_IN_DATA_CENTRE: usize = 2;
+
 /// The gateways that callers may connect to.
 #[derive(Debug)]
 pub struct MemberRegistry {
@@ -112,6 +120,37 @@
         self.issuer_tracker.permit_issuers(endpoint, now)
     }
 
+    /// Returns the gateways that read the registry of endpoints for the others: in a large fleet the largest ones of each data centre.
+    /// Those of the own data centre come first, and the gateways that ask are spread over them.
+    pub fn registry_readers(&self) -> RegistryReaders {
+        let is_small = self.count() <= MAX_FLEET_OF_READERS;
+        let own_centre = &self.own.data_centre;
+        let own = &self.own;
+        let readers: Vec<_> = if is_small {
+            self.others.iter().collect()
+        } else {
+            let members = self.others.iter().chain((!self.is_own_leaving).then_some(own));
+            first_of_each_centre(members.filter(|member| self.serving.contains(&member.instance)))
+        };
+        let is_own_named = readers.iter().any(|reader| reader.instance == own.instance);
+        let seed = xxh3_64(own.instance.as_str().as_bytes());
+        let mut others: Vec<_> = readers
+            .into_iter()
+            .filter(|reader| reader.instance != own.instance)
+            .map(|reader| {
+                let is_remote = reader.data_centre != *own_centre;
+                let spread = xxh3_64_with_seed(reader.instance.as_str().as_bytes(), seed);
+                ((is_remote, spread), reader.peer_address)
+            })
+            .collect();
+        others.sort_unstable();
+        RegistryReaders {
+            // A process that is not listed yet knows too little of the others.
+            is_own: is_small || is_own_named || !self.is_joined,
+            others: others.into_iter().map(|(_, address)| address).collect(),
+        }
+    }
+
     /// Returns the other gateways.
     pub fn others(&self) -> &[MemberRecord] {
         &self.others
@@ -178,3 +217,20 @@
         members.map(|member| member.caller_address).take(MAX_ENTRIES).collect()
     }
 }
+
+/// Returns the largest members of each data centre.
+fn first_of_each_centre<'a>(
+    members: impl Iterator<Item = &'a MemberRecord>,
+) -> Vec<&'a MemberRecord> {
+    let mut ranked: Vec<_> = members.collect();
+    ranked.sort_unstable_by_key(|member| {
+        (Reverse(member.capacity), xxh3_64(member.instance.as_str().as_bytes()))
+    });
+    let mut counts = BTreeMap::new();
+    ranked.retain(|member| {
+        let count = counts.entry(&member.data_centre).or_insert(0);
+        *count += 1;
+        *count <= READERS_IN_DATA_CENTRE
+    });
+    ranked
+}
--- a/crates/bramleywind_gateway/src/metrics/gateway_metrics.rs
+++ b/crates/bramleywind_gateway/src/metrics/gateway_metrics.rs
@@ -143,6 +143,7 @@
     pub fn record_call_failure(&self, kind: FailureKind) {
         let kind = match kind {
             FailureKind::NotSent => "not sent",
+            FailureKind::Left => "left",
             FailureKind::Declined => "declined",
             FailureKind::Replaced => "replaced",
             FailureKind::ConnectionLost => "connection lost",
--- a/crates/bramleywind_gateway/src/platform_api/fleet_store.rs
+++ b/crates/bramleywind_gateway/src/platform_api/fleet_store.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bramleywind_store::{StoreVersion, UnavailableReason};
 use bramleywind_types::InstanceId;
@@ -24,6 +24,9 @@
     /// The number of bytes of the store's answers that this process has received so far.
     fn received_bytes(&self) -> u64;
 
+    /// When the store last answered a call that it does not answer from an old copy.
+    fn answered_at(&self) -> Option<Instant>;
+
     /// Reads the operators' configuration and its version.
     async fn read_config(&self) -> Result<(LoadedConfig, StoreVersion), UnavailableReason>;
 
--- /dev/null
+++ b/crates/bramleywind_gateway/src/registry/list_messages.rs
@@ -0,0 +1,38 @@
+use bramleywind_macros::domain_type;
+use bramleywind_store::StoreVersion;
+
+use super::ListDigest;
+use crate::endpoints::EndpointRecord;
+
+/// A gateway's question to another one how its list of endpoints differs.
+#[domain_type]
+pub struct ListQuery {
+    /// The version of the registry that the asking gateway knows; [`StoreVersion::MISSING`] if it knows none.
+    pub version: StoreVersion,
+    /// The digests of its list.
+    pub digest: ListDigest,
+    /// How long the answer may be delayed while the lists do not differ, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// The answer to a [`ListQuery`].
+#[domain_type]
+pub struct ListAnswer {
+    /// The version of the registry that the answering gateway knows.
+    pub version: StoreVersion,
+    /// The age of its list when the answer was made, in milliseconds; `None` if it has read no list.
+    pub age_ms: Option<u64>,
+    /// How long after the query the answer was made, in milliseconds.
+    pub waited_ms: u64,
+    /// The parts of its list that differ, each with all its records.
+    pub parts: Vec<ListPart>,
+}
+
+/// A part of the list of endpoints.
+#[domain_type]
+pub struct ListPart {
+    /// The number of the part.
+    pub number: usize,
+    /// All records of the part.
+    pub records: Vec<EndpointRecord>,
+}
--- a/crates/bramleywind_gateway/src/settings/gateway_settings.rs
+++ b/crates/bramleywind_gateway/src/settings/gateway_settings.rs
@@ -8,8 +8,8 @@
     GatewaySettingsError, ListenAddresses, RetryLimits, StopTimes,
     raw_gateway_options::{RawGatewayOptions, RawInstanceLimits, RawProcessor},
     settings_error::{
-        InstanceLimitsSnafu, ProcessorSnafu, RetryShareSnafu, SameAddressSnafu, StopGraceSnafu,
-        UnreadableSnafu,
+        InstanceLimitsSnafu, LeavingBoundSnafu, ProcessorSnafu, RetryShareSnafu, SameAddressSnafu,
+        StopGraceSnafu, UnreadableSnafu,
     },
 };
 
@@ -22,6 +22,9 @@
 /// Part of the grace time reserved for returning grants after the last request, which takes a few store calls.
 const GRANT_RETURN_MARGIN: Duration = Duration::from_millis(700);
 
+/// The time that a request takes at most from the check of its endpoint until it reaches it.
+const SEND_MARGIN: Duration = Duration::from_millis(300);
+
 /// Maximum grace time in seconds. A larger value is most likely in another unit.
 const MAX_GRACE_SECONDS: f64 = 3600.0;
 
@@ -42,6 +45,8 @@
     pub capacity: ProcessorCapacity,
     /// What the instance has for its requests.
     pub limits: InstanceLimits,
+    /// The age of the list of endpoints up to which all its endpoints get requests.
+    pub max_list_age: Duration,
     /// The timing of a planned stop.
     pub stop: StopTimes,
     /// The least severe level that is logged.
@@ -106,6 +111,8 @@
             ensure!(!is_repeated, SameAddressSnafu { address: *address });
         }
         let grace = Duration::from_secs_f64(grace);
+        let bound = Duration::from_millis(raw.leaving_bound_milliseconds);
+        ensure!(bound > SEND_MARGIN, LeavingBoundSnafu { value: raw.leaving_bound_milliseconds });
         Ok(Self {
             instance: raw.instance,
             data_centre: raw.data_centre,
@@ -114,6 +121,7 @@
             retries,
             capacity,
             limits,
+            max_list_age: bound.saturating_sub(SEND_MARGIN),
             stop: StopTimes {
                 refuse_after: grace.mul_f64(REFUSE_FRACTION),
                 end_after: grace.saturating_sub(GRANT_RETURN_MARGIN),
--- a/crates/bramleywind_gateway/src/settings/raw_gateway_options.rs
+++ b/crates/bramleywind_gateway/src/settings/raw_gateway_options.rs
@@ -19,6 +19,8 @@
     pub store_address: SocketAddr,
     pub stop_grace_seconds: f64,
     pub retries: RawRetryLimits,
+    #[serde(default = "default_leaving_bound")]
+    pub leaving_bound_milliseconds: u64,
     #[serde(default)]
     pub processor: RawProcessor,
     #[serde(default)]
@@ -27,6 +29,11 @@
     pub log_level: LogLevel,
 }
 
+/// Endpoints that say that they leave go on serving for two seconds at least.
+fn default_leaving_bound() -> u64 {
+    2_000
+}
+
 /// The instance's processor before validation: `cores` cores, of which the process gets `share` each.
 #[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/bramleywind_gateway/src/settings/settings_error.rs
+++ b/crates/bramleywind_gateway/src/settings/settings_error.rs
@@ -33,6 +33,12 @@
         /// The value.
         value: f64,
     },
+    /// The bound on requests to leaving endpoints is too short to be kept.
+    #[snafu(display("`leaving_bound_milliseconds` is {value}; give more than 300"))]
+    LeavingBound {
+        /// The value.
+        value: u64,
+    },
     /// The processor capacity is not positive.
     #[snafu(display(
         "`processor` has a share of {share} and {cores} cores; give positive numbers"
--- a/crates/bramleywind_gateway/tests/members.rs
+++ b/crates/bramleywind_gateway/tests/members.rs
@@ -5,8 +5,11 @@
 
 use std::time::{Duration, Instant};
 
-use bramleywind_gateway::members::{FleetClock, MemberRecord, MemberRegistry, ProcessorCapacity};
+use bramleywind_gateway::members::{
+    FleetClock, MemberRecord, MemberRegistry, ProcessorCapacity, RegistryReaders,
+};
 use bramleywind_types::IncarnationId;
+use test_case::test_case;
 
 fn member(number: u16) -> MemberRecord {
     MemberRecord {
@@ -160,3 +163,65 @@
     registry.leave(Instant::now());
     assert!(!registry.is_primary(&workspace));
 }
+
+/// Builds the list of a fleet with instances of unlike capacity in several data centres.
+fn large_fleet(count: u16, data_centres: u16) -> Vec<MemberRecord> {
+    (1..=count)
+        .map(|number| {
+            let cores = [0.09, 0.25, 0.5][usize::from(number % 3)];
+            MemberRecord {
+                data_centre: format!("dc-{}", number % data_centres).parse().unwrap(),
+                capacity: ProcessorCapacity::from_cores(cores),
+                ..member(number)
+            }
+        })
+        .collect()
+}
+
+/// Returns what the gateway of a member of the fleet takes for the readers of the registry.
+fn readers_of(number: u16, fleet: &[MemberRecord]) -> RegistryReaders {
+    let own = fleet.iter().find(|member| member.caller_address.port() == number).unwrap();
+    let mut registry = MemberRegistry::new(own.clone());
+    registry.update(fleet.to_vec(), Instant::now());
+    registry.registry_readers()
+}
+
+/// Calls to the store must not grow with the fleet, and each gateway needs a reader near by and one more.
+#[test_case(78, 3; "medium")]
+#[test_case(295, 5; "large")]
+#[test_case(380, 5; "target size")]
+fn few_gateways_read_the_registry_for_a_large_fleet(count: u16, data_centres: u16) {
+    let fleet = large_fleet(count, data_centres);
+    let all: Vec<_> = (1..=count).map(|number| readers_of(number, &fleet)).collect();
+    let readers = all.iter().filter(|readers| readers.is_own).count();
+    assert_eq!(readers, usize::from(data_centres) * 2);
+    let mut askers = std::collections::BTreeMap::<_, u16>::new();
+    for readers in all.iter().filter(|readers| !readers.is_own) {
+        assert_eq!(readers.others.len(), usize::from(data_centres) * 2);
+        *askers.entry(readers.others[0]).or_default() += 1;
+    }
+    let most = askers.values().max().copied().unwrap();
+    assert!(most <= count / data_centres, "{askers:?}");
+}
+
+/// In a small fleet, or before a process knows the others, nobody reads for it.
+#[test]
+fn small_fleet_and_new_process_read_the_registry_themselves() {
+    let fleet = large_fleet(12, 3);
+    assert!((1..=12).all(|number| readers_of(number, &fleet).is_own));
+    assert_eq!(readers_of(1, &fleet).others.len(), 11);
+    let registry = MemberRegistry::new(member(1));
+    assert!(registry.registry_readers().is_own);
+}
+
+/// A stopping gateway may end at any moment, so others must not be left with it.
+#[test]
+fn leaving_gateway_reads_for_nobody() {
+    let fleet = large_fleet(78, 3);
+    let number = (1..=78).find(|number| readers_of(*number, &fleet).is_own).unwrap();
+    let own = fleet.iter().find(|member| member.caller_address.port() == number).unwrap();
+    let mut registry = MemberRegistry::new(own.clone());
+    registry.update(fleet.clone(), Instant::now());
+    registry.leave(Instant::now());
+    assert!(!registry.registry_readers().others.contains(&own.peer_address));
+}
--- a/crates/bramleywind_gateway/tests/support/budget_store.rs
+++ b/crates/bramleywind_gateway/tests/support/budget_store.rs
@@ -91,6 +91,10 @@
         0
     }
 
+    fn answered_at(&self) -> Option<std::time::Instant> {
+        None
+    }
+
     async fn list_fleet(&self) -> Result<FleetListing, UnavailableReason> {
         Err(UnavailableReason::Outage)
     }
