gateway: relay the member list; end a relay of the configuration as soon as its reader is lost

The list of 295 members, read by each gateway from the store each second, is 55 KB: 26 ms of a link of 20 Mbit/s, and 49 KB/s a node at 380, over the 26 KB/s that a node has for control. Now the readers of the registry answer for it as well, by digests of 32 parts; they read it each 0.5 s, so a relayed list is at most 1.5 s old, below the 2.5 s that issuers of permits allow for. The check before a presence record is written reads that one record instead of all members. A lost reader now ends the relay at once.

--- a/crates/bramleywind_gateway/src/background.rs
+++ b/crates/bramleywind_gateway/src/background.rs
@@ -28,3 +28,9 @@
 /// The duration of one watch. Its end shows that nothing has changed, so it bounds the age of what is known, also if the store no
 /// longer knows the watch.
 const WATCH_TIME: Duration = Duration::from_millis(900);
+
+/// The age up to which what another gateway knows is as good as what the store has.
+const MAX_RELAYED_AGE: Duration = Duration::from_millis(1_500);
+
+/// The number of gateways that are asked in turn for what they have read from the store.
+const MAX_READERS_ASKED: usize = 2;
--- a/crates/bramleywind_gateway/src/background/follow_config.rs
+++ b/crates/bramleywind_gateway/src/background/follow_config.rs
@@ -13,15 +13,18 @@
     platform_api::{FleetStore, LoadedConfig, Platform, StoreChanges},
 };
 
+/// How often to check whether another gateway still keeps the configuration current.
+const RELAY_POLL_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Keeps the configuration in sync with the store.
 pub(crate) async fn follow_config<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut tracker = DependencyTracker::new("configuration", gateway.log());
     let mut version = None;
     loop {
-        if let Some(left) = relayed_time(&gateway) {
+        if is_relayed(&gateway) {
             // Without the other gateway, the configuration is read anew.
             version = None;
-            sleep(left).await;
+            sleep(RELAY_POLL_INTERVAL).await;
             continue;
         }
         match next_version(&gateway, version).await {
@@ -38,10 +41,9 @@
     }
 }
 
-/// Returns for how long another gateway keeps the configuration current.
-fn relayed_time<P: Platform>(gateway: &Gateway<P>) -> Option<Duration> {
-    let until = gateway.config_relayed_until()?;
-    until.checked_duration_since(Instant::now()).filter(|left| !left.is_zero())
+/// Returns whether another gateway keeps the configuration current.
+fn is_relayed<P: Platform>(gateway: &Gateway<P>) -> bool {
+    gateway.config_relayed_until().is_some_and(|until| Instant::now() < until)
 }
 
 /// Reads the configuration, or waits for a newer one. Returns the version to watch from, or `None` if the configuration
--- a/crates/bramleywind_gateway/src/background/follow_endpoints.rs
+++ b/crates/bramleywind_gateway/src/background/follow_endpoints.rs
@@ -11,7 +11,7 @@
 use compio::{runtime::JoinHandle, time::sleep};
 use slog::info;
 
-use super::{DependencyTracker, WATCH_TIME};
+use super::{DependencyTracker, MAX_READERS_ASKED, MAX_RELAYED_AGE, WATCH_TIME};
 use crate::{
     gateway::Gateway,
     platform_api::{EntryChange, FleetStore, ListPage, Platform, StoreChanges},
@@ -26,12 +26,6 @@
 /// The interval between two watches, which batches changes that occur together, such as the start of all endpoints.
 const BATCH_INTERVAL: Duration = Duration::from_millis(250);
 
-/// The age up to which another gateway's list is as good as the registry itself.
-const MAX_RELAYED_AGE: Duration = Duration::from_millis(1_500);
-
-/// The number of other gateways that are asked in turn.
-const MAX_READERS_ASKED: usize = 2;
-
 /// How long endpoints whose entries vanished in an outage of the store are kept after its return. Live endpoints
 /// register again within about two seconds.
 const GRACE_TIME: Duration = Duration::from_millis(1_900);
@@ -98,6 +92,7 @@
                 self.pending_list = None;
                 return;
             }
+            self.gateway.set_config_relayed_until(None);
         }
         match self.follow_store().await {
             Ok(()) => {
@@ -179,7 +174,8 @@
         if let Some(complete_until) = answered_at.checked_sub(Duration::from_millis(age_ms)) {
             self.gateway.config_freshness().confirm(complete_until);
         }
-        self.gateway.set_config_relayed_until(answered_at + MAX_RELAYED_AGE + QUERY_WAIT);
+        let until = answered_at + MAX_RELAYED_AGE + QUERY_WAIT;
+        self.gateway.set_config_relayed_until(Some(until));
     }
 
     /// Reads the registry in the store, or waits for changes there.
--- a/crates/bramleywind_gateway/src/background/maintain_membership.rs
+++ b/crates/bramleywind_gateway/src/background/maintain_membership.rs
@@ -8,17 +8,21 @@
 use compio::time::sleep;
 use slog::{info, warn};
 
-use super::DependencyTracker;
+use super::{DependencyTracker, MAX_READERS_ASKED, MAX_RELAYED_AGE};
 use crate::{
     gateway::{Gateway, StopPhase},
     members::{MemberRecord, unix_millis},
-    platform_api::{FleetStore, LeaseId, Platform},
+    platform_api::{FleetListing, FleetStore, LeaseId, Platform},
 };
 
 /// The interval between renewals. A gateway that died is removed from entry answers within this interval plus
 /// [`LEASE_DURATION`].
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The interval at which a gateway reads the list that it reads for others. A list that has come through another gateway must not be much
+/// older than one from the store: lenders and issuers of permits follow from it.
+const RELAY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// How long the entry lasts without a renewal. It allows for three missed renewals, so that a slow one does not remove
 /// a live gateway.
 const LEASE_DURATION: Duration = Duration::from_millis(3_500);
@@ -31,7 +35,8 @@
         match renew_membership(&gateway, &mut lease).await {
             Ok(()) => {
                 tracker.record_success();
-                sleep(RENEWAL_INTERVAL).await;
+                let is_relaying = gateway.members().borrow().registry_readers().is_relaying;
+                sleep(if is_relaying { RELAY_INTERVAL } else { RENEWAL_INTERVAL }).await;
             }
             Err(reason) => tracker.back_off(reason).await,
         }
@@ -65,7 +70,7 @@
             info!(gateway.log(), "entered the member list"; "lease" => %new_lease);
         }
     }
-    let listing = store.list_fleet().await?;
+    let listing = read_fleet(gateway).await?;
     gateway.adopt_quarantines(&listing.quarantines);
     gateway.adopt_part_quarantines(&listing.part_quarantines);
     update_members(gateway, listing.members);
@@ -78,6 +83,32 @@
     Ok(())
 }
 
+/// Reads the list of gateways: from a gateway that reads it for others, or from the store.
+async fn read_fleet<P: Platform>(gateway: &Gateway<P>) -> Result<FleetListing, UnavailableReason> {
+    let readers = gateway.members().borrow().registry_readers();
+    let asked_at = Instant::now();
+    if !readers.is_own {
+        let client = gateway.funds().loan_client();
+        for reader in client.order_by_health(readers.others).into_iter().take(MAX_READERS_ASKED) {
+            match client.query_fleet(reader, &gateway.fleet_query()).await {
+                Ok(Some(answer)) if Duration::from_millis(answer.age_ms) <= MAX_RELAYED_AGE => {
+                    return Ok(gateway.apply_fleet_answer(answer, asked_at));
+                }
+                Ok(answer) => {
+                    info!(gateway.log(), "another gateway's list of gateways is old"; "asked" => %reader,
+                    "age_ms" => answer.map(|answer| answer.age_ms))
+                }
+                Err(error) => {
+                    info!(gateway.log(), "no answer about the list of gateways"; "asked" => %reader, "error" => &*error)
+                }
+            }
+        }
+    }
+    let listing = gateway.store().list_fleet().await?;
+    gateway.keep_fleet_listing(listing.clone(), asked_at);
+    Ok(listing)
+}
+
 fn update_members<P: Platform>(gateway: &Gateway<P>, listed: Vec<MemberRecord>) {
     let count = listed.len();
     let mut members = gateway.members().borrow_mut();
--- a/crates/bramleywind_gateway/src/background/maintain_presence.rs
+++ b/crates/bramleywind_gateway/src/background/maintain_presence.rs
@@ -98,7 +98,7 @@
     }
     // An unanswered write could still take effect later, and would hold standby tokens back. A cheap read checks first
     // that the store answers.
-    gateway.store().list_fleet().await?;
+    gateway.store().check_answer(&gateway.settings().instance).await?;
     let record = {
         let mut ledger = gateway.funds().ledger().borrow_mut();
         if !ledger.can_write_presence() {
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -1,4 +1,5 @@
 mod crash_handling;
+mod fleet_handling;
 mod list_handling;
 mod part_handling;
 mod rate_handling;
@@ -31,7 +32,7 @@
     members::{FleetClock, MemberRecord, MemberRegistry},
     metrics::GatewayMetrics,
     placement::{Candidate, LatencyPlacement, PlacementPolicy, PlacementRequest},
-    platform_api::Platform,
+    platform_api::{FleetListing, Platform},
     rate_limits::{RateOutbox, ReturnSchedule},
     registry::{CopyFreshness, ListDigest},
     settings::GatewaySettings,
@@ -64,6 +65,8 @@
     endpoints: RefCell<EndpointSet>,
     list_freshness: CopyFreshness,
     list_version: Cell<Option<StoreVersion>>,
+    /// The list of gateways as the store gave it, and when the store was asked for it.
+    fleet_listing: RefCell<Option<(FleetListing, Instant)>>,
     /// The digest of the list of endpoints, with the generation that it belongs to.
     list_digest: RefCell<Option<(u64, ListDigest)>>,
     /// Wakes the queries of other gateways that wait for news of the list.
@@ -121,6 +124,7 @@
             config_freshness: CopyFreshness::default(),
             config_relayed_until: Cell::new(None),
             list_version: Cell::new(None),
+            fleet_listing: RefCell::default(),
             list_digest: RefCell::new(None),
             list_waiters: RefCell::default(),
             funds: FundsManager::new(incarnation),
@@ -227,9 +231,9 @@
         self.config_relayed_until.get()
     }
 
-    /// Records until when another gateway keeps the configuration current.
-    pub fn set_config_relayed_until(&self, until: Instant) {
-        self.config_relayed_until.set(Some(until));
+    /// Records until when another gateway keeps the configuration current; `None` if none does any longer.
+    pub fn set_config_relayed_until(&self, until: Option<Instant>) {
+        self.config_relayed_until.set(until);
     }
 
     /// The workspaces' budgets and this process's grants.
--- a/crates/bramleywind_gateway/src/gateway/list_handling.rs
+++ b/crates/bramleywind_gateway/src/gateway/list_handling.rs
@@ -15,9 +15,12 @@
 use super::Gateway;
 use crate::{
     admission::MAX_ACCEPT_DELAY,
-    endpoints::{Endpoint, EntryEffect},
+    endpoints::{Endpoint, EndpointRecord, EntryEffect},
     platform_api::{EntryChange, FleetStore, Platform},
-    registry::{ListAnswer, ListDigest, ListGate, ListGateInput, ListPart, ListQuery, part_of},
+    registry::{
+        ListAnswer, ListDigest, ListGate, ListGateInput, ListPart, ListQuery, differing_parts,
+        part_of,
+    },
 };
 
 /// The longest time for which an answer about the list of endpoints is delayed.
@@ -236,10 +239,10 @@
         self.table.borrow().as_ref().map(|table| table.revision())
     }
 
-    fn apply_part(&self, part: ListPart) {
+    fn apply_part(&self, part: ListPart<EndpointRecord>) {
         let listed: HashSet<_> = part.records.iter().map(|record| record.id.clone()).collect();
         let known = self.endpoints.borrow().missing_from(&listed);
-        let missing = known.into_iter().filter(|id| part_of(id) == part.number);
+        let missing = known.into_iter().filter(|id| part_of(id.as_str()) == part.number);
         let mut unreadable = HashSet::new();
         let written = part.records.into_iter().map(EntryChange::Written);
         for change in written.chain(missing.map(EntryChange::Removed)) {
@@ -247,30 +250,24 @@
         }
     }
 
-    fn differing_parts(&self, other: &ListDigest) -> Vec<ListPart> {
-        let own = self.list_digest();
-        let endpoints = self.endpoints.borrow();
-        let part = |number| ListPart {
-            number,
-            records: endpoints
-                .iter()
-                .map(|endpoint| endpoint.record().clone())
-                .filter(|record| part_of(&record.id) == number)
-                .collect(),
-        };
-        own.differing_parts(other).map(part).collect()
+    fn differing_parts(&self, other: &ListDigest) -> Vec<ListPart<EndpointRecord>> {
+        if self.list_digest() == *other {
+            return Vec::new();
+        }
+        differing_parts(&self.listed_records(), other)
+    }
+
+    fn listed_records(&self) -> Vec<EndpointRecord> {
+        self.endpoints.borrow().iter().map(|endpoint| endpoint.record().clone()).collect()
     }
 
     fn list_digest(&self) -> ListDigest {
-        let endpoints = self.endpoints.borrow();
-        let generation = endpoints.generation();
+        let generation = self.endpoints.borrow().generation();
         let mut cached = self.list_digest.borrow_mut();
         match &*cached {
             Some((cached_generation, digest)) if *cached_generation == generation => digest.clone(),
             _ => {
-                let records: Vec<_> =
-                    endpoints.iter().map(|endpoint| endpoint.record().clone()).collect();
-                let digest = ListDigest::of(records.iter());
+                let digest = ListDigest::of(self.listed_records().iter());
                 *cached = Some((generation, digest.clone()));
                 digest
             }
--- a/crates/bramleywind_gateway/src/loans/loan_client.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_client.rs
@@ -16,8 +16,8 @@
     LoanAnswer, LoanRequest, TokenGift,
     loan_messages::EarlierLoanAnswer,
     loan_server::{
-        CLOCK_PATH, CONFIG_PATH, CRASH_PATH, GIFT_PATH, LIST_PATH, LOAN_PATH, PART_PATH,
-        PERMIT_PATH, RATE_PATH,
+        CLOCK_PATH, CONFIG_PATH, CRASH_PATH, FLEET_PATH, GIFT_PATH, LIST_PATH, LOAN_PATH,
+        PART_PATH, PERMIT_PATH, RATE_PATH,
     },
     message_codec::{decode_either, decode_message, encode_message},
 };
@@ -26,7 +26,7 @@
     crashes::{CrashNotice, NoticeReply, PartNotice, PartReply},
     endpoints::{ConnectionPool, PooledConnection},
     rate_limits::{PermitReply, PermitRequest, RateNotice},
-    registry::{ListAnswer, ListQuery},
+    registry::{FleetAnswer, FleetQuery, ListAnswer, ListQuery},
 };
 
 /// The timeout of a call to another gateway. Gateways of a region are milliseconds apart; a lender may wait for the store
@@ -171,11 +171,20 @@
         query: &ListQuery,
     ) -> Result<ListAnswer, Box<str>> {
         let time_limit = Duration::from_millis(query.wait_ms) + LIST_ANSWER_TIME;
-        match timeout(time_limit, self.call(peer, LIST_PATH, query)).await {
-            Ok(Ok(body)) => decode_message(&body).map_err(|error| error.to_string().into()),
-            Ok(Err(error)) => Err(error.reason),
-            Err(_) => Err("the gateway did not answer in time".into()),
-        }
+        self.call_within(time_limit, peer, LIST_PATH, query).await
+    }
+
+    /// Asks a gateway how its list of gateways differs from this one's. Returns `None` if it has none.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the gateway did not answer within [`LIST_ANSWER_TIME`].
+    pub async fn query_fleet(
+        &self,
+        peer: SocketAddr,
+        query: &FleetQuery,
+    ) -> Result<Option<FleetAnswer>, Box<str>> {
+        self.call_within(LIST_ANSWER_TIME, peer, FLEET_PATH, query).await
     }
 
     /// Reads the configuration that a gateway has in force. Returns `None` if it has none.
@@ -184,11 +193,7 @@
     ///
     /// Returns the reason why the gateway did not answer within [`LIST_ANSWER_TIME`].
     pub async fn fetch_config(&self, peer: SocketAddr) -> Result<Option<FleetConfig>, Box<str>> {
-        match timeout(LIST_ANSWER_TIME, self.call(peer, CONFIG_PATH, &())).await {
-            Ok(Ok(body)) => decode_message(&body).map_err(|error| error.to_string().into()),
-            Ok(Err(error)) => Err(error.reason),
-            Err(_) => Err("the gateway did not answer in time".into()),
-        }
+        self.call_within(LIST_ANSWER_TIME, peer, CONFIG_PATH, &()).await
     }
 
     async fn send_notice<R: DeserializeOwned>(
@@ -197,7 +202,17 @@
         path: &'static str,
         notice: &impl Serialize,
     ) -> Result<R, Box<str>> {
-        let body = match timeout(CALL_TIMEOUT, self.call(peer, path, notice)).await {
+        self.call_within(CALL_TIMEOUT, peer, path, notice).await
+    }
+
+    async fn call_within<R: DeserializeOwned>(
+        &self,
+        time_limit: Duration,
+        peer: SocketAddr,
+        path: &'static str,
+        message: &impl Serialize,
+    ) -> Result<R, Box<str>> {
+        let body = match timeout(time_limit, self.call(peer, path, message)).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => return Err(error.reason),
             Err(_) => return Err("the gateway did not answer in time".into()),
--- a/crates/bramleywind_gateway/src/loans/loan_server.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_server.rs
@@ -43,6 +43,9 @@
 /// The path of queries about the list of endpoints.
 pub(super) const LIST_PATH: &str = "/endpoints";
 
+/// The path of queries about the list of gateways.
+pub(super) const FLEET_PATH: &str = "/fleet";
+
 /// The path of requests for the configuration.
 pub(super) const CONFIG_PATH: &str = "/configuration";
 
@@ -88,6 +91,10 @@
             Ok(permit) => encode_response(&gateway.answer_permit(&permit)),
             Err(error) => Err(error),
         },
+        FLEET_PATH => match read_message(request).await {
+            Ok(query) => encode_response(&gateway.answer_fleet_query(&query)),
+            Err(error) => Err(error),
+        },
         CONFIG_PATH => encode_response(&gateway.config().as_deref()),
         LIST_PATH => match read_message(request).await {
             Ok(query) => encode_response(&gateway.answer_list_query(&query).await),
--- a/crates/bramleywind_gateway/src/members/member_registry.rs
+++ b/crates/bramleywind_gateway/src/members/member_registry.rs
@@ -147,6 +147,7 @@
         RegistryReaders {
             // A process that is not listed yet knows too little of the others.
             is_own: is_small || is_own_named || !self.is_joined,
+            is_relaying: is_own_named,
             others: others.into_iter().map(|(_, address)| address).collect(),
         }
     }
--- a/crates/bramleywind_gateway/src/members/registry_readers.rs
+++ b/crates/bramleywind_gateway/src/members/registry_readers.rs
@@ -5,6 +5,8 @@
 pub struct RegistryReaders {
     /// Whether this process reads the registry from the store itself.
     pub is_own: bool,
+    /// Whether it reads for others.
+    pub is_relaying: bool,
     /// The addresses of the other gateways to ask, in order.
     pub others: Vec<SocketAddr>,
 }
--- a/crates/bramleywind_gateway/src/platform_api/fleet_store.rs
+++ b/crates/bramleywind_gateway/src/platform_api/fleet_store.rs
@@ -53,6 +53,9 @@
     /// Reads the list of gateways and the refused requests, which may be some seconds old.
     async fn list_fleet(&self) -> Result<FleetListing, UnavailableReason>;
 
+    /// Checks by a cheap read of the presence record of an instance that the store answers.
+    async fn check_answer(&self, instance: &InstanceId) -> Result<(), UnavailableReason>;
+
     /// Reads the current presence records of all gateways, with their instances and versions.
     async fn list_presences(
         &self,
--- a/crates/bramleywind_gateway/src/registry.rs
+++ b/crates/bramleywind_gateway/src/registry.rs
@@ -5,11 +5,15 @@
 //! any query.
 
 mod copy_freshness;
+mod fleet_messages;
 mod list_digest;
 mod list_gate;
 mod list_messages;
+mod listed_record;
 
 pub use copy_freshness::CopyFreshness;
-pub use list_digest::{LIST_PARTS, ListDigest, part_of};
+pub use fleet_messages::{FleetAnswer, FleetQuery};
+pub use list_digest::{LIST_PARTS, ListDigest, differing_parts, part_of};
 pub use list_gate::{ListGate, ListGateInput};
 pub use list_messages::{ListAnswer, ListPart, ListQuery};
+pub use listed_record::ListedRecord;
--- a/crates/bramleywind_gateway/src/registry/list_messages.rs
+++ b/crates/bramleywind_gateway/src/registry/list_messages.rs
@@ -32,14 +32,14 @@
     /// How long after the query the answer was made, in milliseconds.
     pub waited_ms: u64,
     /// The parts of its list that differ, each with all its records.
-    pub parts: Vec<ListPart>,
+    pub parts: Vec<ListPart<EndpointRecord>>,
 }
 
-/// A part of the list of endpoints.
+/// A part of a list.
 #[domain_type]
-pub struct ListPart {
+pub struct ListPart<R> {
     /// The number of the part.
     pub number: usize,
     /// All records of the part.
-    pub records: Vec<EndpointRecord>,
+    pub records: Vec<R>,
 }
--- a/crates/bramleywind_gateway/tests/support/budget_store.rs
+++ b/crates/bramleywind_gateway/tests/support/budget_store.rs
@@ -103,6 +103,10 @@
         Err(UnavailableReason::Outage)
     }
 
+    async fn check_answer(&self, _instance: &InstanceId) -> Result<(), UnavailableReason> {
+        Err(UnavailableReason::Outage)
+    }
+
     async fn list_presences(
         &self,
     ) -> Result<Vec<(InstanceId, PresenceRecord, StoreVersion)>, UnavailableReason> {
