endpoints: give up a list that does not reach the known version; one way to remove endpoints

A list that was read beside the watch waits for the version that is already known. If the versions of the store began anew meanwhile, it would wait until they pass the old one. No behaviour changes otherwise: what is missing in the merged list is removed by apply_list.

--- a/crates/bramleywind_gateway/src/background/follow_endpoints.rs
+++ b/crates/bramleywind_gateway/src/background/follow_endpoints.rs
@@ -23,6 +23,10 @@
 /// The minimum duration of a watch.
 const MIN_WATCH_TIME: Duration = Duration::from_millis(50);
 
+/// The number of short watches after which a list that was read is given up because it does not reach the known version. The versions of
+/// the store may have begun anew.
+const MAX_CATCH_UP_WATCHES: usize = 20;
+
 /// The interval between two watches, which batches changes that occur together, such as the start of all endpoints.
 const BATCH_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -244,7 +248,7 @@
         self.log_list(&page, asked_at);
         // Changes that this process already knows must not be undone by the list, which may be older.
         let (mut version, mut changes) = (page.version, Vec::new());
-        loop {
+        for _ in 0..MAX_CATCH_UP_WATCHES {
             match self.gateway.store().watch_endpoints(version, MIN_WATCH_TIME).await? {
                 StoreChanges::Changed { changes: later, version: reached } => {
                     changes.extend(later);
@@ -253,25 +257,29 @@
                 StoreChanges::HistoryLost => return Ok(()),
             }
             if self.gateway.list_version().is_none_or(|known| version >= known) {
+                self.replace_list(page.entries, changes, version, asked_at);
                 break;
             }
         }
-        let mut entries = page.entries;
+        Ok(())
+    }
+
+    /// Replaces the list by the entries of the registry and the changes since they were read.
+    fn replace_list(
+        &mut self,
+        mut entries: Vec<EntryChange>,
+        changes: Vec<EntryChange>,
+        version: StoreVersion,
+        asked_at: Instant,
+    ) {
         let changed: HashSet<_> = changes.iter().filter_map(changed_endpoint).collect();
         entries.retain(|entry| changed_endpoint(entry).is_none_or(|id| !changed.contains(&id)));
-        let (written, removed): (Vec<_>, Vec<_>) = newest_changes(changes)
-            .into_iter()
-            .partition(|change| !matches!(change, EntryChange::Removed(_)));
-        entries.extend(written);
-        let grace_end = self.grace_end();
-        self.gateway.apply_list(entries, grace_end, &mut self.unreadable);
-        for change in removed {
-            self.gateway.apply_change(change, grace_end, &mut self.unreadable);
-        }
+        let is_entry = |change: &EntryChange| !matches!(change, EntryChange::Removed(_));
+        entries.extend(newest_changes(changes).into_iter().filter(is_entry));
+        self.gateway.apply_list(entries, self.grace_end(), &mut self.unreadable);
         self.gateway.set_list_version(Some(version));
         self.gateway.list_freshness().confirm(asked_at);
         self.is_doubtful = false;
-        Ok(())
     }
 
     fn apply_changes(&mut self, changes: Vec<EntryChange>) {
