gateway: a relayed configuration counts as current only by its own age; gateways that the store refuses learn it from others

Cause: a follower went on with the reader's configuration for 2.5 s after the last answer in which it was at most 1.5 s old, as long as the reader's list of endpoints was current; and it fetched no newer one from a reader whose configuration had become old. Change: the configuration counts as relayed until its own age reaches the bound on lists less 0.5 s for a read of the store. A newer one is fetched whatever its age.

--- a/crates/bramleywind_gateway/src/background.rs
+++ b/crates/bramleywind_gateway/src/background.rs
@@ -29,6 +29,9 @@
 /// longer knows the watch.
 const WATCH_TIME: Duration = Duration::from_millis(900);
 
+/// The minimum duration of a watch.
+const MIN_WATCH_TIME: Duration = Duration::from_millis(50);
+
 /// The age up to which what another gateway knows is as good as what the store has.
 const MAX_RELAYED_AGE: Duration = Duration::from_millis(1_500);
 
--- a/crates/bramleywind_gateway/src/background/follow_config.rs
+++ b/crates/bramleywind_gateway/src/background/follow_config.rs
@@ -7,7 +7,7 @@
 use compio::time::sleep;
 use slog::{info, warn};
 
-use super::{DependencyTracker, WATCH_TIME};
+use super::{DependencyTracker, MIN_WATCH_TIME, WATCH_TIME};
 use crate::{
     gateway::Gateway,
     platform_api::{FleetStore, LoadedConfig, Platform, StoreChanges},
@@ -60,10 +60,13 @@
         return Ok(Some(version));
     };
     let asked_at = Instant::now();
-    match gateway.store().watch_config(after, WATCH_TIME).await? {
+    // A watch must not outlast the age up to which the configuration is current.
+    let age = gateway.config_freshness().age(asked_at).unwrap_or_default();
+    let wait = WATCH_TIME.saturating_sub(age).max(MIN_WATCH_TIME);
+    match gateway.store().watch_config(after, wait).await? {
         StoreChanges::Changed { changes, version } => {
             // The store answers a watch without changes only at its end.
-            let complete_until = if changes.is_empty() { asked_at + WATCH_TIME } else { asked_at };
+            let complete_until = if changes.is_empty() { asked_at + wait } else { asked_at };
             gateway.config_freshness().confirm(complete_until.min(Instant::now()));
             for loaded in changes {
                 apply_config(gateway, loaded);
--- a/crates/bramleywind_gateway/src/background/follow_endpoints.rs
+++ b/crates/bramleywind_gateway/src/background/follow_endpoints.rs
@@ -11,7 +11,7 @@
 use compio::{runtime::JoinHandle, time::sleep};
 use slog::info;
 
-use super::{DependencyTracker, MAX_READERS_ASKED, MAX_RELAYED_AGE, WATCH_TIME};
+use super::{DependencyTracker, MAX_READERS_ASKED, MAX_RELAYED_AGE, MIN_WATCH_TIME, WATCH_TIME};
 use crate::{
     gateway::Gateway,
     platform_api::{EntryChange, FleetStore, ListPage, Platform, StoreChanges},
@@ -20,8 +20,8 @@
 /// How long another gateway may delay its answer: until its own watch has ended.
 const QUERY_WAIT: Duration = Duration::from_millis(1_000);
 
-/// The minimum duration of a watch.
-const MIN_WATCH_TIME: Duration = Duration::from_millis(50);
+/// The time that it takes to read the configuration from the store instead of from another gateway.
+const CONFIG_READ_TIME: Duration = Duration::from_millis(500);
 
 /// The number of short watches after which a list that was read is given up because it does not reach the known version. The versions of
 /// the store may have begun anew.
@@ -43,7 +43,7 @@
         unreadable: HashSet::new(),
         is_doubtful: false,
         pending_list: None,
-        config_answer: None,
+        config_statement: None,
         relayed_by: None,
     };
     loop {
@@ -56,6 +56,12 @@
 
 type ListResult = Result<ListPage<EntryChange>, UnavailableReason>;
 
+/// What another gateway says of its configuration.
+struct ConfigStatement {
+    revision: Option<ConfigRevision>,
+    complete_until: Option<Instant>,
+}
+
 /// A read of the whole registry that goes on in the background, so that changes are heard of meanwhile.
 struct PendingList {
     result: Rc<RefCell<Option<ListResult>>>,
@@ -71,8 +77,8 @@
     /// Whether changes may be missing that the known version covers. An interrupted watch may have missed them.
     is_doubtful: bool,
     pending_list: Option<PendingList>,
-    /// The revision and the age of the configuration of the gateway that answered last.
-    config_answer: Option<(Option<ConfigRevision>, Option<u64>)>,
+    /// What the gateway that answered last said of its configuration.
+    config_statement: Option<ConfigStatement>,
     /// The gateway that answered last, if the list comes from another gateway.
     relayed_by: Option<SocketAddr>,
 }
@@ -104,19 +110,26 @@
                     self.grace_until = Some(Instant::now() + GRACE_TIME);
                 }
                 if self.is_doubtful {
-                    self.ask_readers(readers.others, Duration::ZERO).await;
+                    self.ask_others(readers.others).await;
                 }
             }
             Err(reason) => {
                 // Entries missing from the first answer after this may only have expired.
                 self.grace_until = Some(Instant::now() + Duration::from_secs(3600));
                 self.is_doubtful = true;
-                self.ask_readers(readers.others, Duration::ZERO).await;
+                self.ask_others(readers.others).await;
                 self.tracker.back_off(reason).await;
             }
         }
     }
 
+    /// Asks other gateways, since the store did not answer or changes may be missing. It may answer them.
+    async fn ask_others(&mut self, others: Vec<SocketAddr>) {
+        if let Some(gateway) = self.ask_readers(others, Duration::ZERO).await {
+            self.follow_config_of(gateway).await;
+        }
+    }
+
     /// Asks other gateways in turn for what has changed, until one has a current list. Returns the one that has.
     async fn ask_readers(
         &mut self,
@@ -136,7 +149,12 @@
                     continue;
                 }
             };
-            self.config_answer = Some((answer.config_revision, answer.config_age_ms));
+            // The configuration was as old when the answer was made.
+            let config_age = answer.config_age_ms.map(Duration::from_millis);
+            let complete_until =
+                config_age.and_then(|age| answer.made_at(asked_at).checked_sub(age));
+            let revision = answer.config_revision;
+            self.config_statement = Some(ConfigStatement { revision, complete_until });
             let (version, age_ms, parts) = (answer.version, answer.age_ms, answer.parts.len());
             let is_applied = self.gateway.apply_list_answer(answer, asked_at);
             let age = self.gateway.list_freshness().age(Instant::now());
@@ -154,32 +172,37 @@
 
     /// Takes over the configuration of the gateway that the list comes from, if it is newer than the own one.
     async fn follow_config_of(&mut self, reader: SocketAddr) {
-        let Some((revision, Some(age_ms))) = self.config_answer.take() else { return };
-        if Duration::from_millis(age_ms) > MAX_RELAYED_AGE {
+        let Some(ConfigStatement { revision, complete_until }) = self.config_statement.take()
+        else {
             return;
-        }
-        let answered_at = Instant::now();
+        };
         let own = self.gateway.route_table().map(|table| table.revision());
-        if revision > own {
-            match self.gateway.funds().loan_client().fetch_config(reader).await {
-                Ok(Some(config)) => {
-                    let (revision, routes) = (config.revision, config.routes.len());
-                    let is_accepted = self.gateway.accept_config(config);
-                    info!(self.gateway.log(), "configuration read from another gateway"; "from" => %reader,
-                        "revision" => %revision, "routes" => routes, "accepted" => is_accepted);
-                }
-                Ok(None) => return,
-                Err(error) => {
-                    info!(self.gateway.log(), "no configuration from another gateway"; "asked" => %reader, "error" => &*error);
-                    return;
-                }
-            }
+        if revision > own && !self.fetch_config(reader).await {
+            return;
         }
-        if let Some(complete_until) = answered_at.checked_sub(Duration::from_millis(age_ms)) {
-            self.gateway.config_freshness().confirm(complete_until);
+        // A reader that knows less than this process is no reason to stop reading the store.
+        let Some(complete_until) = complete_until.filter(|_| revision >= own) else { return };
+        self.gateway.config_freshness().confirm(complete_until);
+        let max_age = self.gateway.settings().max_list_age.saturating_sub(CONFIG_READ_TIME);
+        self.gateway.set_config_relayed_until(Some(complete_until + max_age));
+    }
+
+    /// Puts the configuration of another gateway in force. Returns whether it was received.
+    async fn fetch_config(&self, reader: SocketAddr) -> bool {
+        match self.gateway.funds().loan_client().fetch_config(reader).await {
+            Ok(Some(config)) => {
+                let (revision, routes) = (config.revision, config.routes.len());
+                let is_accepted = self.gateway.accept_config(config);
+                info!(self.gateway.log(), "configuration read from another gateway"; "from" => %reader,
+                    "revision" => %revision, "routes" => routes, "accepted" => is_accepted);
+                true
+            }
+            outcome => {
+                info!(self.gateway.log(), "no configuration from another gateway"; "asked" => %reader,
+                    "error" => outcome.err().as_deref());
+                false
+            }
         }
-        let until = answered_at + MAX_RELAYED_AGE + QUERY_WAIT;
-        self.gateway.set_config_relayed_until(Some(until));
     }
 
     /// Reads the registry in the store, or waits for changes there.
--- a/crates/bramleywind_gateway/src/gateway/list_handling.rs
+++ b/crates/bramleywind_gateway/src/gateway/list_handling.rs
@@ -18,14 +18,11 @@
     endpoints::{Endpoint, EndpointRecord, EntryEffect},
     platform_api::{EntryChange, FleetStore, Platform},
     registry::{
-        ListAnswer, ListDigest, ListGate, ListGateInput, ListPart, ListQuery, differing_parts,
-        part_of,
+        ListAnswer, ListDigest, ListGate, ListGateInput, ListPart, ListQuery, MAX_QUERY_WAIT,
+        differing_parts, part_of,
     },
 };
 
-/// The longest time for which an answer about the list of endpoints is delayed.
-const MAX_QUERY_WAIT: Duration = Duration::from_secs(1);
-
 impl<P: Platform> Gateway<P> {
     /// Returns which endpoints may get requests now, by the age of the list.
     pub fn list_gate(&self, now: Instant) -> ListGate {
@@ -113,14 +110,12 @@
         if answer.version < own {
             return false;
         }
+        let made_at = answer.made_at(asked_at);
         for part in answer.parts {
             self.apply_part(part);
         }
         self.list_version.set(Some(answer.version));
-        // The answer was made no earlier than this.
-        let answered_at = asked_at
-            + Duration::from_millis(answer.waited_ms.min(MAX_QUERY_WAIT.as_millis() as u64));
-        let complete_until = answered_at.checked_sub(Duration::from_millis(age_ms));
+        let complete_until = made_at.checked_sub(Duration::from_millis(age_ms));
         if let Some(complete_until) = complete_until {
             self.list_freshness.confirm(complete_until.min(Instant::now()));
         }
--- a/crates/bramleywind_gateway/src/registry.rs
+++ b/crates/bramleywind_gateway/src/registry.rs
@@ -15,5 +15,5 @@
 pub use fleet_messages::{FleetAnswer, FleetQuery};
 pub use list_digest::{LIST_PARTS, ListDigest, differing_parts, part_of};
 pub use list_gate::{ListGate, ListGateInput};
-pub use list_messages::{ListAnswer, ListPart, ListQuery};
+pub use list_messages::{ListAnswer, ListPart, ListQuery, MAX_QUERY_WAIT};
 pub use listed_record::ListedRecord;
--- a/crates/bramleywind_gateway/src/registry/list_messages.rs
+++ b/crates/bramleywind_gateway/src/registry/list_messages.rs
@@ -1,3 +1,5 @@
+use std::time::{Duration, Instant};
+
 use bramleywind_macros::domain_type;
 use bramleywind_store::StoreVersion;
 use bramleywind_types::ConfigRevision;
@@ -5,6 +7,9 @@
 use super::ListDigest;
 use crate::endpoints::EndpointRecord;
 
+/// The longest time for which an answer about the list of endpoints is delayed.
+pub const MAX_QUERY_WAIT: Duration = Duration::from_secs(1);
+
 /// A gateway's question to another one how its list of endpoints differs.
 #[domain_type]
 pub struct ListQuery {
@@ -35,6 +40,13 @@
     pub parts: Vec<ListPart<EndpointRecord>>,
 }
 
+impl ListAnswer {
+    /// Returns the earliest time at which the answer can have been made, by the time of the query.
+    pub fn made_at(&self, asked_at: Instant) -> Instant {
+        asked_at + MAX_QUERY_WAIT.min(Duration::from_millis(self.waited_ms))
+    }
+}
+
 /// A part of a list.
 #[domain_type]
 pub struct ListPart<R> {
