--- a/crates/bramleywind_gateway/src/loans/loan_client.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_client.rs
@@ -164,7 +164,7 @@
     ///
     /// # Errors
     ///
-    /// Returns the reason why the gateway did not answer within the query's time and [`LIST_ANSWER_TIME`].
+    /// Returns the reason why the gateway did not answer in time, besides the wait that the query allows.
     pub async fn query_list(
         &self,
         peer: SocketAddr,
@@ -178,7 +178,7 @@
     ///
     /// # Errors
     ///
-    /// Returns the reason why the gateway did not answer within [`LIST_ANSWER_TIME`].
+    /// Returns the reason why the gateway did not answer in time.
     pub async fn query_fleet(
         &self,
         peer: SocketAddr,
@@ -191,7 +191,7 @@
     ///
     /// # Errors
     ///
-    /// Returns the reason why the gateway did not answer within [`LIST_ANSWER_TIME`].
+    /// Returns the reason why the gateway did not answer in time.
     pub async fn fetch_config(&self, peer: SocketAddr) -> Result<Option<FleetConfig>, Box<str>> {
         self.call_within(LIST_ANSWER_TIME, peer, CONFIG_PATH, &()).await
     }
