--- a/crates/bramleywind_gateway/src/background.rs
+++ b/crates/bramleywind_gateway/src/background.rs
@@ -4,6 +4,7 @@
 mod follow_config;
 mod follow_endpoints;
 mod judge_parts;
+mod list_follower;
 mod maintain_membership;
 mod maintain_presence;
 mod notice_delivery;
