--- a/crates/bramleywind_gateway/src/daemon.rs
+++ b/crates/bramleywind_gateway/src/daemon.rs
@@ -281,7 +281,10 @@
     request: &Request<Incoming>,
 ) -> Response<ResponseBody> {
     match request.uri().path() {
-        "/metrics" => text_response(StatusCode::OK, gateway.metrics().text().into()),
+        "/metrics" => {
+            gateway.update_age_metrics(Instant::now());
+            text_response(StatusCode::OK, gateway.metrics().text().into())
+        }
         "/state" => json_response(dump_state(gateway).to_string().into()),
         _ => text_response(StatusCode::NOT_FOUND, Bytes::new()),
     }
--- a/crates/bramleywind_gateway/src/gateway/list_handling.rs
+++ b/crates/bramleywind_gateway/src/gateway/list_handling.rs
@@ -206,6 +206,15 @@
         }
     }
 
+    /// Sets the metrics that tell the ages of the list of endpoints and of the configuration.
+    pub fn update_age_metrics(&self, now: Instant) {
+        let millis = |age: Option<Duration>| {
+            age.and_then(|age| i64::try_from(age.as_millis()).ok()).unwrap_or(i64::MAX)
+        };
+        self.metrics.list_age_ms.set(millis(self.list_freshness.age(now)));
+        self.metrics.config_age_ms.set(millis(self.config_freshness.age(now)));
+    }
+
     /// Lets the queries of other gateways be answered that wait for news of the list, and updates the metrics.
     pub fn announce_list(&self) {
         let endpoints = self.endpoints.borrow();
--- a/crates/bramleywind_gateway/src/metrics/gateway_metrics.rs
+++ b/crates/bramleywind_gateway/src/metrics/gateway_metrics.rs
@@ -53,6 +53,10 @@
     pub open_endpoints: Gauge,
     /// Number of live gateways.
     pub members: Gauge,
+    /// Age of the list of endpoints in milliseconds, set when the metrics are read.
+    pub list_age_ms: Gauge,
+    /// Age of the configuration in milliseconds, set when the metrics are read.
+    pub config_age_ms: Gauge,
     /// Number of requests that are refused because they crash endpoints.
     pub refused_fingerprints: Gauge,
     /// Number of parts of prompts with which requests are refused.
@@ -96,6 +100,12 @@
         );
         let members = Gauge::default();
         registry.register("members", "Live gateways", members.clone());
+        let list_age_ms = Gauge::default();
+        let help = "Milliseconds since the list of endpoints was known to be complete";
+        registry.register("list_age_milliseconds", help, list_age_ms.clone());
+        let config_age_ms = Gauge::default();
+        let help = "Milliseconds since the configuration was known to be the newest";
+        registry.register("config_age_milliseconds", help, config_age_ms.clone());
         let refused_fingerprints = Gauge::default();
         let help = "Requests that are refused because they crash endpoints";
         registry.register("refused_fingerprints", help, refused_fingerprints.clone());
@@ -113,6 +123,8 @@
             config_revision,
             open_endpoints,
             members,
+            list_age_ms,
+            config_age_ms,
             refused_fingerprints,
             refused_parts,
         }
