--- a/crates/bramleywind_gateway/src/loans/loan_client.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_client.rs
@@ -36,10 +36,6 @@
 /// How long an answer about the list of endpoints, or the configuration, may be on its way. It may be large, and have to pass a link that is full.
 const LIST_ANSWER_TIME: Duration = Duration::from_millis(600);
 
-/// The least time for a question about the list of endpoints, and for the configuration. An instance that is so crowded that a call
-/// takes this long needs the answer most.
-const MIN_LIST_CALL_TIME: Duration = Duration::from_millis(1_200);
-
 /// How long a gateway that did not answer is asked after the others. A gateway that ended leaves the member list a few
 /// seconds later.
 const AVOIDANCE_TIME: Duration = Duration::from_secs(2);
@@ -74,9 +70,7 @@
         lender: SocketAddr,
         request: &LoanRequest,
     ) -> Result<LoanAnswer, Box<str>> {
-        let body = match timeout(CALL_TIMEOUT, self.call(CALL_TIMEOUT, lender, LOAN_PATH, request))
-            .await
-        {
+        let body = match timeout(CALL_TIMEOUT, self.call(lender, LOAN_PATH, request)).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
                 self.avoid(lender);
@@ -106,10 +100,7 @@
 
     /// Asks a gateway for its time of day in Unix milliseconds. Returns `None` if it does not answer.
     pub async fn fetch_time(&self, peer: SocketAddr) -> Option<u64> {
-        let body = timeout(CALL_TIMEOUT, self.call(CALL_TIMEOUT, peer, CLOCK_PATH, &()))
-            .await
-            .ok()?
-            .ok()?;
+        let body = timeout(CALL_TIMEOUT, self.call(peer, CLOCK_PATH, &())).await.ok()?.ok()?;
         decode_message(&body).ok()
     }
 
@@ -180,7 +171,7 @@
         query: &ListQuery,
     ) -> Result<ListAnswer, Box<str>> {
         let time_limit = Duration::from_millis(query.wait_ms) + LIST_ANSWER_TIME;
-        self.call_within(time_limit.max(MIN_LIST_CALL_TIME), peer, LIST_PATH, query).await
+        self.call_within(time_limit, peer, LIST_PATH, query).await
     }
 
     /// Asks a gateway how its list of gateways differs from this one's. Returns `None` if it has none.
@@ -202,7 +193,7 @@
     ///
     /// Returns the reason why the gateway did not answer in time.
     pub async fn fetch_config(&self, peer: SocketAddr) -> Result<Option<FleetConfig>, Box<str>> {
-        self.call_within(MIN_LIST_CALL_TIME, peer, CONFIG_PATH, &()).await
+        self.call_within(LIST_ANSWER_TIME, peer, CONFIG_PATH, &()).await
     }
 
     async fn send_notice<R: DeserializeOwned>(
@@ -221,7 +212,7 @@
         path: &'static str,
         message: &impl Serialize,
     ) -> Result<R, Box<str>> {
-        let body = match timeout(time_limit, self.call(time_limit, peer, path, message)).await {
+        let body = match timeout(time_limit, self.call(peer, path, message)).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => return Err(error.reason),
             Err(_) => return Err("the gateway did not answer in time".into()),
@@ -239,7 +230,7 @@
         recipient: SocketAddr,
         gift: &TokenGift,
     ) -> Result<(), GiftError> {
-        match timeout(CALL_TIMEOUT, self.call(CALL_TIMEOUT, recipient, GIFT_PATH, gift)).await {
+        match timeout(CALL_TIMEOUT, self.call(recipient, GIFT_PATH, gift)).await {
             Ok(Ok(_)) => Ok(()),
             Ok(Err(error)) if error.is_not_sent => Err(GiftError::NotSent),
             Ok(Err(_)) | Err(_) => Err(GiftError::Unknown),
@@ -257,7 +248,6 @@
 
     async fn call(
         &self,
-        connect_limit: Duration,
         peer: SocketAddr,
         path: &'static str,
         body: &impl Serialize,
@@ -272,7 +262,7 @@
             let is_reused = idle.is_some();
             let mut connection = match idle {
                 Some(connection) => connection,
-                None => HttpConnection::connect(peer, connect_limit)
+                None => HttpConnection::connect(peer, CALL_TIMEOUT)
                     .await
                     .map_err(|error| failed(true, &error))?,
             };
