http: bound what arrives before a head, and the work of one connection before others get a turn

Callers of a gateway saw nothing at all, not even its readiness, for as long as one endpoint of three sent interim responses without end. The router daemon did the same.

Cause: hyper reads a connection while data has arrived, and skips interim responses without a limit on their number, so the task never returned. A time limit on the call does not help, since nothing else runs. Ruled out: memory (8 MB), a limit on each head (each is small).

Change: at most 64 KiB before the head of a response is complete, which the new ConnectionError::HeadTooLarge tells; a turn for other tasks after 16 reads of 2 KiB, on all connections; the router's calls use the same connection, whose heads may have 16 KiB now instead of 64. A head without end is no sign that the endpoint ended, so it is not probed. Received bytes that were not read are bounded too (64 KiB asked of the kernel). The sending side is closed without a thread of compio's pool.

--- a/crates/bramleywind_cli/src/command_error.rs
+++ b/crates/bramleywind_cli/src/command_error.rs
@@ -192,5 +192,6 @@
         UnavailableReason::Outage => "outage or no connection",
         UnavailableReason::Timeout => "timeout",
         UnavailableReason::Malformed => "malformed answer",
+        UnavailableReason::TooLarge => "answer too large",
     }
 }
--- a/crates/bramleywind_gateway/src/forward/exchange.rs
+++ b/crates/bramleywind_gateway/src/forward/exchange.rs
@@ -77,6 +77,10 @@
             Ok(Err(error @ ConnectionError::Broken { .. })) => {
                 return Err(CallFailure::new(FailureKind::ConnectionLost, error));
             }
+            // The endpoint lives, so its end is not looked for.
+            Ok(Err(error @ ConnectionError::HeadTooLarge { .. })) => {
+                return Err(CallFailure::new(FailureKind::MayHaveRun, error));
+            }
             Err(_) => {
                 return Err(CallFailure::new(
                     FailureKind::TimedOut,
--- a/crates/bramleywind_gateway/src/loans/loan_client.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_client.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use compio::time::timeout;
 use http::{HeaderValue, Method, Request, StatusCode, Uri, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use serde::{Serialize, de::DeserializeOwned};
 
 use super::{
@@ -36,6 +36,9 @@
 /// How long an answer about the list of endpoints, or the configuration, may be on its way. It may be large, and have to pass a link that is full.
 const LIST_ANSWER_TIME: Duration = Duration::from_millis(600);
 
+/// The largest answer of another gateway, in bytes: the list of endpoints, or the configuration, many times over.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
 /// How long a gateway that did not answer is asked after the others. A gateway that ended leaves the member list a few
 /// seconds later.
 const AVOIDANCE_TIME: Duration = Duration::from_secs(2);
@@ -271,7 +274,7 @@
                 // The peer closed the idle connection; a new one may work.
                 Err(ConnectionError::NotWritten) if is_reused => continue,
                 Err(error) => {
-                    return Err(failed(!matches!(error, ConnectionError::Broken { .. }), &error));
+                    return Err(failed(error.is_not_sent(), &error));
                 }
             };
             if response.status() != StatusCode::OK {
@@ -279,8 +282,8 @@
                 let is_not_taken = response.status() == StatusCode::SERVICE_UNAVAILABLE;
                 return Err(failed(is_not_taken, &response.status()));
             }
-            let answer =
-                response.into_body().collect().await.map_err(|error| failed(false, &error))?;
+            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+            let answer = body.collect().await.map_err(|error| failed(false, &error))?;
             let mut pools = self.pools.borrow_mut();
             pools.entry(peer).or_default().put(connection, None, Instant::now());
             return Ok(answer.to_bytes());
--- a/crates/bramleywind_http/src/compact_stream.rs
+++ b/crates/bramleywind_http/src/compact_stream.rs
@@ -1,5 +1,6 @@
 use std::{
     io,
+    net::Shutdown,
     pin::Pin,
     task::{Context, Poll, ready},
 };
@@ -7,20 +8,45 @@
 use compio::{io::compat::AsyncStream, net::TcpStream};
 use futures_util::{AsyncBufRead, AsyncRead, AsyncWrite};
 use hyper::rt::ReadBufCursor;
+use socket2::SockRef;
 
-use super::traffic_totals::TrafficTotals;
+use super::{head_budget::HeadBudget, traffic_totals::TrafficTotals};
 
 /// The size of each of a connection's two buffers, in bytes. Hyper has buffers of its own, so these only hold the data of
 /// one system call.
 const BUFFER_BYTES: usize = 2 * 1024;
 
+/// The number of reads after which other tasks get a turn, although more data has arrived. hyper reads for as long as there
+/// is data, and a peer may send faster than this process reads.
+const MAX_READS_IN_ROW: u32 = 16;
+
 /// A TCP stream for hyper with small buffers, for processes that hold many idle connections.
 #[derive(Debug)]
-pub(crate) struct CompactStream(Pin<Box<AsyncStream<TcpStream>>>);
+pub(crate) struct CompactStream {
+    inner: Pin<Box<AsyncStream<TcpStream>>>,
+    socket: TcpStream,
+    head_budget: HeadBudget,
+    /// The number of reads since another task last got a turn.
+    reads_in_row: u32,
+}
 
 impl CompactStream {
+    /// Creates a stream whose reads are not bounded.
     pub(crate) fn new(stream: TcpStream) -> Self {
-        Self(Box::pin(AsyncStream::with_capacity(BUFFER_BYTES, stream)))
+        Self::with_head_budget(stream, HeadBudget::default())
+    }
+
+    /// Creates a stream whose reads fail once they exceed the budget.
+    pub(crate) fn with_head_budget(stream: TcpStream, head_budget: HeadBudget) -> Self {
+        let socket = stream.clone();
+        let inner = Box::pin(AsyncStream::with_capacity(BUFFER_BYTES, stream));
+        Self { inner, socket, head_budget, reads_in_row: 0 }
+    }
+
+    /// Closes the sending side once everything is written. compio would do so on a thread of its own.
+    fn poll_end_sending(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(AsyncWrite::poll_flush(self.inner.as_mut(), context))?;
+        Poll::Ready(SockRef::from(&self.socket).shutdown(Shutdown::Write))
     }
 }
 
@@ -30,12 +56,27 @@
         context: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let stream = self.0.as_mut();
-        let available = ready!(stream.poll_fill_buf(context))?;
+        let this = &mut *self;
+        if this.reads_in_row >= MAX_READS_IN_ROW {
+            this.reads_in_row = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let Poll::Ready(available) = this.inner.as_mut().poll_fill_buf(context) else {
+            this.reads_in_row = 0;
+            return Poll::Pending;
+        };
+        let available = available?;
         let count = available.len().min(buffer.remaining());
         buffer.put_slice(&available[..count]);
-        self.0.as_mut().consume(count);
+        this.inner.as_mut().consume(count);
+        this.reads_in_row += 1;
         TrafficTotals::record_received(count);
+        if !this.head_budget.spend(count) {
+            return Poll::Ready(Err(io::Error::other(
+                "no complete response head within the limit",
+            )));
+        }
         Poll::Ready(Ok(()))
     }
 }
@@ -46,17 +87,17 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let count = ready!(self.0.as_mut().poll_write(context, bytes))?;
+        let count = ready!(self.inner.as_mut().poll_write(context, bytes))?;
         TrafficTotals::record_sent(count);
         Poll::Ready(Ok(count))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.0.as_mut().poll_flush(context)
+        self.inner.as_mut().poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.0.as_mut().poll_close(context)
+        self.poll_end_sending(context)
     }
 }
 
@@ -66,7 +107,7 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let count = ready!(self.0.as_mut().poll_read(context, buffer))?;
+        let count = ready!(self.inner.as_mut().poll_read(context, buffer))?;
         TrafficTotals::record_received(count);
         Poll::Ready(Ok(count))
     }
@@ -78,14 +119,14 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.0.as_mut().poll_write(context, bytes)
+        self.inner.as_mut().poll_write(context, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.0.as_mut().poll_flush(context)
+        self.inner.as_mut().poll_flush(context)
     }
 
     fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.0.as_mut().poll_close(context)
+        self.poll_end_sending(context)
     }
 }
--- a/crates/bramleywind_http/src/http_connection.rs
+++ b/crates/bramleywind_http/src/http_connection.rs
@@ -12,11 +12,18 @@
 use snafu::Snafu;
 use socket2::{SockRef, TcpKeepalive};
 
-use super::compact_stream::CompactStream;
+use super::{
+    compact_stream::CompactStream,
+    head_budget::{HeadBudget, MAX_BYTES_BEFORE_RESPONSE},
+};
 
 /// The largest response head, in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
+/// The kernel's receive buffer of a connection, in bytes (the kernel doubles it). What has arrived and was not read yet takes
+/// memory too; the kernel's own limit is megabytes for each connection.
+pub(crate) const RECEIVE_BUFFER_BYTES: u32 = 64 * 1024;
+
 /// How long a connection is idle before the kernel probes it. A network partition drops packets without a reset,
 /// so only a probe detects that the peer is gone. One second is the kernel's smallest value.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -44,6 +51,12 @@
     /// The connection was closed before the request was written to it.
     #[snafu(display("the connection was closed before the request was written"))]
     NotWritten,
+    /// The peer sent more than is allowed before the head of its response was complete.
+    #[snafu(display("the head of the response is not complete after {limit} bytes"))]
+    HeadTooLarge {
+        /// The limit, in bytes.
+        limit: usize,
+    },
     /// The connection failed after the request may have been written.
     #[snafu(display("the connection failed: {source}"))]
     Broken {
@@ -52,6 +65,13 @@
     },
 }
 
+impl ConnectionError {
+    /// Returns whether the request is known not to have been sent.
+    pub fn is_not_sent(&self) -> bool {
+        matches!(self, Self::NotConnected { .. } | Self::NotWritten)
+    }
+}
+
 /// A client connection to another process, which carries one request at a time.
 ///
 /// Dropping it, or dropping a response before its end, closes the connection.
@@ -60,6 +80,7 @@
     sender: http1::SendRequest<B>,
     _driver: JoinHandle<()>,
     last_use: Instant,
+    head_budget: HeadBudget,
 }
 
 impl<B> HttpConnection<B>
@@ -92,16 +113,17 @@
             Err(_) => return Err(not_connected(&"timed out")),
         };
         set_options(&stream).map_err(|error| not_connected(&error))?;
+        let head_budget = HeadBudget::default();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(CompactStream::new(stream))
+            .handshake(CompactStream::with_head_budget(stream, head_budget.clone()))
             .await
             .map_err(|error| not_connected(&error))?;
         let driver = compio::runtime::spawn(async move {
             // The future of the request returns the error.
             let _ = connection.await;
         });
-        Ok(Self { sender, _driver: driver, last_use: Instant::now() })
+        Ok(Self { sender, _driver: driver, last_use: Instant::now(), head_budget })
     }
 
     /// Returns true if another request can be sent now. False once the peer has closed the connection.
@@ -127,17 +149,28 @@
     ///
     /// # Errors
     ///
-    /// [`ConnectionError::NotWritten`] if no part of the request was sent, otherwise [`ConnectionError::Broken`].
+    /// [`ConnectionError::NotWritten`] if no part of the request was sent, [`ConnectionError::HeadTooLarge`] if the head of the
+    /// response has no end, otherwise [`ConnectionError::Broken`].
     pub async fn send(
         &mut self,
         request: Request<B>,
     ) -> Result<Response<Incoming>, ConnectionError> {
         self.last_use = Instant::now();
-        self.sender.try_send_request(request).await.map_err(|mut failed| {
+        self.head_budget.begin();
+        let result = self.sender.try_send_request(request).await;
+        let is_exceeded = self.head_budget.end();
+        result.map_err(|mut failed| {
             if failed.take_message().is_some() {
-                ConnectionError::NotWritten
-            } else {
-                ConnectionError::Broken { source: failed.into_error() }
+                return ConnectionError::NotWritten;
+            }
+            match failed.into_error() {
+                _ if is_exceeded => {
+                    ConnectionError::HeadTooLarge { limit: MAX_BYTES_BEFORE_RESPONSE }
+                }
+                error if error.is_parse_too_large() => {
+                    ConnectionError::HeadTooLarge { limit: MAX_HEAD_BYTES }
+                }
+                source => ConnectionError::Broken { source },
             }
         })
     }
@@ -147,6 +180,7 @@
 fn set_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as usize)?;
     socket.set_tcp_keepalive(
         &TcpKeepalive::new()
             .with_time(KEEPALIVE_IDLE)
--- a/crates/bramleywind_http/src/http_listener.rs
+++ b/crates/bramleywind_http/src/http_listener.rs
@@ -22,7 +22,10 @@
     service::service_fn,
 };
 
-use super::{ConnectionCount, compact_stream::CompactStream, connection_count::CountedConnection};
+use super::{
+    ConnectionCount, compact_stream::CompactStream, connection_count::CountedConnection,
+    http_connection::RECEIVE_BUFFER_BYTES,
+};
 
 /// The largest request head that hyper reads before it responds with 431 itself, as a multiple of the router's
 /// own limit, so that all but extremely large heads get the router's typed refusal.
@@ -272,8 +275,9 @@
         SocketAddr::V6(_) => TcpSocket::new_v6().await?,
     };
     socket.set_reuseaddr(true)?;
-    // Accepted sockets inherit this size.
+    // Accepted sockets inherit these sizes.
     socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     socket.bind(listen).await?;
     socket.listen(LISTEN_BACKLOG).await
 }
--- a/crates/bramleywind_router/src/endpoint_call.rs
+++ b/crates/bramleywind_router/src/endpoint_call.rs
@@ -8,18 +8,15 @@
     time::{Duration, Instant},
 };
 
+use bramleywind_http::HttpConnection;
 use bytes::Bytes;
-use compio::{net::TcpStream, runtime::JoinHandle, time::timeout};
-use cyper_core::HyperStream;
+use compio::time::timeout;
 use http::{Request, Response, StatusCode, response::Parts};
 use http_body_util::{BodyExt, Full};
-use hyper::{body::Incoming, client::conn::http1};
+use hyper::body::Incoming;
 
 use crate::{AttemptFailure, LEAVING_HEADER, RequestLimits};
 
-/// Maximum size of the header section of an endpoint's answer, in bytes.
-const ANSWER_HEADER_BYTES: usize = 64 * 1024;
-
 /// Time limits for the steps of a call.
 #[derive(Debug, Clone, Copy)]
 pub struct CallTimeouts {
@@ -56,7 +53,7 @@
     /// The status and headers.
     pub head: Parts,
     body: Incoming,
-    _connection: JoinHandle<()>,
+    _connection: HttpConnection<Full<Bytes>>,
 }
 
 /// A call that failed before a usable answer arrived.
@@ -103,25 +100,13 @@
     rule: DeclineRule,
     latest_write: Instant,
 ) -> Result<EndpointAnswer, FailedCall> {
-    let stream = match timeout(timeouts.connect, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(_)) | Err(_) => return Err(AttemptFailure::NotConnected.into()),
-    };
-    // Without this, a small request may be held back until an earlier packet is acknowledged.
-    let _ = stream.set_nodelay(true);
-    let (mut sender, connection) = http1::Builder::new()
-        .max_buf_size(ANSWER_HEADER_BYTES)
-        .handshake(HyperStream::new_plain(stream))
+    let mut connection = HttpConnection::connect(address, timeouts.connect)
         .await
         .map_err(|_| AttemptFailure::NotConnected)?;
-    let connection = compio::runtime::spawn(async move {
-        // The request's own future reports the error.
-        let _ = connection.await;
-    });
     if Instant::now() > latest_write {
         return Err(AttemptFailure::NotConnected.into());
     }
-    let response = match timeout(timeouts.first_byte, sender.send_request(request)).await {
+    let response = match timeout(timeouts.first_byte, connection.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(_)) => return Err(AttemptFailure::Broken.into()),
         Err(_) => return Err(AttemptFailure::TimedOut.into()),
--- a/crates/bramleywind_store/src/outcomes.rs
+++ b/crates/bramleywind_store/src/outcomes.rs
@@ -31,6 +31,8 @@
     Timeout,
     /// The answer could not be parsed, or its HTTP status was unexpected.
     Malformed,
+    /// The answer is larger than any that is expected.
+    TooLarge,
 }
 
 /// The outcome of a read. The value may be stale.
