gateway: bound the memory of all bodies, and the size and number of events

A gateway before faulty endpoints kept up to 4 MiB for each open request, relayed and charged events without end until the deadline, and searched an incomplete event from its begin for each piece that arrived.

Cause: each answer was bounded, their sum was not; an event had no bound at all. Change: BodyMemory, a tenth of the instance's memory for the bodies of requests and answers together. A body may take as much as is left for the others, so many large ones leave room for small ones. A request whose body finds no room is refused with 503 and Retry-After. A stream has one event for each token that the request may generate and 16 more, an event has at most 1 MiB, and each byte is searched once. The endpoint is set aside, with the reason in the log. Found on the way, same lines: a stream was resumed within an event that was relayed in pieces, and an event of more than 64 KiB was counted twice.

--- a/crates/bramleywind_gateway/src/admission/instance_limits.rs
+++ b/crates/bramleywind_gateway/src/admission/instance_limits.rs
@@ -15,6 +15,13 @@
 /// The fraction of the memory that callers' idle connections may take.
 const CONNECTION_SHARE: f64 = 0.25;
 
+/// The fraction of the memory that the bodies of requests and responses may take together. Most are a few kilobytes, which
+/// [`REQUEST_BYTES`] covers.
+const BODY_SHARE: f64 = 0.1;
+
+/// The memory for bodies of an instance whose memory is not limited, in bytes.
+const UNLIMITED_BODY_BYTES: usize = 64 * 1024 * 1024;
+
 /// The number of requests and connections that even the smallest instance takes on.
 const MIN_COUNT: usize = 16;
 
@@ -44,6 +51,19 @@
         to_count(bytes.saturating_sub(BASE_BYTES + connections) / REQUEST_BYTES)
     }
 
+    /// Returns how many bytes the bodies of all requests and responses may take together.
+    ///
+    /// ```
+    /// use bramleywind_gateway::admission::{InstanceLimits, MemorySize};
+    ///
+    /// let memory = Some(MemorySize::from_megabytes(110.0));
+    /// assert_eq!(InstanceLimits { memory, link: None }.max_body_bytes(), 11_000_000);
+    /// ```
+    pub fn max_body_bytes(self) -> usize {
+        let Some(MemorySize(bytes)) = self.memory else { return UNLIMITED_BODY_BYTES };
+        usize::try_from((bytes as f64 * BODY_SHARE) as u64).unwrap_or(usize::MAX)
+    }
+
     /// Returns how many connections of callers are kept open for further requests.
     pub fn max_kept_connections(self) -> usize {
         let Some(MemorySize(bytes)) = self.memory else { return usize::MAX };
--- a/crates/bramleywind_gateway/src/forward/body_reader.rs
+++ b/crates/bramleywind_gateway/src/forward/body_reader.rs
@@ -1,3 +1,4 @@
+use bramleywind_http::BodyMemory;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -9,16 +10,19 @@
     Whole(Bytes),
     /// The body is larger than the limit.
     TooLarge,
+    /// The memory for bodies is too full for this one.
+    NoMemory,
     /// The connection was lost before the end of the body.
     Broken(hyper::Error),
 }
 
-/// Reads a body of at most `limit` bytes. There is no timeout; the caller of this function sets one.
-pub async fn read_body(body: &mut Incoming, limit: usize) -> BodyReadOutcome {
-    let mut buffer = BytesMut::new();
+/// Reads a body of at most `limit` bytes into `memory`. There is no timeout; the caller of this function sets one.
+pub async fn read_body(body: &mut Incoming, limit: usize, memory: &BodyMemory) -> BodyReadOutcome {
+    let (mut buffer, mut held) = (BytesMut::new(), memory.hold());
     loop {
         match body.frame().await {
-            None => return BodyReadOutcome::Whole(buffer.freeze()),
+            None if buffer.is_empty() => return BodyReadOutcome::Whole(Bytes::new()),
+            None => return BodyReadOutcome::Whole(held.attach(buffer.freeze())),
             Some(Err(error)) => return BodyReadOutcome::Broken(error),
             Some(Ok(frame)) => {
                 // Trailers are not forwarded.
@@ -27,6 +31,9 @@
                     return BodyReadOutcome::TooLarge;
                 }
                 buffer.extend_from_slice(&data);
+                if !held.resize(buffer.capacity()) {
+                    return BodyReadOutcome::NoMemory;
+                }
             }
         }
     }
--- a/crates/bramleywind_gateway/src/forward/request_forwarder.rs
+++ b/crates/bramleywind_gateway/src/forward/request_forwarder.rs
@@ -4,7 +4,7 @@
     time::{Duration, Instant},
 };
 
-use bramleywind_http::ResponseBody;
+use bramleywind_http::{BodyMemory, ResponseBody};
 use bramleywind_types::{EndpointId, TokenCount};
 use bytes::Bytes;
 use compio::time::timeout;
@@ -184,7 +184,7 @@
                 send_request(gateway, context, trace, endpoint, resume_after, call_deadline)
                     .await?;
             if context.route.kind.is_stream() && exchange.head.status.is_success() {
-                let mut source = StreamSource::new(exchange);
+                let mut source = StreamSource::new(exchange, context);
                 let first = match source.next_events(call_deadline).await? {
                     Some(first) => first,
                     None if source.exchange().is_delimited() => ScannedEvents::default(),
@@ -201,7 +201,8 @@
                 return Ok(CallOutcome::Stream(Box::new(source), first));
             }
             let is_delimited = exchange.is_delimited();
-            let answer = collect_response(exchange, call_deadline).await?;
+            let memory = gateway.body_memory();
+            let answer = collect_response(exchange, memory, call_deadline).await?;
             if !is_delimited {
                 confirm_end(gateway, context, endpoint, RunProgress::Unanswered).await?;
             }
@@ -312,7 +313,7 @@
             failure = match sent.await {
                 Ok(exchange) if exchange.head.status.is_success() => {
                     self.counts.runs += 1;
-                    return Ok(StreamSource::new(exchange));
+                    return Ok(StreamSource::new(exchange, context));
                 }
                 Ok(exchange) => {
                     let reason = format!("answered with {}", exchange.head.status);
@@ -425,7 +426,7 @@
 }
 
 /// Records a failed call in the endpoint's health. An endpoint that declines is healthy and merely full.
-fn update_health(endpoint: &Endpoint, kind: FailureKind, now: Instant) {
+pub(super) fn update_health(endpoint: &Endpoint, kind: FailureKind, now: Instant) {
     let mut health = endpoint.health().borrow_mut();
     match kind {
         FailureKind::Declined | FailureKind::Left => {}
@@ -474,11 +475,17 @@
 /// Reads the complete body of a response.
 async fn collect_response(
     mut exchange: Exchange,
+    memory: &BodyMemory,
     call_deadline: Instant,
 ) -> Result<BufferedResponse, CallFailure> {
     let left = call_deadline.saturating_duration_since(Instant::now());
-    let body = match timeout(left, read_body(&mut exchange.body, MAX_RESPONSE_BYTES)).await {
+    let reading = read_body(&mut exchange.body, MAX_RESPONSE_BYTES, memory);
+    let body = match timeout(left, reading).await {
         Ok(BodyReadOutcome::Whole(body)) => body,
+        Ok(BodyReadOutcome::NoMemory) => {
+            let reason = "response is larger than the memory that other bodies leave";
+            return Err(CallFailure::new(FailureKind::MayHaveRun, reason));
+        }
         Ok(BodyReadOutcome::TooLarge) => {
             let reason = "response is larger than 4 MiB";
             return Err(CallFailure::new(FailureKind::MayHaveRun, reason));
--- a/crates/bramleywind_gateway/src/forward/request_handler.rs
+++ b/crates/bramleywind_gateway/src/forward/request_handler.rs
@@ -3,7 +3,7 @@
     time::{Duration, Instant},
 };
 
-use bramleywind_http::{ResponseBody, TrafficTotals, head_size};
+use bramleywind_http::{BodyMemory, ResponseBody, TrafficTotals, head_size};
 use bramleywind_types::{ServiceId, TokenCount, WorkspaceId};
 use bytes::Bytes;
 use compio::time::timeout;
@@ -30,6 +30,9 @@
 /// milliseconds.
 const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Retry delay for callers whose body found no memory. Other bodies leave the memory when their requests end.
+const NO_MEMORY_RETRY_DELAY: Duration = Duration::from_millis(500);
+
 /// Retry delay for callers whose request lacks funds while the store does not answer. Standby tokens are released
 /// continuously, and an outage lasts for seconds.
 const FUNDS_RETRY_DELAY: Duration = Duration::from_millis(1_200);
@@ -99,7 +102,8 @@
         return Err(Refusal::new(RefusalReason::BodyTooLarge));
     }
     let deadline = head.deadline_within(arrival, route.timeout);
-    let body = read_whole_body(body, table.limits().body_bytes, deadline).await?;
+    let body =
+        read_whole_body(body, table.limits().body_bytes, gateway.body_memory(), deadline).await?;
     // The body may have taken a while.
     refuse_if_stopping(gateway)?;
     let Some(service) = pick_service(&route) else {
@@ -223,10 +227,14 @@
 async fn read_whole_body(
     mut body: Incoming,
     limit: usize,
+    memory: &BodyMemory,
     deadline: Instant,
 ) -> Result<Bytes, Refusal> {
     let left = deadline.saturating_duration_since(Instant::now());
-    match timeout(left, read_body(&mut body, limit)).await {
+    match timeout(left, read_body(&mut body, limit, memory)).await {
+        Ok(BodyReadOutcome::NoMemory) => {
+            Err(Refusal::after(RefusalReason::Overloaded, NO_MEMORY_RETRY_DELAY))
+        }
         Ok(BodyReadOutcome::Whole(bytes)) => Ok(bytes),
         Ok(BodyReadOutcome::TooLarge) => Err(Refusal::new(RefusalReason::BodyTooLarge)),
         Ok(BodyReadOutcome::Broken(_)) => Err(Refusal::new(RefusalReason::BodyBroken)),
--- a/crates/bramleywind_gateway/src/forward/stream_relay.rs
+++ b/crates/bramleywind_gateway/src/forward/stream_relay.rs
@@ -9,8 +9,8 @@
 use http::Response;
 
 use super::{
-    CallFailure, RequestContext, RequestOutcome, RequestTrace, ScannedEvents,
-    request_forwarder::{RequestForwarder, confirm_end, examine_endpoint},
+    CallFailure, FailureKind, RequestContext, RequestOutcome, RequestTrace, ScannedEvents,
+    request_forwarder::{RequestForwarder, confirm_end, examine_endpoint, update_health},
     stream_source::StreamSource,
 };
 use crate::{
@@ -120,7 +120,9 @@
     async fn next_or_resume(&mut self) -> Result<Option<ScannedEvents>, CallFailure> {
         loop {
             let now = Instant::now();
-            let is_resumable = self.context.route.kind == RouteKind::ResumableStream;
+            // Another engine cannot go on within an event.
+            let is_resumable = self.context.route.kind == RouteKind::ResumableStream
+                && !self.source.has_returned_part();
             let stall_time = self.context.route.target_pause.map(|pause| pause * STALL_TIME_FACTOR);
             let stall_time = stall_time.unwrap_or_default().max(MIN_STALL_TIME);
             let is_movable = is_resumable && self.forwarder.has_attempts_left(&self.context);
@@ -137,9 +139,13 @@
                 Err(failure) => failure,
             };
             let endpoint = Rc::clone(self.source.exchange().guard.endpoint());
+            if failure.kind == FailureKind::MayHaveRun {
+                update_health(&endpoint, failure.kind, Instant::now());
+            }
             let progress = self.source.progress();
             examine_endpoint(&self.gateway, &self.context, &endpoint, progress, &mut failure).await;
-            if !is_resumable {
+            // The piece that failed may have been the first one of an event that was returned in part.
+            if !is_resumable || self.source.has_returned_part() {
                 return Err(failure);
             }
             let resume_after = self.last_id.or(self.context.resume_after);
--- a/crates/bramleywind_gateway/src/forward/stream_source.rs
+++ b/crates/bramleywind_gateway/src/forward/stream_source.rs
@@ -5,7 +5,12 @@
 
 use crate::crashes::RunProgress;
 
-use super::{CallFailure, EventScanner, FailureKind, ScannedEvents, exchange::Exchange};
+use super::{
+    CallFailure, EventScanner, FailureKind, RequestContext, ScannedEvents, exchange::Exchange,
+};
+
+/// The number of events that a stream may have besides one for each token: for its begin, its end and its usage.
+const MAX_ADDITIONAL_EVENTS: u64 = 16;
 
 /// Reader of the events that an endpoint sends for one request.
 #[derive(Debug)]
@@ -15,11 +20,25 @@
     /// The number of events of this run.
     events: u64,
     first_event_at: Option<Instant>,
+    /// The number of events that the request may get; `None` if it does not tell how much it may generate.
+    max_events: Option<u64>,
 }
 
 impl StreamSource {
-    pub(super) fn new(exchange: Exchange) -> Self {
-        Self { exchange, scanner: EventScanner::default(), events: 0, first_event_at: None }
+    pub(super) fn new(exchange: Exchange, context: &RequestContext) -> Self {
+        let output_limit = context.prompt.as_ref().map(|prompt| prompt.output_limit.0);
+        Self {
+            exchange,
+            scanner: EventScanner::default(),
+            events: 0,
+            first_event_at: None,
+            max_events: output_limit.map(|limit| limit.saturating_add(MAX_ADDITIONAL_EVENTS)),
+        }
+    }
+
+    /// Returns whether a part of an event was returned whose rest has not arrived.
+    pub(super) fn has_returned_part(&self) -> bool {
+        self.scanner.has_forwarded_part()
     }
 
     pub(super) fn progress(&self) -> RunProgress {
@@ -56,6 +75,7 @@
             let Ok(data) = frame.into_data() else { continue };
             self.exchange.guard.endpoint().record_activity(Instant::now());
             let events = self.scanner.push(&data);
+            self.check_bounds(events.count)?;
             if events.count > 0 {
                 let now = Instant::now();
                 self.events += events.count;
@@ -70,9 +90,21 @@
         }
     }
 
+    /// Checks that the endpoint does not send without end. `count` further events have arrived.
+    fn check_bounds(&self, count: u64) -> Result<(), CallFailure> {
+        let reason = if self.scanner.is_oversized() {
+            "event is larger than 1 MiB"
+        } else if self.max_events.is_some_and(|max| self.events + count > max) {
+            "stream has more events than the request may generate"
+        } else {
+            return Ok(());
+        };
+        Err(CallFailure::new(FailureKind::MayHaveRun, reason))
+    }
+
     /// Checks that the stream did not end within an event.
     fn check_end(&mut self) -> Result<Option<ScannedEvents>, CallFailure> {
-        if self.scanner.take_pending().is_empty() {
+        if self.scanner.take_pending().is_empty() && !self.scanner.has_forwarded_part() {
             return Ok(None);
         }
         Err(CallFailure::new(FailureKind::ConnectionLost, "stream ended within an event"))
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 };
 
 use async_channel::{Receiver, Sender};
-use bramleywind_http::TrafficTotals;
+use bramleywind_http::{BodyMemory, TrafficTotals};
 use bramleywind_routing::RetryBudget;
 use bramleywind_store::StoreVersion;
 use bramleywind_types::{EndpointId, IncarnationId, ServiceId};
@@ -84,6 +84,7 @@
     fleet_clock: FleetClock,
     placement: LatencyPlacement,
     admission: AdmissionControl,
+    body_memory: BodyMemory,
     /// Whether new connections were accepted when this was last decided.
     took_connections: Cell<bool>,
     crash_guard: RefCell<CrashGuard>,
@@ -113,6 +114,7 @@
             capacity: settings.capacity,
         };
         let admission = AdmissionControl::new(settings.limits, Instant::now());
+        let body_memory = BodyMemory::new(settings.limits.max_body_bytes());
         Self {
             settings,
             log,
@@ -138,6 +140,7 @@
             fleet_clock: FleetClock::default(),
             placement: LatencyPlacement,
             admission,
+            body_memory,
             took_connections: Cell::new(true),
             crash_guard: RefCell::new(CrashGuard::new(Instant::now())),
             crash_news: async_channel::bounded(1),
@@ -256,6 +259,11 @@
         &self.admission
     }
 
+    /// The memory for the bodies of requests and responses.
+    pub fn body_memory(&self) -> &BodyMemory {
+        &self.body_memory
+    }
+
     /// The requests that crash endpoints.
     pub fn crash_guard(&self) -> &RefCell<CrashGuard> {
         &self.crash_guard
--- a/crates/bramleywind_gateway/tests/events.rs
+++ b/crates/bramleywind_gateway/tests/events.rs
@@ -3,6 +3,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
+use std::time::{Duration, Instant};
+
 use bramleywind_gateway::{forward::EventScanner, platform_api::EventId};
 use proptest::prelude::*;
 use test_case::test_case;
@@ -48,3 +50,28 @@
         prop_assert_eq!(forwarded, bytes);
     }
 }
+
+/// An event that is forwarded in pieces must be counted and charged once.
+#[test]
+fn large_event_ends_once() {
+    let mut scanner = EventScanner::default();
+    let begin = [&b"id: 7\ndata: "[..], &[b'x'; 70_000]].concat();
+    let first = scanner.push(&begin);
+    assert_eq!((first.bytes.len(), first.count), (begin.len(), 0));
+    let last = scanner.push(b"\n\nid: 8\n");
+    assert_eq!((&last.bytes[..], last.count, last.last_id), (&b"\n\n"[..], 1, Some(EventId(7))));
+}
+
+/// The time within which a large event has to be searched, far below the target for a first event.
+const MAX_SEARCH_TIME: Duration = Duration::from_millis(500);
+
+/// An incomplete event must not be searched from its begin for each byte that arrives.
+#[test]
+fn event_in_many_pieces_is_searched_once() {
+    let mut scanner = EventScanner::default();
+    let begin = Instant::now();
+    for _ in 0..60_000 {
+        assert_eq!(scanner.push(b"x").count, 0);
+    }
+    assert!(begin.elapsed() < MAX_SEARCH_TIME, "{:?}", begin.elapsed());
+}
