endpoints: recover the list at once after a lost watch

DRAIN: requests reach an endpoint later than it allows after it said that it leaves. On six machines, where all read the store themselves, two thirds of the bound are gone when a watch that heard nothing for a second is interrupted or answered that the history is lost.

Cause: the whole list was read beside the next watch, and applied only after that watch had ended (0.9 s) or, after lost history, after two pauses of 250 and 50 ms and another watch of 50 ms. Ruled out: requests placed in time and sent late (the gate is asked when the request is written). Change: while changes may be missing, watches last 50 ms, a round waits up to 250 ms for the list instead of a pause, and a list that is as new as what is known needs no further watch. The list counts as complete until it was asked for: a watch that hears nothing proves less.

--- a/crates/bramleywind_gateway/src/background/follow_endpoints.rs
+++ b/crates/bramleywind_gateway/src/background/follow_endpoints.rs
@@ -15,6 +15,9 @@
         follower.update_list().await;
         gateway.remove_expired_endpoints();
         gateway.announce_list();
-        sleep(BATCH_INTERVAL).await;
+        // A round in which changes may be missing waits for the list or for the store's return.
+        if !gateway.may_miss_changes() {
+            sleep(BATCH_INTERVAL).await;
+        }
     }
 }
--- a/crates/bramleywind_gateway/src/background/list_follower.rs
+++ b/crates/bramleywind_gateway/src/background/list_follower.rs
@@ -1,5 +1,4 @@
 use std::{
-    cell::RefCell,
     collections::HashSet,
     net::SocketAddr,
     rc::Rc,
@@ -8,7 +7,8 @@
 
 use bramleywind_store::{StoreVersion, UnavailableReason};
 use bramleywind_types::{ConfigRevision, EndpointId};
-use compio::{runtime::JoinHandle, time::sleep};
+use compio::{runtime::JoinHandle, time::timeout};
+use futures_channel::oneshot;
 use slog::info;
 
 use super::{DependencyTracker, MAX_READERS_ASKED, MAX_RELAYED_AGE, MIN_WATCH_TIME, WATCH_TIME};
@@ -31,6 +31,10 @@
 /// register again within about two seconds.
 const GRACE_TIME: Duration = Duration::from_millis(1_900);
 
+/// How long a round waits for a list that is being read. A healthy store answers within milliseconds; over a full link, changes
+/// are asked for meanwhile.
+const LIST_WAIT: Duration = Duration::from_millis(250);
+
 type ListResult = Result<ListPage<EntryChange>, UnavailableReason>;
 
 /// What another gateway says of its configuration.
@@ -41,7 +45,8 @@
 
 /// A read of the whole registry that goes on in the background, so that changes are heard of meanwhile.
 struct PendingList {
-    result: Rc<RefCell<Option<ListResult>>>,
+    asked_at: Instant,
+    result: oneshot::Receiver<ListResult>,
     _task: JoinHandle<()>,
 }
 
@@ -51,8 +56,6 @@
     tracker: DependencyTracker,
     grace_until: Option<Instant>,
     unreadable: HashSet<Option<EndpointId>>,
-    /// Whether changes may be missing that the known version covers. An interrupted watch may have missed them.
-    may_miss_changes: bool,
     pending_list: Option<PendingList>,
     /// What the gateway that answered last said of its configuration.
     config_statement: Option<ConfigStatement>,
@@ -68,7 +71,6 @@
             gateway,
             grace_until: None,
             unreadable: HashSet::new(),
-            may_miss_changes: false,
             pending_list: None,
             config_statement: None,
             relayed_by: None,
@@ -89,7 +91,7 @@
             if let Some(reader) = relayed_by {
                 self.follow_config_of(reader).await;
                 // The readers see to it that nothing is missing.
-                self.may_miss_changes = false;
+                self.gateway.set_may_miss_changes(false);
                 self.pending_list = None;
                 return;
             }
@@ -100,14 +102,14 @@
                 if self.tracker.record_success().is_some() {
                     self.grace_until = Some(Instant::now() + GRACE_TIME);
                 }
-                if self.may_miss_changes {
+                if self.gateway.may_miss_changes() {
                     self.ask_others(readers.others).await;
                 }
             }
             Err(reason) => {
                 // Entries missing from the first answer after this may only have expired.
                 self.grace_until = Some(Instant::now() + Duration::from_secs(3600));
-                self.may_miss_changes = true;
+                self.gateway.set_may_miss_changes(true);
                 self.ask_others(readers.others).await;
                 self.tracker.back_off(reason).await;
             }
@@ -205,16 +207,20 @@
             self.gateway.apply_list(page.entries, self.grace_end(), &mut self.unreadable);
             self.gateway.set_list_version(Some(page.version));
             self.gateway.list_freshness().confirm(asked_at);
-            self.may_miss_changes = false;
+            self.gateway.set_may_miss_changes(false);
             return Ok(());
         };
-        if self.may_miss_changes {
+        if self.gateway.may_miss_changes() {
             self.begin_list();
         }
-        if after == StoreVersion::MISSING {
-            sleep(MIN_WATCH_TIME).await;
-            return self.finish_list().await;
+        if after != StoreVersion::MISSING {
+            self.watch_changes(after).await?;
         }
+        self.finish_list().await
+    }
+
+    /// Waits for changes after a version and applies them.
+    async fn watch_changes(&mut self, after: StoreVersion) -> Result<(), UnavailableReason> {
         let (asked_at, wait) = (Instant::now(), self.watch_time());
         match self.gateway.store().watch_endpoints(after, wait).await? {
             StoreChanges::Changed { changes, version } => {
@@ -222,7 +228,7 @@
                 let complete_until = if changes.is_empty() { asked_at + wait } else { asked_at };
                 self.apply_changes(changes);
                 self.gateway.set_list_version(Some(version));
-                if !self.may_miss_changes {
+                if !self.gateway.may_miss_changes() {
                     self.gateway.list_freshness().confirm(complete_until.min(Instant::now()));
                 }
             }
@@ -230,11 +236,11 @@
                 info!(self.gateway.log(), "registry history lost; reading it again"; "after" => %after);
                 // The versions of the store may have begun anew.
                 self.gateway.set_list_version(Some(StoreVersion::MISSING));
-                self.may_miss_changes = true;
+                self.gateway.set_may_miss_changes(true);
                 self.begin_list();
             }
         }
-        self.finish_list().await
+        Ok(())
     }
 
     /// Begins to read the whole registry, if that is not under way.
@@ -242,27 +248,31 @@
         if self.pending_list.is_some() {
             return;
         }
-        let result = Rc::<RefCell<Option<ListResult>>>::default();
-        let (gateway, slot) = (Rc::clone(&self.gateway), Rc::clone(&result));
+        let (sender, result) = oneshot::channel();
+        let (gateway, asked_at) = (Rc::clone(&self.gateway), Instant::now());
         let task = compio::runtime::spawn(async move {
             let outcome = gateway.store().list_endpoints().await;
-            *slot.borrow_mut() = Some(outcome);
+            // Nobody waits any longer if another gateway had the list.
+            let _ = sender.send(outcome);
         });
-        self.pending_list = Some(PendingList { result, _task: task });
+        self.pending_list = Some(PendingList { asked_at, result, _task: task });
     }
 
-    /// Applies the list that was read in the background, once it is there, with all changes since.
+    /// Waits for the list that is read in the background, if there is one, and applies it with all changes since.
     async fn finish_list(&mut self) -> Result<(), UnavailableReason> {
-        let Some(result) = self.pending_list.as_ref().and_then(|list| list.result.take()) else {
-            return Ok(());
-        };
+        let Some(list) = &mut self.pending_list else { return Ok(()) };
+        let asked_at = list.asked_at;
+        let Ok(Ok(result)) = timeout(LIST_WAIT, &mut list.result).await else { return Ok(()) };
         self.pending_list = None;
         let page = result?;
-        let asked_at = Instant::now();
         self.log_list(&page, asked_at);
         // Changes that this process already knows must not be undone by the list, which may be older.
         let (mut version, mut changes) = (page.version, Vec::new());
         for _ in 0..MAX_CATCH_UP_WATCHES {
+            if self.gateway.list_version().is_none_or(|known| version >= known) {
+                self.replace_list(page.entries, changes, version, asked_at);
+                break;
+            }
             match self.gateway.store().watch_endpoints(version, MIN_WATCH_TIME).await? {
                 StoreChanges::Changed { changes: later, version: reached } => {
                     changes.extend(later);
@@ -270,10 +280,6 @@
                 }
                 StoreChanges::HistoryLost => return Ok(()),
             }
-            if self.gateway.list_version().is_none_or(|known| version >= known) {
-                self.replace_list(page.entries, changes, version, asked_at);
-                break;
-            }
         }
         Ok(())
     }
@@ -293,7 +299,7 @@
         self.gateway.apply_list(entries, self.grace_end(), &mut self.unreadable);
         self.gateway.set_list_version(Some(version));
         self.gateway.list_freshness().confirm(asked_at);
-        self.may_miss_changes = false;
+        self.gateway.set_may_miss_changes(false);
     }
 
     fn apply_changes(&mut self, changes: Vec<EntryChange>) {
@@ -304,8 +310,11 @@
     }
 
     /// Returns how long to watch. A watch must outlast neither the age up to which the list is current nor the time at which a
-    /// missing endpoint has to be removed.
+    /// missing endpoint has to be removed, and not keep a list from being applied.
     fn watch_time(&self) -> Duration {
+        if self.gateway.may_miss_changes() {
+            return MIN_WATCH_TIME;
+        }
         let now = Instant::now();
         let age = self.gateway.list_freshness().age(now).unwrap_or_default();
         let removal_time = self.gateway.endpoints().borrow().next_removal_time();
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -65,6 +65,8 @@
     endpoints: RefCell<EndpointSet>,
     list_freshness: CopyFreshness,
     list_version: Cell<Option<StoreVersion>>,
+    /// Whether the list may lack changes that its version covers.
+    may_miss_changes: Cell<bool>,
     /// The list of gateways as the store gave it, and when the store was asked for it.
     fleet_listing: RefCell<Option<(FleetListing, Instant)>>,
     /// The digest of the list of endpoints, with the generation that it belongs to.
@@ -126,6 +128,7 @@
             config_freshness: CopyFreshness::default(),
             config_relayed_until: Cell::new(None),
             list_version: Cell::new(None),
+            may_miss_changes: Cell::new(false),
             fleet_listing: RefCell::default(),
             list_digest: RefCell::new(None),
             list_waiters: RefCell::default(),
--- a/crates/bramleywind_gateway/src/gateway/list_handling.rs
+++ b/crates/bramleywind_gateway/src/gateway/list_handling.rs
@@ -58,6 +58,16 @@
         self.list_version.set(version);
     }
 
+    /// Returns whether the list of endpoints may lack changes that its version covers, because an interrupted watch missed them.
+    pub fn may_miss_changes(&self) -> bool {
+        self.may_miss_changes.get()
+    }
+
+    /// Records whether the list of endpoints may lack changes that its version covers.
+    pub fn set_may_miss_changes(&self, may_miss_changes: bool) {
+        self.may_miss_changes.set(may_miss_changes);
+    }
+
     /// Returns the question to another gateway how its list of endpoints differs from this one's.
     pub fn list_query(&self, wait: Duration) -> ListQuery {
         ListQuery {
