endpoints: keep a vanished endpoint only as long as it may be unknown that it left

DRAIN: an endpoint that left by removing its entry just after any failed call to the store got requests for up to 1.9 s more, beside the time until that is noticed; with a bound of 2 s that is too long.

Cause: each failed call, however short, made a vanished entry count as expired. Change: after a failure shorter than any lease, the endpoint is kept until the bound from the time up to which the list was complete; after a longer outage until the bound from the last failed call, since it cannot have been removed before the store's return; in both cases at most for the 1.9 s. Ruled out: no grace at all (live endpoints register again up to two seconds after an outage).

--- a/crates/bramleywind_gateway/src/background/list_follower.rs
+++ b/crates/bramleywind_gateway/src/background/list_follower.rs
@@ -31,6 +31,9 @@
 /// register again within about two seconds.
 const GRACE_TIME: Duration = Duration::from_millis(1_900);
 
+/// The shortest outage in which the entry of a live endpoint may have expired. Endpoints renew their leases well before that.
+const MIN_EXPIRY_TIME: Duration = Duration::from_secs(1);
+
 /// How long a round waits for a list that is being read. A healthy store answers within milliseconds; over a full link, changes
 /// are asked for meanwhile.
 const LIST_WAIT: Duration = Duration::from_millis(250);
@@ -50,11 +53,20 @@
     _task: JoinHandle<()>,
 }
 
+/// The last time in which the store did not answer.
+struct StoreOutage {
+    began_at: Instant,
+    /// When a call last failed.
+    failed_at: Instant,
+    /// When a call first succeeded again.
+    regained_at: Option<Instant>,
+}
+
 /// Follows the changes of the registry: through a gateway that reads it for others, or in the store itself.
 pub(super) struct ListFollower<P: Platform> {
     gateway: Rc<Gateway<P>>,
     tracker: DependencyTracker,
-    grace_until: Option<Instant>,
+    outage: Option<StoreOutage>,
     unreadable: HashSet<Option<EndpointId>>,
     pending_list: Option<PendingList>,
     /// What the gateway that answered last said of its configuration.
@@ -69,7 +81,7 @@
         Self {
             tracker: DependencyTracker::new("endpoint registry", gateway.log()),
             gateway,
-            grace_until: None,
+            outage: None,
             unreadable: HashSet::new(),
             pending_list: None,
             config_statement: None,
@@ -99,16 +111,17 @@
         }
         match self.follow_store().await {
             Ok(()) => {
-                if self.tracker.record_success().is_some() {
-                    self.grace_until = Some(Instant::now() + GRACE_TIME);
+                if self.tracker.record_success().is_some()
+                    && let Some(outage) = &mut self.outage
+                {
+                    outage.regained_at = Some(Instant::now());
                 }
                 if self.gateway.may_miss_changes() {
                     self.ask_others(readers.others).await;
                 }
             }
             Err(reason) => {
-                // Entries missing from the first answer after this may only have expired.
-                self.grace_until = Some(Instant::now() + Duration::from_secs(3600));
+                self.record_failure(Instant::now());
                 self.gateway.set_may_miss_changes(true);
                 self.ask_others(readers.others).await;
                 self.tracker.back_off(reason).await;
@@ -323,10 +336,31 @@
         until_removal.map_or(wait, |until| until.min(wait)).max(MIN_WATCH_TIME)
     }
 
-    /// Returns until when an endpoint is kept whose entry vanishes now, or `None` if it is to be removed at once.
+    /// Records that the store did not answer.
+    fn record_failure(&mut self, now: Instant) {
+        match &mut self.outage {
+            Some(outage) if outage.regained_at.is_none() => outage.failed_at = now,
+            _ => {
+                self.outage =
+                    Some(StoreOutage { began_at: now, failed_at: now, regained_at: None });
+            }
+        }
+    }
+
+    /// Returns until when an endpoint is kept whose entry vanishes now, or `None` if it is to be removed at once. After an outage of the
+    /// store the entry may only have expired, but it may also have been removed since the latest time up to which the list is known to be
+    /// complete, or since the return of a store that was away for so long that entries expired.
     fn grace_end(&self) -> Option<Instant> {
-        let now = Instant::now();
-        self.grace_until.filter(|until| now < *until).map(|until| until.min(now + GRACE_TIME))
+        let (outage, now) = (self.outage.as_ref()?, Instant::now());
+        let may_have_expired = outage.failed_at.duration_since(outage.began_at) >= MIN_EXPIRY_TIME;
+        let earliest_removal = if may_have_expired {
+            outage.failed_at
+        } else {
+            self.gateway.list_freshness().complete_until()?
+        };
+        let grace_end = outage.regained_at.unwrap_or(now) + GRACE_TIME;
+        let leaving_end = earliest_removal + self.gateway.settings().max_list_age;
+        Some(grace_end.min(leaving_end)).filter(|end| now < *end)
     }
 
     fn log_list(&self, page: &ListPage<EntryChange>, asked_at: Instant) {
