endpoints: tell others nothing of a list that may lack changes

A gateway whose watch was interrupted may lack a change that its version covers. Until it had read the whole list again, its answer undid that change at gateways that had it, whose lists still counted as young.

Cause: lists were compared by their versions alone. Change: such a gateway answers like one that has read no list; the asking one turns to another or to the store. list_relay, gateway_that_may_miss_changes_changes_nothing: both cases failed before (the leaving endpoint was open again), and pass now.

--- a/crates/bramleywind_gateway/src/gateway/list_handling.rs
+++ b/crates/bramleywind_gateway/src/gateway/list_handling.rs
@@ -87,14 +87,16 @@
         loop {
             let now = Instant::now();
             let version = self.list_version.get().unwrap_or(StoreVersion::MISSING);
-            // A list that is older than the asking gateway's has no news for it.
-            let parts = if version >= query.version {
+            // A list that is older than the asking gateway's, or lacks changes, has no news for it.
+            let is_complete = !self.may_miss_changes.get();
+            let parts = if is_complete && version >= query.version {
                 self.differing_parts(&query.digest)
             } else {
                 Vec::new()
             };
             let has_news = !parts.is_empty() || self.config_revision() > query.config_revision;
-            let is_confirmed = self.list_freshness.complete_until() > confirmed_before;
+            let is_confirmed =
+                is_complete && self.list_freshness.complete_until() > confirmed_before;
             if !has_news && !is_confirmed && now < answer_at {
                 // A timeout ends the wait, too.
                 let _ = timeout(answer_at - now, self.wait_for_list_news()).await;
@@ -104,7 +106,7 @@
                 |duration: Duration| u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
             return ListAnswer {
                 version,
-                age_ms: self.list_freshness.age(now).map(millis),
+                age_ms: self.list_freshness.age(now).filter(|_| is_complete).map(millis),
                 config_revision: self.config_revision(),
                 config_age_ms: self.config_freshness.age(now).map(millis),
                 waited_ms: millis(now.saturating_duration_since(asked_at)),
--- a/crates/bramleywind_gateway/src/registry/list_messages.rs
+++ b/crates/bramleywind_gateway/src/registry/list_messages.rs
@@ -28,7 +28,7 @@
 pub struct ListAnswer {
     /// The version of the registry that the answering gateway knows.
     pub version: StoreVersion,
-    /// The age of its list when the answer was made, in milliseconds; `None` if it has read no list.
+    /// The age of its list when the answer was made, in milliseconds; `None` if it has read no list, or the list may lack changes.
     pub age_ms: Option<u64>,
     /// The revision of the configuration that the answering gateway has in force.
     pub config_revision: Option<ConfigRevision>,
