http: serve waiting connections before a port closes

Callers got resets instead of answers: an overloaded instance closes its port, and the connections that the kernel had established and that were not accepted yet were reset. Cause: the port was closed as soon as the load was seen, after one accepted connection.

--- a/crates/bramleywind_http/src/http_listener.rs
+++ b/crates/bramleywind_http/src/http_listener.rs
@@ -64,6 +64,10 @@
 /// How often a port that takes no connections for a while checks whether it may open again.
 const REOPEN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How long a port that is about to close waits for each further connection that was already established. Such a connection
+/// would be reset.
+const BACKLOG_WAIT: Duration = Duration::from_millis(1);
+
 /// How often a closing port checks whether its connections have ended.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -162,20 +166,21 @@
         let open_connections = connections.clone();
         let (close_signal, closed) = async_channel::bounded(1);
         let accept_task = compio::runtime::spawn(async move {
+            let serve = |stream| {
+                let counted = connection_count.begin_connection();
+                let connection =
+                    serve_connection(stream, limits, handler.clone(), closed.clone(), counted);
+                open_connections.add(compio::runtime::spawn(connection));
+            };
             let mut listener = listener;
             loop {
                 if !takes_connections() {
+                    accept_backlog(&mut listener, &serve).await;
                     drop(listener);
                     listener = reopen(address, &takes_connections).await;
                 }
                 match listener.accept().await {
-                    Ok((stream, _)) => {
-                        let closed = closed.clone();
-                        let counted = connection_count.begin_connection();
-                        let handler = handler.clone();
-                        let connection = serve_connection(stream, limits, handler, closed, counted);
-                        open_connections.add(compio::runtime::spawn(connection));
-                    }
+                    Ok((stream, _)) => serve(stream),
                     Err(_) => compio::time::sleep(ACCEPT_RETRY_DELAY).await,
                 }
             }
@@ -257,6 +262,17 @@
     let _ = timeout(DRAIN_TIME, drain).await;
 }
 
+/// Serves the connections that wait to be accepted.
+async fn accept_backlog(listener: &mut TcpListener, serve: impl Fn(TcpStream)) {
+    for _ in 0..LISTEN_BACKLOG {
+        match timeout(BACKLOG_WAIT, listener.accept()).await {
+            Ok(Ok((stream, _))) => serve(stream),
+            // None waits any longer, or none can be accepted.
+            Ok(Err(_)) | Err(_) => return,
+        }
+    }
+}
+
 /// Opens a port again once it may take connections.
 async fn reopen(address: SocketAddr, takes_connections: impl Fn() -> bool) -> TcpListener {
     loop {
