--- a/crates/bramleywind_http/src/compact_stream.rs
+++ b/crates/bramleywind_http/src/compact_stream.rs
@@ -8,6 +8,7 @@
 use compio::{io::compat::AsyncStream, net::TcpStream};
 use futures_util::{AsyncBufRead, AsyncRead, AsyncWrite};
 use hyper::rt::ReadBufCursor;
+use rustix::net::RecvFlags;
 use socket2::SockRef;
 
 use super::{head_budget::HeadBudget, traffic_totals::TrafficTotals};
@@ -16,6 +17,9 @@
 /// one system call.
 const BUFFER_BYTES: usize = 2 * 1024;
 
+/// The bytes that are read at once beyond a full buffer. Most requests fit.
+const ARRIVED_BYTES: usize = 8 * 1024;
+
 /// The number of reads after which other tasks get a turn, although more data has arrived. hyper reads for as long as there
 /// is data, and a peer may send faster than this process reads.
 const MAX_READS_IN_ROW: u32 = 16;
@@ -43,6 +47,20 @@
         Self { inner, socket, head_budget, reads_in_row: 0 }
     }
 
+    /// Reads what else has arrived, without waiting, if the buffer of one system call was full.
+    fn read_arrived(&self, buffer: &mut ReadBufCursor<'_>) -> usize {
+        let mut piece = [0; ARRIVED_BYTES];
+        let limit = buffer.remaining().min(ARRIVED_BYTES);
+        // An error, or the end of the connection, is reported by the next read.
+        let count = match rustix::net::recv(&self.socket, &mut piece[..limit], RecvFlags::DONTWAIT)
+        {
+            Ok((count, _)) => count,
+            Err(_) => 0,
+        };
+        buffer.put_slice(&piece[..count]);
+        count
+    }
+
     /// Closes the sending side once everything is written. compio would do so on a thread of its own.
     fn poll_end_sending(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(AsyncWrite::poll_flush(self.inner.as_mut(), context))?;
@@ -67,9 +85,12 @@
             return Poll::Pending;
         };
         let available = available?;
-        let count = available.len().min(buffer.remaining());
+        let mut count = available.len().min(buffer.remaining());
         buffer.put_slice(&available[..count]);
         this.inner.as_mut().consume(count);
+        if count == BUFFER_BYTES && buffer.remaining() > 0 {
+            count += this.read_arrived(&mut buffer);
+        }
         this.reads_in_row += 1;
         TrafficTotals::record_received(count);
         if !this.head_budget.spend(count) {
