placement: prefer endpoints that fail few requests

Callers of a service got errors from one of its endpoints more often than by chance: 78 of 120 calls went to the one of three that answered each request with 500 at once, while the others took 100 ms. A call that may not be repeated is lost there.

Cause: a complete answer counted as success whatever its status, and nothing but the latency of successes and the requests in flight decides, so an endpoint that fails fast looks idle and fast. Ruled out: the backoff of broken connections for errors, too; a request that fails everywhere would set all endpoints aside for other callers.

--- a/crates/bramleywind_gateway/src/forward/exchange.rs
+++ b/crates/bramleywind_gateway/src/forward/exchange.rs
@@ -208,14 +208,19 @@
             || self.head.status == StatusCode::NO_CONTENT
     }
 
-    /// Records the success and returns the connection to the endpoint's pool, unless the endpoint closes it or is
+    /// Records the outcome and returns the connection to the endpoint's pool, unless the endpoint closes it or is
     /// leaving. May be called only after the whole response was read.
     pub(super) fn recycle(self) {
         let endpoint = Rc::clone(self.guard.endpoint());
-        endpoint.health().borrow_mut().record_success();
+        let now = Instant::now();
+        if self.head.status.is_server_error() {
+            endpoint.health().borrow_mut().record_error(now);
+        } else {
+            endpoint.health().borrow_mut().record_success(now);
+        }
         if !self.answer.is_closing && endpoint.is_open() {
             let idle_time = self.answer.idle_time;
-            endpoint.pool().borrow_mut().put(self.connection, idle_time, Instant::now());
+            endpoint.pool().borrow_mut().put(self.connection, idle_time, now);
         }
     }
 }
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -409,6 +409,7 @@
                     slots: record.slots,
                     pace_ms: endpoint.pace_ms(),
                     is_avoided: endpoint.health().borrow().is_avoided(now),
+                    failure_rate: endpoint.health().borrow().failure_rate(now),
                     is_local: record.data_centre == self.settings.data_centre,
                 }
             })
--- a/crates/bramleywind_gateway/src/placement/candidate.rs
+++ b/crates/bramleywind_gateway/src/placement/candidate.rs
@@ -19,6 +19,8 @@
     pub pace_ms: Option<f64>,
     /// Whether the endpoint failed recently and is backing off.
     pub is_avoided: bool,
+    /// The smoothed fraction of this process's requests that the endpoint failed lately, from 0 to 1.
+    pub failure_rate: f64,
     /// Whether the endpoint runs in the gateway's data centre.
     pub is_local: bool,
 }
--- a/crates/bramleywind_gateway/src/placement/latency_placement.rs
+++ b/crates/bramleywind_gateway/src/placement/latency_placement.rs
@@ -27,6 +27,10 @@
 /// one elsewhere.
 const LOCAL_FACTOR: f64 = 0.97;
 
+/// How much more a request costs at an endpoint that fails all requests: it has to run again elsewhere, or is lost. An endpoint
+/// that fails one request of ten is as good as one that takes half as long again.
+const FAILURE_COST: f64 = 5.0;
+
 /// Placement policy that chooses the endpoint with the lowest predicted time to the first event.
 ///
 /// Designed for callers that share long prompts and for engines of different speeds. The prediction is the time that
@@ -76,7 +80,15 @@
         + REQUEST_OVERHEAD_KILOTOKENS
         + running_requests * RUNNING_REQUEST_KILOTOKENS;
     let local_factor = if candidate.is_local { LOCAL_FACTOR } else { 1.0 };
-    candidate.pace_ms.unwrap_or(DEFAULT_PACE_MS) * kilotokens * local_factor
+    candidate.pace_ms.unwrap_or(DEFAULT_PACE_MS)
+        * kilotokens
+        * local_factor
+        * failure_factor(candidate)
+}
+
+/// Returns the factor by which expected failures make an endpoint less attractive.
+fn failure_factor(candidate: &Candidate) -> f64 {
+    1.0 + FAILURE_COST * candidate.failure_rate
 }
 
 /// Returns the cheaper of two random candidates, by latency and occupied slots. Random pairs keep the gateways from all
@@ -97,7 +109,10 @@
         let candidate = &candidates[index];
         let occupancy = f64::from(candidate.in_flight) / f64::from(candidate.slots.max(1));
         let local_factor = if candidate.is_local { LOCAL_FACTOR } else { 1.0 };
-        candidate.pace_ms.unwrap_or(DEFAULT_SERVICE_MS) * (1.0 + occupancy) * local_factor
+        candidate.pace_ms.unwrap_or(DEFAULT_SERVICE_MS)
+            * (1.0 + occupancy)
+            * local_factor
+            * failure_factor(candidate)
     };
     Some(if cost(second) < cost(first) { second } else { first })
 }
--- a/crates/bramleywind_gateway/tests/health.rs
+++ b/crates/bramleywind_gateway/tests/health.rs
@@ -72,7 +72,7 @@
         health.record_failure(now);
     }
     assert!(!health.is_avoided(now + Duration::from_secs(2)));
-    health.record_success();
+    health.record_success(now);
     assert_eq!(health.consecutive_failures(), 0);
 }
 
@@ -90,3 +90,17 @@
     drop(guard);
     assert_eq!(endpoint.in_flight(), 0);
 }
+
+/// An endpoint that fails a part of its requests and answers the others is not sound, and one that has failed is tried again.
+#[test]
+fn failure_rate_follows_the_outcomes_and_fades() {
+    let (mut health, now) = (EndpointHealth::default(), Instant::now());
+    for _ in 0..20 {
+        health.record_error(now);
+        health.record_success(now);
+    }
+    let rate = health.failure_rate(now);
+    assert!((0.4..0.6).contains(&rate), "{rate}");
+    assert!(!health.is_avoided(now));
+    assert!(health.failure_rate(now + Duration::from_secs(15)) < rate / 7.0);
+}
--- a/crates/bramleywind_gateway/tests/placement.rs
+++ b/crates/bramleywind_gateway/tests/placement.rs
@@ -20,6 +20,7 @@
         slots: 64,
         pace_ms: Some(30.0),
         is_avoided: false,
+        failure_rate: 0.0,
         is_local: false,
     }
 }
@@ -42,6 +43,13 @@
     assert_eq!(choose_index(&REVIEW, &[engine(1), slow, engine(5)]), Some(2));
 }
 
+/// An engine that fails most of its requests looks fast, since failed ones are answered soon.
+#[test]
+fn engine_that_fails_requests_is_passed_over() {
+    let failing = Candidate { failure_rate: 0.9, pace_ms: Some(20.0), ..engine(9) };
+    assert_eq!(choose_index(&REVIEW, &[engine(1), failing, engine(5)]), Some(2));
+}
+
 /// One prefix gets a large part of the traffic, and its primary engine has a longer backlog than another engine would
 /// need to prefill the whole prompt.
 #[test]
