--- a/crates/bramleywind_http/tests/closed_port.rs
+++ b/crates/bramleywind_http/tests/closed_port.rs
@@ -2,6 +2,9 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
+#[path = "support/lib.rs"]
+mod support;
+
 use std::{
     cell::Cell,
     convert::Infallible,
@@ -11,7 +14,7 @@
     time::{Duration, Instant},
 };
 
-use bramleywind_http::{BoundListener, HeadLimits, HttpConnection, HttpListener, ResponseBody};
+use bramleywind_http::{BoundListener, HttpConnection, HttpListener, ResponseBody};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -25,14 +28,9 @@
 }
 
 fn serve_while_open(bound: BoundListener, takes_connections: &Rc<Cell<bool>>) -> HttpListener {
-    let limits = HeadLimits {
-        read_time: Duration::from_secs(30),
-        header_bytes: 16 * 1_024,
-        timeout_response: Vec::new,
-    };
     let is_open = Rc::clone(takes_connections);
     bound.serve_while(
-        limits,
+        support::limits(),
         move || is_open.get(),
         |_| async {
             Ok::<_, Infallible>(Response::new(ResponseBody::from(Bytes::from_static(b"whole"))))
--- a/crates/bramleywind_http/tests/connection_memory.rs
+++ b/crates/bramleywind_http/tests/connection_memory.rs
@@ -3,6 +3,9 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
+#[path = "support/lib.rs"]
+mod support;
+
 use std::{
     convert::Infallible,
     fs,
@@ -12,7 +15,7 @@
     time::Duration,
 };
 
-use bramleywind_http::{HeadLimits, HttpListener, ResponseBody};
+use bramleywind_http::{HttpListener, ResponseBody};
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
@@ -51,12 +54,7 @@
     compio::runtime::Runtime::new().unwrap().block_on(async {
         let listener = HttpListener::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
         let address = listener.address;
-        let limits = HeadLimits {
-            read_time: Duration::from_secs(30),
-            header_bytes: 16 * 1_024,
-            timeout_response: Vec::new,
-        };
-        let _listener = listener.serve(limits, |request| async {
+        let _listener = listener.serve(support::limits(), |request| async {
             request.into_body().collect().await.unwrap();
             Ok::<_, Infallible>(Response::new(ResponseBody::from(Bytes::from_static(b"whole"))))
         });
--- a/crates/bramleywind_http/tests/endless_head.rs
+++ b/crates/bramleywind_http/tests/endless_head.rs
@@ -3,6 +3,9 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
+#[path = "support/lib.rs"]
+mod support;
+
 use std::{
     cell::Cell,
     io::{Read, Write},
@@ -12,7 +15,7 @@
     time::{Duration, Instant},
 };
 
-use bramleywind_http::{ConnectionError, HeadLimits, HttpConnection, HttpListener, ResponseBody};
+use bramleywind_http::{ConnectionError, HttpConnection, HttpListener, ResponseBody};
 use bytes::Bytes;
 use compio::time::sleep;
 use http::{Request, Response};
@@ -40,15 +43,15 @@
     while begin.elapsed() < SENDING_TIME && stream.write_all(pieces.as_bytes()).is_ok() {}
 }
 
-/// Starts a server that answers one request without end.
-fn start_server(head: &'static str, piece: &'static str) -> SocketAddr {
+/// Starts a server that reads one request and then lets `answer` write to its connection.
+fn start_server(answer: impl FnOnce(TcpStream) + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
         let mut request = [0; 1024];
         let _ = stream.read(&mut request).unwrap();
-        send_without_end(stream, head, piece);
+        answer(stream);
     });
     address
 }
@@ -78,7 +81,7 @@
 #[test_case("", "no answer "; "bytes that are no answer")]
 fn head_without_end_is_given_up(head: &'static str, piece: &'static str) {
     compio::runtime::Runtime::new().unwrap().block_on(async {
-        let address = start_server(head, piece);
+        let address = start_server(move |stream| send_without_end(stream, head, piece));
         let mut connection = HttpConnection::connect(address, MAX_WAIT).await.unwrap();
         let (longest, _task) = watch_turns();
         sleep(TICK).await;
@@ -97,12 +100,7 @@
 #[test]
 fn interim_responses_before_a_response_are_skipped() {
     compio::runtime::Runtime::new().unwrap().block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        thread::spawn(move || {
-            let (mut stream, _) = listener.accept().unwrap();
-            let mut request = [0; 1024];
-            let _ = stream.read(&mut request).unwrap();
+        let address = start_server(|mut stream| {
             let interim = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n".repeat(100);
             stream.write_all(interim.as_bytes()).unwrap();
             stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole").unwrap();
@@ -118,7 +116,7 @@
 #[test_case("HTTP/1.1 200 OK\r\ncontent-length: 1000000000000\r\n\r\n", "xxxxxxxx"; "length")]
 fn body_without_end_leaves_others_their_turns(head: &'static str, piece: &'static str) {
     compio::runtime::Runtime::new().unwrap().block_on(async {
-        let address = start_server(head, piece);
+        let address = start_server(move |stream| send_without_end(stream, head, piece));
         let mut connection = HttpConnection::connect(address, MAX_WAIT).await.unwrap();
         let (longest, _task) = watch_turns();
         let mut body = connection.send(request()).await.unwrap().into_body();
@@ -138,12 +136,7 @@
     compio::runtime::Runtime::new().unwrap().block_on(async {
         let listener = HttpListener::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
         let address = listener.address;
-        let limits = HeadLimits {
-            read_time: Duration::from_secs(30),
-            header_bytes: 16 * 1_024,
-            timeout_response: Vec::new,
-        };
-        let _listener = listener.serve(limits, |request| async {
+        let _listener = listener.serve(support::limits(), |request| async {
             // Reads until the connection ends.
             let mut body = request.into_body();
             while let Some(Ok(_)) = body.frame().await {}
