--- a/crates/bramleywind_gateway/src/background/list_follower.rs
+++ b/crates/bramleywind_gateway/src/background/list_follower.rs
@@ -31,7 +31,7 @@
 /// register again within about two seconds.
 const GRACE_TIME: Duration = Duration::from_millis(1_900);
 
-/// The shortest outage in which the entry of a live endpoint may have expired. Endpoints renew their leases well before that.
+/// The shortest outage in which the entry of a live endpoint may have expired. A lease that was renewed as usual lasts longer.
 const MIN_EXPIRY_TIME: Duration = Duration::from_secs(1);
 
 /// How long a round waits for a list that is being read. A healthy store answers within milliseconds; over a full link, changes
