--- a/review/standins/foreign_entry.rs
+++ b/review/standins/foreign_entry.rs
@@ -42,31 +42,23 @@
     thread::sleep(Duration::from_secs(2));
     let between = ask(&gateways, 30, &record);
     record.line(format!("served: {before} of 30 before the entry, {between} of 30 after it"));
-    // Planned work: the machines are stopped and started in turn.
-    for gateway in &mut gateways {
-        gateway.signal("TERM", &record);
-        let end = gateway.wait_for_end(Duration::from_secs(9));
-        record.line(format!("{} ended: {end:?}", gateway.name));
+    // Planned work: the machines are stopped and started in turn, while the platform watches the memory of the processes.
+    let mut kills = vec![0u32; gateways.len()];
+    for index in 0..gateways.len() {
+        gateways[index].signal("TERM", &record);
+        let limit = Instant::now() + Duration::from_secs(9);
+        let mut end = None;
+        while end.is_none() && Instant::now() < limit {
+            end = gateways[index].exit();
+            limit_memory(&mut gateways[..index], &mut kills, &record);
+        }
+        record.line(format!("{} ended: {end:?}", gateways[index].name));
         thread::sleep(RESTART_DELAY);
-        gateway.spawn(&record);
-        thread::sleep(Duration::from_millis(300));
+        gateways[index].spawn(&record);
     }
-    // The platform watches the memory of the processes.
-    let mut kills = vec![0u32; gateways.len()];
     let end = Instant::now() + WATCHED;
     while Instant::now() < end {
-        for (gateway, kills) in gateways.iter_mut().zip(&mut kills) {
-            let memory = gateway.memory_mb();
-            let has_ended = gateway.exit().is_some();
-            if memory > MEMORY_MB || has_ended {
-                record.line(format!("{} takes {memory} MB, more than {MEMORY_MB}, or has ended ({has_ended})", gateway.name));
-                *kills += 1;
-                gateway.signal("KILL", &record);
-                gateway.wait_for_end(Duration::from_secs(2));
-                thread::sleep(RESTART_DELAY);
-                gateway.spawn(&record);
-            }
-        }
+        limit_memory(&mut gateways, &mut kills, &record);
     }
     let after = ask(&gateways, 30, &record);
     let often = kills.iter().filter(|kills| **kills >= 3).count();
@@ -87,6 +79,22 @@
     case.end(gateways, 0, &format!("held: {text}"))
 }
 
+/// Kills the processes that take more memory than they may, and starts them again, as the platform does.
+fn limit_memory(gateways: &mut [Gateway], kills: &mut [u32], record: &Record) {
+    for (gateway, kills) in gateways.iter_mut().zip(kills) {
+        let memory = gateway.memory_mb();
+        let has_ended = gateway.exit().is_some();
+        if memory > MEMORY_MB || has_ended {
+            record.line(format!("{} takes {memory} MB, more than {MEMORY_MB}, or has ended ({has_ended})", gateway.name));
+            *kills += 1;
+            gateway.signal("KILL", record);
+            gateway.wait_for_end(Duration::from_secs(2));
+            thread::sleep(RESTART_DELAY);
+            gateway.spawn(record);
+        }
+    }
+}
+
 /// Sends safe requests through all gateways in turn, and returns how many were served.
 fn ask(gateways: &[Gateway], count: usize, record: &Record) -> usize {
     (0..count)
