funds: settle a write of a grant in doubt although no other tokens are needed

Cause: a write without an answer leaves the smaller of two grants, and only another write settles it. A process that needs nothing else never makes one. Fix: an account in doubt rewrites its record as it is. Its condition makes the earlier write fail, or a conflict shows that it was applied. Test: write_in_doubt_is_settled_without_need, seen failing before ('nothing is written').

--- a/crates/bramleywind_gateway/src/funds/budget_account.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_account.rs
@@ -431,6 +431,13 @@
         self.is_in_doubt = true;
     }
 
+    /// Returns the grant to write so that an earlier write with an unknown outcome is settled, or `None` if none is in doubt. The write
+    /// has the same effect as none, except that an earlier one can no longer take effect after it.
+    pub(super) fn settling_grant(&self, holder: IncarnationId) -> Option<HolderGrant> {
+        (self.is_in_doubt && self.version != StoreVersion::MISSING)
+            .then(|| self.record.grant(holder))
+    }
+
     /// Records that the latest write was not applied. An earlier one may still be in doubt.
     pub(super) fn revert_change(&mut self) {
         self.granted = self.granted_before;
--- a/crates/bramleywind_gateway/src/funds/budget_ledger.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_ledger.rs
@@ -223,8 +223,10 @@
             has_presence: self.presence_confirmed_at.is_some_and(|at| now < at + MAX_PRESENCE_AGE),
             is_leaving: self.is_leaving,
         };
-        let wanted_grant =
-            |account: &BudgetAccount, is_batched| account.wanted_grant(state, is_batched, now);
+        let wanted_grant = |account: &BudgetAccount, is_batched| {
+            let wanted = account.wanted_grant(state, is_batched, now);
+            wanted.or_else(|| account.settling_grant(self.holder))
+        };
         let is_due = self.accounts.values().any(|account| wanted_grant(account, false).is_some());
         if !is_due {
             return StoreAction::Idle;
--- a/crates/bramleywind_gateway/tests/grants_in_doubt.rs
+++ b/crates/bramleywind_gateway/tests/grants_in_doubt.rs
@@ -54,6 +54,38 @@
     }
 }
 
+/// A process returned tokens, and the answer was lost. It needed no other tokens after that, so it wrote nothing, and 5 in 100 of a
+/// budget could be used by nobody until the end of the day.
+#[test]
+fn write_in_doubt_is_settled_without_need() {
+    let workspace: WorkspaceId = "menders".parse().unwrap();
+    let start = Instant::now();
+    let mut ledger = BudgetLedger::new(IncarnationId::from_number(1));
+    ledger.set_prepaid(&workspace, TokenCount(1_000_000), start);
+    ledger.set_primary(|_| true, start);
+    let now = start + Duration::from_secs(3);
+    ledger.try_reserve(&workspace, TokenCount(5_000), now);
+    let changes = plan_write(&mut ledger, now);
+    ledger.apply_outcome(changes, CommitOutcome::Applied(StoreVersion(1)), now);
+    let before = granted(&ledger, &workspace);
+    // Another process draws for the budget now, so this one returns most tokens.
+    let later = now + Duration::from_secs(60);
+    ledger.set_primary(|_| false, later);
+    let changes = plan_write(&mut ledger, later);
+    ledger.apply_outcome(changes, CommitOutcome::Unknown, later);
+    assert!(granted(&ledger, &workspace).working < before.working);
+    let mut version = 1;
+    while let StoreAction::Write(changes) = ledger.plan_call(MAX_CHANGES, later) {
+        version += 1;
+        assert!(version < 5, "the writes do not end");
+        assert_eq!(changes[0].expected, StoreVersion(version - 1));
+        ledger.apply_outcome(changes, CommitOutcome::Applied(StoreVersion(version)), later);
+    }
+    assert!(version > 1, "nothing is written");
+    let held = ledger.account(&workspace).unwrap();
+    assert_eq!(held.granted().working.0 + held.pool().0, 1_000_000);
+}
+
 /// A process took standby tokens while the answers to its presence records were lost. It died, its successor found no record of
 /// it, and a third of the budget stayed counted as spent.
 #[test]
