funds: a witness knows what a process can have spent, and returns the rest when it is lost

Callers of a workspace were refused with 402 or 503 without end although up to six in ten of its prepaid tokens were unused. Cause: what a process had spent was known to that process alone. Only a successor on the same instance returned its standby tokens, by an age that counts the time without power, and nobody its working tokens. Fix: a process takes tokens from its grants only up to ceilings that its witness has confirmed. The witness returns the rest of a silent process after it has closed its presence record under a condition, which a live process notices.

--- a/crates/bramleywind_gateway/src/background/maintain_presence.rs
+++ b/crates/bramleywind_gateway/src/background/maintain_presence.rs
@@ -5,17 +5,18 @@
 };
 
 use bramleywind_store::{StoreVersion, UnavailableReason};
-use compio::time::sleep;
+use compio::time::{sleep, timeout};
 use futures_util::future::join_all;
 use rand::seq::IndexedRandom;
 use slog::info;
 
 use super::{DependencyTracker, ScaledInterval};
 use crate::{
-    funds::{EndedProcess, TakeoverOutcome},
+    funds::{EndedProcess, SpentBound, TakeoverOutcome},
     gateway::{Gateway, StopPhase},
     members::{PresenceRecord, boot_millis, unix_millis},
-    platform_api::{FleetStore, Platform},
+    platform_api::{FleetStore, Platform, PresenceOutcome},
+    witness::WitnessRecord,
 };
 
 /// The interval between presence records. The age of the record determines how much a process can have spent. In a
@@ -39,6 +40,9 @@
 /// The maximum number of attempts to get the time from other gateways, which may still be starting and joining.
 const MAX_CLOCK_ATTEMPTS: usize = 50;
 
+/// The maximum number of times that a witness is asked about an ended process.
+const MAX_WITNESS_ATTEMPTS: usize = 5;
+
 /// The presence record of the instance's earlier process, and the addresses of the other gateways.
 #[derive(Debug)]
 struct Predecessor {
@@ -63,7 +67,8 @@
         }
     }
     while gateway.stop_phase() == StopPhase::Running {
-        if !gateway.funds().ledger().borrow().is_holder(Instant::now()) {
+        let is_holder = gateway.funds().ledger().borrow().is_holder(Instant::now());
+        if !is_holder && !gateway.holder_link().borrow().needs_witness() {
             sleep(GRANT_POLL_INTERVAL).await;
             continue;
         }
@@ -73,12 +78,13 @@
                 let members = gateway.members().borrow().count();
                 // At most one process for each budget writes records.
                 let budgets = gateway.funds().ledger().borrow().accounts().count();
-                sleep(if is_written {
+                let interval = if is_written {
                     PRESENCE_INTERVAL.for_members(members.min(budgets))
                 } else {
                     GRANT_POLL_INTERVAL
-                })
-                .await;
+                };
+                // A lost witness is replaced at once.
+                let _ = timeout(interval, gateway.wait_for_witness_loss()).await;
             }
             Err(reason) => {
                 gateway.funds().ledger().borrow_mut().set_store_reachable(false);
@@ -96,30 +102,110 @@
     if !gateway.funds().ledger().borrow().can_write_presence() {
         return Ok(false);
     }
+    let instance = &gateway.settings().instance;
     // An unanswered write could still take effect later, and would hold standby tokens back. A cheap read checks first
     // that the store answers.
-    gateway.store().check_answer(&gateway.settings().instance).await?;
-    let record = {
-        let mut ledger = gateway.funds().ledger().borrow_mut();
-        if !ledger.can_write_presence() {
-            return Ok(false);
+    gateway.store().check_answer(instance).await?;
+    let known_version = gateway.holder_link().borrow().version();
+    let expected = match known_version {
+        Some(version) => version,
+        None => adopt_stored_record(gateway).await?,
+    };
+    write_record(gateway, expected).await
+}
+
+/// Writes the presence record in the place of the one with the version `expected`.
+async fn write_record<P: Platform>(
+    gateway: &Gateway<P>,
+    expected: StoreVersion,
+) -> Result<bool, UnavailableReason> {
+    let witness = gateway.choose_witness().await;
+    let Some(record) = begin_record(gateway, witness.clone()) else { return Ok(false) };
+    let instance = &gateway.settings().instance;
+    match gateway.store().write_presence(instance, &record, expected).await {
+        PresenceOutcome::Written(version) => {
+            gateway.holder_link().borrow_mut().finish_write(witness, version);
+            gateway.funds().ledger().borrow_mut().confirm_presence();
+            if gateway.holder_link().borrow().is_replaced() {
+                read_returned_grants(gateway).await?;
+            }
+            if gateway.holder_link().borrow().has_no_witness() {
+                gateway.funds().ledger().borrow_mut().end_witness();
+            }
+            Ok(true)
         }
-        // The record's time is read first, so that a successor judges the record at least as old as this process does.
-        let written_at_ms = gateway.fleet_clock().now(boot_millis());
-        let members = gateway.members().borrow();
-        let own = members.own();
-        let (incarnation, peer_address) = (own.incarnation, own.peer_address);
-        let record = PresenceRecord { incarnation, peer_address, written_at_ms };
-        if !record.is_useful(members.count()) {
-            return Ok(false);
+        PresenceOutcome::Conflict => {
+            adopt_stored_record(gateway).await?;
+            Ok(false)
         }
-        ledger.record_presence(Instant::now());
-        record
+        PresenceOutcome::NotWritten(reason) | PresenceOutcome::Unknown(reason) => Err(reason),
+    }
+}
+
+/// Returns the presence record to write, unless it would be untrue or of no use.
+fn begin_record<P: Platform>(
+    gateway: &Gateway<P>,
+    witness: Option<WitnessRecord>,
+) -> Option<PresenceRecord> {
+    let mut ledger = gateway.funds().ledger().borrow_mut();
+    if !ledger.can_write_presence() {
+        return None;
+    }
+    // The record's time is read first, so that a successor judges the record at least as old as this process does.
+    let written_at_ms = gateway.fleet_clock().now(boot_millis());
+    let members = gateway.members().borrow();
+    let (incarnation, peer_address) = (members.own().incarnation, members.own().peer_address);
+    let record = PresenceRecord {
+        incarnation,
+        peer_address,
+        written_at_ms,
+        witness: witness.clone(),
+        is_closed: false,
     };
+    if !record.is_useful(members.count()) {
+        return None;
+    }
+    ledger.record_presence(Instant::now());
+    gateway.holder_link().borrow_mut().begin_write(witness);
+    Some(record)
+}
+
+/// Reads the instance's presence record, which another process may have replaced, and returns its version.
+async fn adopt_stored_record<P: Platform>(
+    gateway: &Gateway<P>,
+) -> Result<StoreVersion, UnavailableReason> {
+    let presences = gateway.store().list_presences().await?;
     let instance = &gateway.settings().instance;
-    gateway.store().write_presence(instance, &record).await?;
-    gateway.funds().ledger().borrow_mut().confirm_presence();
-    Ok(true)
+    let incarnation = gateway.members().borrow().own().incarnation;
+    let stored = presences.into_iter().find(|(other, _, _)| other == instance);
+    let mut link = gateway.holder_link().borrow_mut();
+    match stored {
+        Some((_, record, version)) if record.incarnation == incarnation && !record.is_closed => {
+            link.finish_write(record.witness, version);
+            Ok(version)
+        }
+        Some((_, record, version)) => {
+            info!(gateway.log(), "presence record was replaced"; "incarnation" => %record.incarnation,
+                "is_closed" => record.is_closed, "version" => %version);
+            link.adopt_version(version);
+            Ok(version)
+        }
+        None => {
+            link.adopt_version(StoreVersion::MISSING);
+            Ok(StoreVersion::MISSING)
+        }
+    }
+}
+
+/// Reads the grants, some of which another process may have returned before this one replaced its record.
+async fn read_returned_grants<P: Platform>(gateway: &Gateway<P>) -> Result<(), UnavailableReason> {
+    let entries = gateway.store().read_budgets(true).await?;
+    let now = Instant::now();
+    let mut ledger = gateway.funds().ledger().borrow_mut();
+    ledger.apply_entries(entries, Some(now));
+    ledger.mark_all_read(now);
+    gateway.holder_link().borrow_mut().mark_grants_read();
+    Ok(())
 }
 
 /// Asks some gateways for the time. Returns `false` if too few answered in time.
@@ -133,7 +219,7 @@
     gateway.fleet_clock().compare(&mut times, asked_at_ms, boot_millis())
 }
 
-/// Returns the standby tokens that the instance's earlier process cannot have spent to their pools. That process has
+/// Returns the tokens that the instance's earlier process cannot have spent to their pools. That process has
 /// ended, since this one has been listening on its ports since `started_at_ms`, in milliseconds since the instance's
 /// boot.
 async fn take_over_predecessor<P: Platform>(
@@ -143,21 +229,45 @@
     let Some(predecessor) = find_predecessor(gateway).await? else {
         return Ok(TakeoverOutcome::NothingToTake);
     };
-    let Some(age) = record_age(gateway, &predecessor, started_at_ms).await else {
+    let Some(bound) = spent_bound(gateway, &predecessor, started_at_ms).await else {
         return Ok(TakeoverOutcome::AgeUnknown);
     };
     let incarnation = predecessor.record.incarnation;
-    info!(gateway.log(), "earlier process found"; "incarnation" => %incarnation,
-        "age_ms" => u64::try_from(age.as_millis()).ok());
+    info!(gateway.log(), "earlier process found"; "incarnation" => %incarnation, "bound" => %bound);
     let ended = EndedProcess {
         instance: gateway.settings().instance.clone(),
         incarnation,
         presence_version: predecessor.version,
-        age,
+        bound,
     };
     ended.close_grants(gateway.store(), gateway.log()).await
 }
 
+/// Returns what the predecessor can have spent: the ceilings that its witness knows, or else what follows from the age of its presence
+/// record. `None` if neither is known.
+async fn spent_bound<P: Platform>(
+    gateway: &Gateway<P>,
+    predecessor: &Predecessor,
+    started_at_ms: u64,
+) -> Option<SpentBound> {
+    let record = &predecessor.record;
+    if let Some(witness) = &record.witness {
+        for _ in 0..MAX_WITNESS_ATTEMPTS {
+            match gateway.ceilings_of_ended(witness, record.incarnation).await {
+                Ok(Some(ceilings)) => return Some(SpentBound::Ceilings(ceilings)),
+                Ok(None) => break,
+                Err(error) => {
+                    info!(gateway.log(), "witness of the earlier process does not answer"; "witness" => %witness.instance,
+                        "error" => &*error);
+                    sleep(CLOCK_RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+    let age = record_age(gateway, record.written_at_ms?, &predecessor.peers, started_at_ms).await?;
+    Some(SpentBound::Age(age))
+}
+
 /// Returns the presence record of the instance's earlier process, if there is one.
 async fn find_predecessor<P: Platform>(
     gateway: &Gateway<P>,
@@ -174,17 +284,17 @@
     Ok(own.map(|(record, version)| Predecessor { record, version, peers }))
 }
 
-/// Returns the maximum age of the record when the predecessor ended, by the clocks of most instances, or `None` if it
-/// is unknown.
-async fn record_age<P: Platform>(
+/// Returns the maximum age that a record of `written_at_ms` had when the instance's earlier process ended, by the clocks of most
+/// instances, or `None` if it is unknown. `peers` are gateways that may not be members.
+pub(super) async fn record_age<P: Platform>(
     gateway: &Gateway<P>,
-    predecessor: &Predecessor,
+    written_at_ms: u64,
+    peers: &[SocketAddr],
     started_at_ms: u64,
 ) -> Option<Duration> {
-    let written_at_ms = predecessor.record.written_at_ms?;
     let mut attempts = 0;
     // Only processes that hold tokens write presence records, so the members are asked too.
-    while !compare_clocks(gateway, &known_peers(gateway, predecessor)).await {
+    while !compare_clocks(gateway, &known_peers(gateway, peers)).await {
         attempts += 1;
         if attempts == MAX_CLOCK_ATTEMPTS {
             return None;
@@ -195,10 +305,10 @@
 }
 
 /// Returns the addresses of the other gateways according to the presence records and the member list.
-fn known_peers<P: Platform>(gateway: &Gateway<P>, predecessor: &Predecessor) -> Vec<SocketAddr> {
-    let mut peers = gateway.members().borrow().peer_addresses();
-    peers.extend(&predecessor.peers);
-    peers.sort_unstable();
-    peers.dedup();
-    peers
+fn known_peers<P: Platform>(gateway: &Gateway<P>, peers: &[SocketAddr]) -> Vec<SocketAddr> {
+    let mut known = gateway.members().borrow().peer_addresses();
+    known.extend(peers);
+    known.sort_unstable();
+    known.dedup();
+    known
 }
--- a/crates/bramleywind_gateway/src/daemon.rs
+++ b/crates/bramleywind_gateway/src/daemon.rs
@@ -21,7 +21,7 @@
     Args, Gateway, StopPhase,
     background::{
         follow_config, follow_endpoints, judge_parts, maintain_membership, maintain_presence,
-        report_traffic, spread_crash_news, spread_rate_news,
+        raise_ceilings, report_traffic, return_silent_holders, spread_crash_news, spread_rate_news,
     },
     config::CallerLimits,
     forward::handle_request,
@@ -163,6 +163,8 @@
     let endpoints = compio::runtime::spawn(follow_endpoints(Rc::clone(&gateway)));
     let membership = compio::runtime::spawn(maintain_membership(Rc::clone(&gateway)));
     let presence = compio::runtime::spawn(maintain_presence(Rc::clone(&gateway)));
+    let ceilings = compio::runtime::spawn(raise_ceilings(Rc::clone(&gateway)));
+    let silent_holders = compio::runtime::spawn(return_silent_holders(Rc::clone(&gateway)));
     let crash_news = compio::runtime::spawn(spread_crash_news(Rc::clone(&gateway)));
     let part_news = compio::runtime::spawn(judge_parts(Rc::clone(&gateway)));
     let rate_news = compio::runtime::spawn(spread_rate_news(Rc::clone(&gateway)));
@@ -188,7 +190,7 @@
     stop_requested.await;
     drain(&gateway, &callers).await;
     drop((config, endpoints, presence, loans, returns, pools, reloads, crash_news, part_news));
-    drop((rate_news, traffic));
+    drop((rate_news, traffic, ceilings, silent_holders));
     // The task ends by itself once the process has left the member list.
     membership.detach();
     gateway.funds().stop();
--- a/crates/bramleywind_gateway/src/funds.rs
+++ b/crates/bramleywind_gateway/src/funds.rs
@@ -37,7 +37,7 @@
 pub use standby_access::StandbyAccess;
 pub use standby_release::StandbyRelease;
 pub use store_action::StoreAction;
-pub use takeover::{TakeoverOutcome, plan_takeover};
+pub use takeover::{SpentBound, TakeoverOutcome, plan_takeover};
 pub use token_rate::TokenRate;
 pub use use_rate::UseRate;
 
--- a/crates/bramleywind_gateway/src/funds/budget_account.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_account.rs
@@ -21,6 +21,10 @@
     granted: HolderGrant,
     /// The grant before the latest write, which applies again if that write is refused.
     granted_before: HolderGrant,
+    /// The most tokens that may be taken from the own grants in all, which a witness knows; `None` if there is no witness.
+    ceiling: Option<TokenCount>,
+    /// Whether the ceiling was lowered since a higher one was asked for, so that the answer is void.
+    is_request_void: bool,
     /// Tokens from other processes' grants that this process may use.
     borrowed: TokenCount,
     /// Tokens from this process's grant that other processes may use.
@@ -51,6 +55,13 @@
 /// a second of the fleet's use where the others cannot reach it.
 const BORROW_SECONDS: f64 = 0.2;
 
+/// Seconds of the process's use by which a ceiling exceeds what is taken. What is below the ceiling of an ended process counts as
+/// spent, and half of it must outlast the replacement of a witness.
+const CEILING_SECONDS: f64 = 0.75;
+
+/// The number of requests by which a ceiling exceeds what is taken at least. Requests of a workspace come in bursts.
+const CEILING_REQUESTS: f64 = 3.0;
+
 /// The multiple of the tokens held ahead of use above which a process returns borrowed tokens.
 const RETURN_LOAN_FACTOR: u64 = 2;
 
@@ -90,6 +101,8 @@
             prepaid,
             granted: HolderGrant::default(),
             granted_before: HolderGrant::default(),
+            ceiling: None,
+            is_request_void: false,
             borrowed: TokenCount(0),
             lent: TokenCount(0),
             spent: TokenCount(0),
@@ -111,8 +124,76 @@
 
     /// Returns the tokens that can be reserved now.
     pub fn available(&self, access: StandbyAccess) -> TokenCount {
-        let granted = self.granted.working.saturating_add(access.spendable(self.granted));
-        granted.saturating_add(self.borrowed).saturating_sub(self.committed())
+        let spendable = self.spendable(access).min(self.ceiling.unwrap_or(TokenCount(u64::MAX)));
+        spendable.saturating_add(self.borrowed).saturating_sub(self.committed())
+    }
+
+    /// Returns the tokens that this process holds unspent, whether or not its ceiling covers them.
+    fn unspent_held(&self, access: StandbyAccess) -> TokenCount {
+        self.spendable(access).saturating_add(self.borrowed).saturating_sub(self.committed())
+    }
+
+    /// Returns the tokens of the own grant that may be spent.
+    fn spendable(&self, access: StandbyAccess) -> TokenCount {
+        self.granted.working.saturating_add(access.spendable(self.granted))
+    }
+
+    /// Returns the tokens that are taken from the own grants.
+    fn taken(&self) -> TokenCount {
+        self.committed().saturating_sub(self.borrowed)
+    }
+
+    /// Returns the ceiling of the tokens that are taken from the own grants, if there is one.
+    pub fn ceiling(&self) -> Option<TokenCount> {
+        self.ceiling
+    }
+
+    /// Sets a ceiling that covers what is taken and the requests that are expected next.
+    pub(super) fn begin_ceiling(&mut self, access: StandbyAccess, now: Instant) {
+        let ahead = self.taken().saturating_add(self.ceiling_headroom(now));
+        self.ceiling = Some(ahead.min(self.spendable(access)).max(self.taken()));
+    }
+
+    /// Returns the ceiling to ask for, or `None` if the present one is sufficient.
+    pub(super) fn wanted_ceiling(&self, access: StandbyAccess, now: Instant) -> Option<TokenCount> {
+        let ceiling = self.ceiling?;
+        let (taken, headroom) = (self.taken(), self.ceiling_headroom(now));
+        let waiting = self.waiting_tokens();
+        let wanted = taken.saturating_add(waiting).saturating_add(headroom);
+        let wanted = wanted.min(self.spendable(access));
+        let is_low = ceiling.saturating_sub(taken).0 < headroom.0 / 2;
+        (wanted > ceiling && (is_low || waiting > TokenCount(0))).then_some(wanted)
+    }
+
+    /// Records that a higher ceiling is asked for.
+    pub(super) fn begin_ceiling_request(&mut self) {
+        self.is_request_void = false;
+    }
+
+    /// Raises the ceiling, unless it was lowered since this was asked for.
+    pub(super) fn raise_ceiling(&mut self, tokens: TokenCount) {
+        if !self.is_request_void {
+            self.ceiling = self.ceiling.map(|ceiling| ceiling.max(tokens));
+        }
+    }
+
+    /// Lowers the ceiling to the working tokens. Standby tokens are then spent only after the witness has confirmed that, and no later
+    /// than it ended.
+    pub(super) fn lower_ceiling(&mut self) {
+        let working = self.granted.working;
+        self.is_request_void = true;
+        self.ceiling = self.ceiling.map(|ceiling| ceiling.min(working));
+    }
+
+    /// Removes the ceiling.
+    pub(super) fn lift_ceiling(&mut self) {
+        self.ceiling = None;
+    }
+
+    /// Returns the tokens by which a ceiling exceeds what is taken.
+    fn ceiling_headroom(&self, now: Instant) -> TokenCount {
+        let for_use = self.rate.at(now) * CEILING_SECONDS;
+        TokenCount(for_use.max(self.rate.mean_need() * CEILING_REQUESTS) as u64)
     }
 
     /// Returns the tokens that are spent, reserved or lent in excess of the working and borrowed tokens.
@@ -132,7 +213,7 @@
 
     /// Returns the tokens that this process can obtain: its own unspent working and standby tokens, and the pool.
     pub fn reachable(&self) -> TokenCount {
-        self.available(StandbyAccess::Open).saturating_add(self.pool())
+        self.unspent_held(StandbyAccess::Open).saturating_add(self.pool())
     }
 
     /// Returns the tokens that are certainly unspent according to the last known record: those that this process can obtain,
@@ -143,7 +224,7 @@
 
     /// Returns the tokens that this process holds and that its open requests may leave unused.
     pub fn uncharged(&self, access: StandbyAccess) -> TokenCount {
-        self.available(access).saturating_add(self.reserved).saturating_sub(self.certain_charges)
+        self.unspent_held(access).saturating_add(self.reserved).saturating_sub(self.certain_charges)
     }
 
     /// Returns the tokens that other processes hold and that their open requests may leave unused, as they stated lately.
@@ -324,7 +405,7 @@
         let input = GrantInput {
             prepaid: self.prepaid,
             pool: self.pool(),
-            available: self.available(StandbyAccess::Closed),
+            available: self.unspent_held(StandbyAccess::Closed),
             standby: self.granted.standby,
             overdrawn: self.overdrawn(),
             waiting: self.waiting_for_grant(now),
@@ -399,6 +480,9 @@
         record.set_grant(holder, granted);
         self.granted_before = self.granted;
         self.granted = self.granted.component_min(granted);
+        if self.granted.working < self.granted_before.working {
+            self.lower_ceiling();
+        }
         record
     }
 
@@ -414,7 +498,11 @@
         version: StoreVersion,
     ) {
         if version > self.version {
+            let before = self.granted.working;
             self.granted = record.grant(holder);
+            if self.granted.working < before {
+                self.lower_ceiling();
+            }
             self.record = record;
             self.version = version;
             self.is_in_doubt = false;
--- a/crates/bramleywind_gateway/src/funds/budget_ledger.rs
+++ b/crates/bramleywind_gateway/src/funds/budget_ledger.rs
@@ -12,7 +12,10 @@
     WantedLoan,
     budget_account::{HolderState, WaitingReservation},
 };
-use crate::platform_api::{BudgetChange, BudgetEntry, CommitOutcome};
+use crate::{
+    platform_api::{BudgetChange, BudgetEntry, CommitOutcome},
+    witness::SpendCeilings,
+};
 
 /// The maximum age of the record by which a request is refused for lack of funds.
 const MAX_RECORD_AGE: Duration = Duration::from_millis(500);
@@ -43,6 +46,8 @@
     /// When the latest presence record that is certainly in the store was written. Without a recent one, no successor could
     /// return standby tokens, so the process takes none.
     presence_confirmed_at: Option<Instant>,
+    /// Whether a witness knows the ceilings of this process's spending. Until then there are none.
+    is_witnessed: bool,
     /// Whether the store answers. Standby tokens are spent only while it does not.
     is_store_reachable: bool,
 }
@@ -56,6 +61,7 @@
             is_leaving: false,
             presence_written_at: None,
             presence_confirmed_at: None,
+            is_witnessed: false,
             is_store_reachable: true,
         }
     }
@@ -96,7 +102,11 @@
         if let Some(account) = self.accounts.get_mut(workspace) {
             account.prepaid = prepaid;
         } else {
-            self.accounts.insert(workspace.clone(), BudgetAccount::new(prepaid, now));
+            let mut account = BudgetAccount::new(prepaid, now);
+            if self.is_witnessed {
+                account.begin_ceiling(StandbyAccess::Closed, now);
+            }
+            self.accounts.insert(workspace.clone(), account);
         }
     }
 
@@ -110,6 +120,48 @@
         age.map_or(StandbyAccess::Closed, StandbyAccess::Aged)
     }
 
+    /// Limits the spending to ceilings from now on, and returns them for a new witness. The ceilings in force stay.
+    pub fn begin_witness(&mut self, now: Instant) -> SpendCeilings {
+        let access = self.standby_access(now);
+        for account in self.accounts.values_mut().filter(|_| !self.is_witnessed) {
+            account.begin_ceiling(access, now);
+        }
+        self.is_witnessed = true;
+        let ceilings = self.accounts.iter().filter_map(|(workspace, account)| {
+            let ceiling = account.ceiling().filter(|ceiling| *ceiling > TokenCount(0))?;
+            Some((workspace.clone(), ceiling))
+        });
+        ceilings.collect()
+    }
+
+    /// Lifts all ceilings, since the presence record names no witness.
+    pub fn end_witness(&mut self) {
+        self.is_witnessed = false;
+        for account in self.accounts.values_mut() {
+            account.lift_ceiling();
+        }
+    }
+
+    /// Returns the ceilings to ask for, for waiting and expected requests.
+    pub fn wanted_ceilings(&mut self, now: Instant) -> SpendCeilings {
+        let access = self.standby_access(now);
+        let wanted = |(workspace, account): (&WorkspaceId, &mut BudgetAccount)| {
+            let ceiling = account.wanted_ceiling(access, now)?;
+            account.begin_ceiling_request();
+            Some((workspace.clone(), ceiling))
+        };
+        self.accounts.iter_mut().filter_map(wanted).collect()
+    }
+
+    /// Applies ceilings that the witness has confirmed, except those that were lowered meanwhile.
+    pub fn raise_ceilings(&mut self, ceilings: &SpendCeilings) {
+        for (workspace, tokens) in ceilings {
+            if let Some(account) = self.accounts.get_mut(workspace) {
+                account.raise_ceiling(*tokens);
+            }
+        }
+    }
+
     /// Sets whether the store answers.
     pub fn set_store_reachable(&mut self, is_reachable: bool) {
         self.is_store_reachable = is_reachable;
@@ -123,6 +175,9 @@
     /// Records the time of a presence record. Called before the record is written.
     pub fn record_presence(&mut self, now: Instant) {
         self.presence_written_at = Some(now);
+        for account in self.accounts.values_mut() {
+            account.lower_ceiling();
+        }
     }
 
     /// Records that the store has confirmed the latest presence record.
--- a/crates/bramleywind_gateway/src/funds/ended_process.rs
+++ b/crates/bramleywind_gateway/src/funds/ended_process.rs
@@ -5,7 +5,7 @@
 use compio::time::sleep;
 use slog::{Logger, info};
 
-use super::{TakeoverOutcome, plan_takeover};
+use super::{SpentBound, TakeoverOutcome, plan_takeover};
 use crate::platform_api::{CommitOutcome, FleetStore};
 
 /// The maximum number of attempts to close the grants; tokens that are not returned by then cannot be returned any
@@ -15,7 +15,7 @@
 /// The delay after an attempt in which a write was not applied.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// An earlier process of this instance that is known to have ended.
+/// A process that has ended, or whose witness has closed its ceilings.
 #[derive(Debug, Clone)]
 pub struct EndedProcess {
     /// The instance that the process ran on.
@@ -24,12 +24,12 @@
     pub incarnation: IncarnationId,
     /// The version of its presence record.
     pub presence_version: StoreVersion,
-    /// The maximum time that the process can have run after it wrote that record.
-    pub age: Duration,
+    /// What the process can have spent.
+    pub bound: SpentBound,
 }
 
 impl EndedProcess {
-    /// Returns the standby tokens that the process cannot have spent to their pools, and counts the others as spent.
+    /// Returns the tokens that the process cannot have spent to their pools, and counts the others as spent.
     ///
     /// # Errors
     ///
@@ -43,7 +43,7 @@
         let mut budgets = 0;
         for _ in 0..MAX_ATTEMPTS {
             let changes =
-                plan_takeover(self.incarnation, store.read_budgets(true).await?, self.age);
+                plan_takeover(self.incarnation, store.read_budgets(true).await?, &self.bound);
             if changes.is_empty() {
                 break;
             }
--- a/crates/bramleywind_gateway/src/funds/funds_manager.rs
+++ b/crates/bramleywind_gateway/src/funds/funds_manager.rs
@@ -51,6 +51,8 @@
     /// Wakes the task that borrows tokens.
     pub(super) loan_wake: (Sender<()>, Receiver<()>),
     pub(super) loan_client: LoanClient,
+    /// Wakes the task that raises ceilings.
+    ceiling_wake: (Sender<()>, Receiver<()>),
     is_store_reachable: Cell<bool>,
     is_stopping: Cell<bool>,
 }
@@ -66,6 +68,7 @@
             wake_receiver,
             loan_wake: async_channel::bounded(1),
             loan_client: LoanClient::default(),
+            ceiling_wake: async_channel::bounded(1),
             is_store_reachable: Cell::new(true),
             is_stopping: Cell::new(false),
         }
@@ -104,6 +107,8 @@
         };
         self.wake_run();
         self.wake_loans();
+        // A full channel means that a wake-up is already pending.
+        let _ = self.ceiling_wake.0.try_send(());
         PendingReservation::new(&self.ledger, workspace, need, reply).await
     }
 
@@ -142,6 +147,12 @@
         self.wake_run();
     }
 
+    /// Waits until a request needs tokens, or until `time_limit` has passed.
+    pub async fn wait_for_need(&self, time_limit: Duration) {
+        // A timeout starts the periodic review, which is the same work as after a wake-up.
+        let _ = timeout(time_limit, self.ceiling_wake.1.recv()).await;
+    }
+
     /// Wakes the task that borrows tokens.
     fn wake_loans(&self) {
         // A full channel means that a wake-up is already pending.
--- a/crates/bramleywind_gateway/src/funds/takeover.rs
+++ b/crates/bramleywind_gateway/src/funds/takeover.rs
@@ -1,20 +1,23 @@
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use bramleywind_store::StoreVersion;
-use bramleywind_types::IncarnationId;
+use bramleywind_types::{IncarnationId, TokenCount, WorkspaceId};
 
 use super::{HolderGrant, StandbyRelease};
-use crate::platform_api::{BudgetChange, BudgetEntry};
+use crate::{
+    platform_api::{BudgetChange, BudgetEntry},
+    witness::SpendCeilings,
+};
 
 /// The outcome of taking over from an earlier process of the same instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TakeoverOutcome {
-    /// Standby tokens were returned to their pools.
+    /// Tokens were returned to their pools.
     Done {
         /// The number of budgets whose tokens were returned.
         budgets: usize,
     },
-    /// There was no earlier process, or it held no standby tokens that are certainly unspent.
+    /// There was no earlier process, or it held no tokens that are certainly unspent.
     NothingToTake,
     /// The earlier process's presence record changed, so its age must be judged again.
     PresenceChanged,
@@ -22,26 +25,56 @@
     AgeUnknown,
 }
 
-/// Returns the changes that close the grants of `predecessor`. They return its standby tokens to the pools, except for
-/// those that it can have spent if its presence record is `age` old.
+/// What is known of the tokens that a process can have spent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SpentBound {
+    /// All working tokens, and the standby tokens that were released at this age of its presence record.
+    Age(Duration),
+    /// No more than these ceilings, according to the process's witness.
+    Ceilings(SpendCeilings),
+}
+
+impl SpentBound {
+    fn max_spent(&self, workspace: &WorkspaceId, grant: HolderGrant) -> TokenCount {
+        match self {
+            Self::Age(age) => {
+                grant.working.saturating_add(StandbyRelease::new(grant).max_spent(*age))
+            }
+            Self::Ceilings(ceilings) => {
+                let ceiling = ceilings.get(workspace).copied().unwrap_or_default();
+                ceiling.min(grant.total())
+            }
+        }
+    }
+}
+
+impl fmt::Display for SpentBound {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Age(age) => write!(f, "record of {} ms", age.as_millis()),
+            Self::Ceilings(ceilings) => write!(f, "ceilings of {} budgets", ceilings.len()),
+        }
+    }
+}
+
+/// Returns the changes that close the grants of `predecessor`. They return the tokens that it cannot have spent to the pools.
 ///
-/// The predecessor must be a process of the same instance that is known to have ended, and the writes must require that
-/// its presence record is unchanged.
+/// The predecessor must have ended, or its witness must have closed its ceilings. The writes must require that its presence record is
+/// unchanged.
 pub fn plan_takeover(
     predecessor: IncarnationId,
     entries: Vec<BudgetEntry>,
-    age: Duration,
+    bound: &SpentBound,
 ) -> Vec<BudgetChange> {
     let mut changes = Vec::new();
     for mut entry in entries {
         let grant = entry.record.grant(predecessor);
-        let spent = StandbyRelease::new(grant).max_spent(age);
-        let is_settled = HolderGrant { working: grant.working, ..HolderGrant::default() } == grant;
-        if is_settled || entry.version == StoreVersion::MISSING {
+        let working = bound.max_spent(&entry.workspace, grant);
+        let closed = HolderGrant { working, ..HolderGrant::default() };
+        if closed == grant || entry.version == StoreVersion::MISSING {
             continue;
         }
-        let working = grant.working.saturating_add(spent);
-        entry.record.set_grant(predecessor, HolderGrant { working, ..HolderGrant::default() });
+        entry.record.set_grant(predecessor, closed);
         changes.push(BudgetChange {
             workspace: entry.workspace,
             expected: entry.version,
--- a/crates/bramleywind_gateway/src/funds/use_rate.rs
+++ b/crates/bramleywind_gateway/src/funds/use_rate.rs
@@ -20,12 +20,16 @@
     /// When the first tokens were added.
     began_at: Option<Instant>,
     updated_at: Instant,
+    mean_need: f64,
 }
 
+/// The weight of the latest reservation in the mean.
+const NEED_WEIGHT: f64 = 0.1;
+
 impl UseRate {
     /// Creates a rate of zero.
     pub fn new(now: Instant) -> Self {
-        Self { short: 0.0, long: 0.0, began_at: None, updated_at: now }
+        Self { short: 0.0, long: 0.0, began_at: None, updated_at: now, mean_need: 0.0 }
     }
 
     /// Adds reserved tokens to the rate.
@@ -33,6 +37,10 @@
         let (short, long) = self.decayed(now);
         self.short = short + tokens as f64 / SHORT_WINDOW.as_secs_f64();
         self.long = long + tokens as f64 / LONG_WINDOW.as_secs_f64();
+        if self.began_at.is_none() {
+            self.mean_need = tokens as f64;
+        }
+        self.mean_need += (tokens as f64 - self.mean_need) * NEED_WEIGHT;
         self.began_at.get_or_insert(now);
         self.updated_at = now;
     }
@@ -49,6 +57,11 @@
         (short / weight(SHORT_WINDOW)).max(long / weight(LONG_WINDOW))
     }
 
+    /// Returns the mean number of tokens of the latest reservations.
+    pub fn mean_need(&self) -> f64 {
+        self.mean_need
+    }
+
     /// Returns both averages, decayed to `now`.
     fn decayed(&self, now: Instant) -> (f64, f64) {
         let age = now.saturating_duration_since(self.updated_at).as_secs_f64();
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 mod list_handling;
 mod part_handling;
 mod rate_handling;
+mod witness_handling;
 
 use std::{
     cell::{Cell, RefCell},
@@ -36,6 +37,7 @@
     rate_limits::{RateOutbox, ReturnSchedule},
     registry::{CopyFreshness, ListDigest},
     settings::GatewaySettings,
+    witness::{HolderLink, WitnessRegistry},
 };
 
 /// Number of additional gateways for which connections to an endpoint are kept free, so that gateways can join.
@@ -101,6 +103,12 @@
     /// Wakes the task that tells other gateways about the rates of endpoints.
     rate_news: (Sender<()>, Receiver<()>),
     return_schedules: RefCell<HashMap<ServiceId, ReturnSchedule>>,
+    /// The own presence record and the witness that it names.
+    holder_link: RefCell<HolderLink>,
+    /// Wakes the task that names a witness.
+    presence_wake: (Sender<()>, Receiver<()>),
+    /// The ceilings that this process knows as the witness of others.
+    witness_registry: RefCell<WitnessRegistry>,
 }
 
 impl<P: Platform> Gateway<P> {
@@ -153,6 +161,9 @@
             rate_outbox: RefCell::default(),
             rate_news: async_channel::bounded(1),
             return_schedules: RefCell::default(),
+            holder_link: RefCell::default(),
+            presence_wake: async_channel::bounded(1),
+            witness_registry: RefCell::default(),
         }
     }
 
--- a/crates/bramleywind_gateway/src/lib.rs
+++ b/crates/bramleywind_gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod registry;
 pub mod settings;
 mod state_dump;
+pub mod witness;
 
 pub use args::Args;
 pub use daemon::{run_gateway, serve_until};
--- a/crates/bramleywind_gateway/src/loans/loan_client.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_client.rs
@@ -17,7 +17,7 @@
     loan_messages::EarlierLoanAnswer,
     loan_server::{
         CLOCK_PATH, CONFIG_PATH, CRASH_PATH, FLEET_PATH, GIFT_PATH, LIST_PATH, LOAN_PATH,
-        PART_PATH, PERMIT_PATH, RATE_PATH,
+        PART_PATH, PERMIT_PATH, RATE_PATH, WITNESS_PATH,
     },
     message_codec::{decode_either, decode_message, encode_message},
 };
@@ -27,6 +27,7 @@
     endpoints::{ConnectionPool, PooledConnection},
     rate_limits::{PermitReply, PermitRequest, RateNotice},
     registry::{FleetAnswer, FleetQuery, ListAnswer, ListQuery},
+    witness::{WitnessReply, WitnessRequest},
 };
 
 /// The timeout of a call to another gateway. Gateways of a region are milliseconds apart; a lender may wait for the store
@@ -163,6 +164,19 @@
         reply
     }
 
+    /// Sends a message to a witness of spent tokens.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the witness did not answer. It may have received the message.
+    pub async fn ask_witness(
+        &self,
+        witness: SocketAddr,
+        request: &WitnessRequest,
+    ) -> Result<WitnessReply, Box<str>> {
+        self.send_notice(witness, WITNESS_PATH, request).await
+    }
+
     /// Asks a gateway how its list of endpoints differs from this one's.
     ///
     /// # Errors
--- a/crates/bramleywind_gateway/src/loans/loan_server.rs
+++ b/crates/bramleywind_gateway/src/loans/loan_server.rs
@@ -49,9 +49,20 @@
 /// The path of requests for the configuration.
 pub(super) const CONFIG_PATH: &str = "/configuration";
 
+/// The path of messages to a witness of spent tokens.
+pub(super) const WITNESS_PATH: &str = "/witness";
+
 /// The paths that a stopping gateway still answers. Tokens that change hands then could be lost when the process ends.
-const PATHS_WHILE_STOPPING: [&str; 7] =
-    [CLOCK_PATH, CRASH_PATH, PART_PATH, RATE_PATH, PERMIT_PATH, LIST_PATH, CONFIG_PATH];
+const PATHS_WHILE_STOPPING: [&str; 8] = [
+    CLOCK_PATH,
+    CRASH_PATH,
+    PART_PATH,
+    RATE_PATH,
+    PERMIT_PATH,
+    LIST_PATH,
+    CONFIG_PATH,
+    WITNESS_PATH,
+];
 
 /// The maximum size of a message: a gift with tokens of 4,000 budgets.
 const MAX_MESSAGE_BYTES: usize = 256 * 1024;
@@ -95,6 +106,10 @@
             Ok(query) => encode_response(&gateway.answer_fleet_query(&query)),
             Err(error) => Err(error),
         },
+        WITNESS_PATH => match read_message(request).await {
+            Ok(message) => encode_response(&gateway.answer_witness_request(&message)),
+            Err(error) => Err(error),
+        },
         CONFIG_PATH => encode_response(&gateway.config().as_deref()),
         LIST_PATH => match read_message(request).await {
             Ok(query) => encode_response(&gateway.answer_list_query(&query).await),
--- a/crates/bramleywind_gateway/src/members.rs
+++ b/crates/bramleywind_gateway/src/members.rs
@@ -20,6 +20,6 @@
 pub use member_record::{EarlierMemberRecord, MemberRecord};
 pub use member_registry::MemberRegistry;
 pub use permit_issuers::PermitIssuers;
-pub use presence_record::PresenceRecord;
+pub use presence_record::{EarlierPresenceRecord, PresenceRecord};
 pub use processor_capacity::ProcessorCapacity;
 pub use registry_readers::RegistryReaders;
--- a/crates/bramleywind_gateway/src/members/member_registry.rs
+++ b/crates/bramleywind_gateway/src/members/member_registry.rs
@@ -13,6 +13,7 @@
     issuer_order::IssuerOrder, issuer_tracker::IssuerTracker, lender_order::lender_score,
     serving_set::serving_set,
 };
+use crate::witness::WitnessRecord;
 
 /// How long the known members are kept after most of them vanish at once. Leases expire together in an outage of the
 /// store, and are taken again within a second of its return.
@@ -33,6 +34,9 @@
 /// The number of gateways in each data centre that read the registry for the others, so that the loss of one leaves another.
 const READERS_IN_DATA_CENTRE: usize = 2;
 
+/// The number of gateways that are asked in turn to be the witness of this process.
+const MAX_WITNESSES_ASKED: usize = 5;
+
 /// The gateways that callers may connect to.
 #[derive(Debug)]
 pub struct MemberRegistry {
@@ -199,6 +203,31 @@
         ranked.into_iter().take(count).map(|(_, address)| address).collect()
     }
 
+    /// Returns the gateways to ask in turn to be the witness of this process. Those of other data centres come first, which rarely end
+    /// together with this one, and the `witnessed` ones last: two that witness each other are of no use once both have ended.
+    pub fn witness_candidates<'a>(
+        &self,
+        witnessed: impl Iterator<Item = &'a InstanceId>,
+    ) -> Vec<WitnessRecord> {
+        let witnessed: BTreeSet<_> = witnessed.collect();
+        let seed = xxh3_64(self.own.instance.as_str().as_bytes());
+        let rank = |member: &MemberRecord| {
+            let is_near = member.data_centre == self.own.data_centre;
+            let score = xxh3_64_with_seed(member.instance.as_str().as_bytes(), seed);
+            let is_witnessed = witnessed.contains(&member.instance);
+            (is_witnessed, !self.serving.contains(&member.instance), is_near, score)
+        };
+        let mut ranked: Vec<_> = self.others.iter().map(|other| (rank(other), other)).collect();
+        ranked.sort_unstable_by_key(|(rank, _)| *rank);
+        let candidates = ranked.into_iter().take(MAX_WITNESSES_ASKED);
+        let candidates = candidates.map(|(_, member)| WitnessRecord {
+            instance: member.instance.clone(),
+            incarnation: member.incarnation,
+            peer_address: member.peer_address,
+        });
+        candidates.collect()
+    }
+
     /// Returns the addresses at which this gateway reaches the others.
     pub fn peer_addresses(&self) -> Vec<SocketAddr> {
         self.others.iter().map(|other| other.peer_address).collect()
--- a/crates/bramleywind_gateway/src/members/presence_record.rs
+++ b/crates/bramleywind_gateway/src/members/presence_record.rs
@@ -4,6 +4,7 @@
 use bramleywind_types::IncarnationId;
 
 use super::fleet_clock::MIN_CLOCKS;
+use crate::witness::WitnessRecord;
 
 /// A gateway's statement that it has spent no standby tokens so far. The record outlasts the process.
 #[domain_type]
@@ -15,6 +16,25 @@
     /// The time of writing, in Unix milliseconds of the [`FleetClock`](super::FleetClock); `None` if too few instances
     /// could be asked for their time.
     pub written_at_ms: Option<u64>,
+    /// The process that confirms the ceilings of the writer's spending; `None` if there was none.
+    pub witness: Option<WitnessRecord>,
+    /// Whether another process returns the writer's tokens. The ceilings are not raised any more.
+    pub is_closed: bool,
+}
+
+/// A [`PresenceRecord`] of a build that names no witness.
+#[domain_type]
+pub struct EarlierPresenceRecord {
+    incarnation: IncarnationId,
+    peer_address: SocketAddr,
+    written_at_ms: Option<u64>,
+}
+
+impl From<EarlierPresenceRecord> for PresenceRecord {
+    fn from(earlier: EarlierPresenceRecord) -> Self {
+        let EarlierPresenceRecord { incarnation, peer_address, written_at_ms } = earlier;
+        Self { incarnation, peer_address, written_at_ms, witness: None, is_closed: false }
+    }
 }
 
 impl PresenceRecord {
@@ -29,6 +49,8 @@
     ///     incarnation: IncarnationId::from_number(1),
     ///     peer_address: "10.0.0.1:7340".parse().unwrap(),
     ///     written_at_ms: None,
+    ///     witness: None,
+    ///     is_closed: false,
     /// };
     /// assert!(!record.is_useful(6));
     /// assert!(record.is_useful(1));
--- a/crates/bramleywind_gateway/src/platform_api/fleet_store.rs
+++ b/crates/bramleywind_gateway/src/platform_api/fleet_store.rs
@@ -5,7 +5,7 @@
 
 use super::{
     BudgetChange, BudgetEntry, CommitOutcome, EntryChange, FleetListing, LeaseId, ListPage,
-    LoadedConfig, StoreChanges,
+    LoadedConfig, PresenceOutcome, StoreChanges,
 };
 use crate::{
     crashes::{CallFingerprint, PartQuarantine, QuarantineRecord, SharedPart},
@@ -61,12 +61,13 @@
         &self,
     ) -> Result<Vec<(InstanceId, PresenceRecord, StoreVersion)>, UnavailableReason>;
 
-    /// Writes the presence record of this gateway's instance.
+    /// Writes the presence record of an instance if the one in the store has the version `expected`.
     async fn write_presence(
         &self,
         instance: &InstanceId,
         record: &PresenceRecord,
-    ) -> Result<(), UnavailableReason>;
+        expected: StoreVersion,
+    ) -> PresenceOutcome;
 
     /// Renews a lease. Returns `false` if the lease has ended.
     async fn renew_lease(&self, lease: LeaseId) -> Result<bool, UnavailableReason>;
--- a/crates/bramleywind_gateway/src/platform_api/store_outcomes.rs
+++ b/crates/bramleywind_gateway/src/platform_api/store_outcomes.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use bramleywind_store::StoreVersion;
+use bramleywind_store::{StoreVersion, UnavailableReason};
 use bramleywind_types::{EndpointId, WorkspaceId};
 
 use crate::{
@@ -115,3 +115,16 @@
     /// The answer was lost. All records may have been written, or may still be.
     Unknown,
 }
+
+/// The outcome of a write of a presence record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PresenceOutcome {
+    /// The record was written and has this version.
+    Written(StoreVersion),
+    /// The record was not written, since the one in the store has another version.
+    Conflict,
+    /// The record was not written, and never will be.
+    NotWritten(UnavailableReason),
+    /// The answer was lost. The record may have been written, or may still be if the condition holds.
+    Unknown(UnavailableReason),
+}
--- a/crates/bramleywind_gateway/tests/ended_process.rs
+++ b/crates/bramleywind_gateway/tests/ended_process.rs
@@ -12,7 +12,7 @@
 };
 
 use bramleywind_gateway::funds::{
-    BudgetRecord, EndedProcess, HolderGrant, TakeoverOutcome, TokenRate,
+    BudgetRecord, EndedProcess, HolderGrant, SpentBound, TakeoverOutcome, TokenRate,
 };
 use bramleywind_store::StoreVersion;
 use bramleywind_types::{IncarnationId, TokenCount};
@@ -67,7 +67,7 @@
         instance: "front-1".parse().unwrap(),
         incarnation: IncarnationId::from_number(7),
         presence_version,
-        age: Duration::from_millis(500),
+        bound: SpentBound::Age(Duration::from_millis(500)),
     };
     let log = Logger::root(Discard, o!());
     let runtime = compio::runtime::Runtime::new().unwrap();
--- a/crates/bramleywind_gateway/tests/support/budget_store.rs
+++ b/crates/bramleywind_gateway/tests/support/budget_store.rs
@@ -11,7 +11,7 @@
     members::{MemberRecord, PresenceRecord},
     platform_api::{
         BudgetChange, BudgetEntry, CommitOutcome, EntryChange, FleetListing, FleetStore, LeaseId,
-        ListPage, LoadedConfig, StoreChanges,
+        ListPage, LoadedConfig, PresenceOutcome, StoreChanges,
     },
 };
 use bramleywind_store::{StoreVersion, UnavailableReason};
@@ -114,6 +114,8 @@
             incarnation: IncarnationId::from_number(7),
             peer_address: "127.0.0.1:7340".parse().unwrap(),
             written_at_ms: Some(1),
+            witness: None,
+            is_closed: false,
         };
         let version = StoreVersion(self.presence_version.get());
         Ok(vec![("front-1".parse().unwrap(), record, version)])
@@ -123,8 +125,9 @@
         &self,
         _instance: &InstanceId,
         _record: &PresenceRecord,
-    ) -> Result<(), UnavailableReason> {
-        Err(UnavailableReason::Outage)
+        _expected: StoreVersion,
+    ) -> PresenceOutcome {
+        PresenceOutcome::NotWritten(UnavailableReason::Outage)
     }
 
     async fn renew_lease(&self, _lease: LeaseId) -> Result<bool, UnavailableReason> {
