members: a late write no longer takes a gateway out of the member list, and an unlisted one takes no larger share

Callers' retries reached endpoints more often than the fleet's budget allows, and each gateway named only itself to callers until it was started again. Cause: the record was written without a condition, so a late write tied it to a lease that nobody renews; the renewal of another lease was taken for the record's presence; a share of the fleet's budget followed the present list at once. Ruled out: the mass loss delay of the list, which only defers the view of being alone. Fix: conditional writes, a record that is missed in the list is written again, shares by the largest list of 20 s, none before a process is listed. The lease of an unanswered write of a refusal is ended.

--- a/crates/bramleywind_gateway/src/background/maintain_membership.rs
+++ b/crates/bramleywind_gateway/src/background/maintain_membership.rs
@@ -4,7 +4,7 @@
 };
 
 use bramleywind_claims::CRASH_RETENTION;
-use bramleywind_store::UnavailableReason;
+use bramleywind_store::{StoreVersion, UnavailableReason};
 use compio::time::sleep;
 use slog::{info, warn};
 
@@ -12,7 +12,7 @@
 use crate::{
     gateway::{Gateway, StopPhase},
     members::{MemberRecord, unix_millis},
-    platform_api::{FleetListing, FleetStore, LeaseId, Platform},
+    platform_api::{FleetListing, FleetStore, LeaseId, MemberOutcome, Platform},
 };
 
 /// The interval between renewals. A gateway that died is removed from entry answers within this interval plus
@@ -27,12 +27,24 @@
 /// a live gateway.
 const LEASE_DURATION: Duration = Duration::from_millis(3_500);
 
+/// How long after the own record was written a list may lack it. A list may be some seconds old.
+const LISTING_DELAY: Duration = Duration::from_secs(4);
+
+/// The own record in the member list.
+#[derive(Debug, Default)]
+struct OwnEntry {
+    lease: Option<LeaseId>,
+    /// The version that the next write expects.
+    version: StoreVersion,
+    written_at: Option<Instant>,
+}
+
 /// Keeps this process in the member list and the list in sync with the store. Ends once the process leaves.
 pub(crate) async fn maintain_membership<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut tracker = DependencyTracker::new("member list", gateway.log());
-    let mut lease = None;
+    let mut entry = OwnEntry::default();
     while gateway.stop_phase() == StopPhase::Running {
-        match renew_membership(&gateway, &mut lease).await {
+        match renew_membership(&gateway, &mut entry).await {
             Ok(()) => {
                 tracker.record_success();
                 let is_relaying = gateway.members().borrow().registry_readers().is_relaying;
@@ -41,7 +53,7 @@
             Err(reason) => tracker.back_off(reason).await,
         }
     }
-    if let Some(lease) = lease {
+    if let Some(lease) = entry.lease {
         match gateway.store().end_lease(lease).await {
             Ok(()) => info!(gateway.log(), "left the member list"),
             Err(reason) => {
@@ -54,25 +66,25 @@
 
 async fn renew_membership<P: Platform>(
     gateway: &Gateway<P>,
-    lease: &mut Option<LeaseId>,
+    entry: &mut OwnEntry,
 ) -> Result<(), UnavailableReason> {
-    let store = gateway.store();
-    let is_renewed = match *lease {
-        Some(lease) => store.renew_lease(lease).await?,
+    let is_renewed = match entry.lease {
+        Some(lease) => gateway.store().renew_lease(lease).await?,
         None => false,
     };
     if !is_renewed {
-        *lease = None;
-        let new_lease = store.take_lease(LEASE_DURATION).await?;
-        let own = gateway.members().borrow().own().clone();
-        if store.write_member(&own, new_lease).await? {
-            *lease = Some(new_lease);
-            info!(gateway.log(), "entered the member list"; "lease" => %new_lease);
-        }
+        entry.lease = None;
+        enter_list(gateway, entry).await?;
     }
     let listing = read_fleet(gateway).await?;
     gateway.adopt_quarantines(&listing.quarantines);
     gateway.adopt_part_quarantines(&listing.part_quarantines);
+    if is_missing(gateway, entry, &listing.members) {
+        // The lease that is renewed is not the one that the record belongs to, or belonged to.
+        warn!(gateway.log(), "own record is missing from the member list; writing it again"; "lease" => ?entry.lease,
+            "listed" => listing.members.len());
+        entry.lease = None;
+    }
     update_members(gateway, listing.members);
     if let Err(reason) = save_quarantines(gateway).await {
         info!(gateway.log(), "refused requests not written to the store; trying again"; "reason" => ?reason);
@@ -83,6 +95,44 @@
     Ok(())
 }
 
+/// Writes the own record under a new lease.
+async fn enter_list<P: Platform>(
+    gateway: &Gateway<P>,
+    entry: &mut OwnEntry,
+) -> Result<(), UnavailableReason> {
+    let store = gateway.store();
+    let lease = store.take_lease(LEASE_DURATION).await?;
+    let own = gateway.members().borrow().own().clone();
+    // An earlier write that is executed late fails on its condition once this one was applied. A conflict shows that it came first, or
+    // that the record of an earlier process is still there.
+    let mut outcome = store.write_member(&own, lease, entry.version).await?;
+    if let MemberOutcome::Conflict(version) = outcome {
+        entry.version = version;
+        outcome = store.write_member(&own, lease, version).await?;
+    }
+    match outcome {
+        MemberOutcome::Written(version) => {
+            *entry = OwnEntry { lease: Some(lease), version, written_at: Some(Instant::now()) };
+            info!(gateway.log(), "entered the member list"; "lease" => %lease, "version" => %version);
+        }
+        MemberOutcome::Conflict(version) => entry.version = version,
+        MemberOutcome::LeaseEnded => {}
+    }
+    Ok(())
+}
+
+/// Returns whether a list lacks the record of this process, although it was written before the list can have been read.
+fn is_missing<P: Platform>(
+    gateway: &Gateway<P>,
+    entry: &OwnEntry,
+    listed: &[MemberRecord],
+) -> bool {
+    let own = gateway.members().borrow().own().incarnation;
+    let is_listed = listed.iter().any(|member| member.incarnation == own);
+    let is_due = entry.written_at.is_some_and(|at| Instant::now() >= at + LISTING_DELAY);
+    entry.lease.is_some() && is_due && !is_listed
+}
+
 /// Reads the list of gateways: from a gateway that reads it for others, or from the store.
 async fn read_fleet<P: Platform>(gateway: &Gateway<P>) -> Result<FleetListing, UnavailableReason> {
     let readers = gateway.members().borrow().registry_readers();
@@ -131,7 +181,8 @@
         let record = guard.borrow().record_of(&fingerprint, unix_millis(), Instant::now());
         if let Some(record) = record {
             let lease = store.take_lease(CRASH_RETENTION).await?;
-            if !store.write_quarantine(&record, lease).await? {
+            let outcome = store.write_quarantine(&record, lease).await;
+            if !settle_leased_write(gateway, lease, outcome).await? {
                 break;
             }
         }
@@ -153,7 +204,8 @@
         let Some((part, record)) = next else { break };
         if let Some(record) = record {
             let lease = store.take_lease(CRASH_RETENTION).await?;
-            if !store.write_part_quarantine(&record, lease).await? {
+            let outcome = store.write_part_quarantine(&record, lease).await;
+            if !settle_leased_write(gateway, lease, outcome).await? {
                 break;
             }
         }
@@ -166,3 +218,19 @@
     }
     Ok(())
 }
+
+/// Ends the lease of a write that had no answer, so that the write fails if it is executed later. It would bring back a refusal that was
+/// removed meanwhile.
+async fn settle_leased_write<P: Platform>(
+    gateway: &Gateway<P>,
+    lease: LeaseId,
+    outcome: Result<bool, UnavailableReason>,
+) -> Result<bool, UnavailableReason> {
+    if outcome.is_err()
+        && let Err(reason) = gateway.store().end_lease(lease).await
+    {
+        info!(gateway.log(), "lease of a write in doubt could not be ended; it will expire"; "lease" => %lease,
+            "reason" => ?reason);
+    }
+    outcome
+}
--- a/crates/bramleywind_gateway/src/gateway.rs
+++ b/crates/bramleywind_gateway/src/gateway.rs
@@ -361,7 +361,8 @@
     /// Takes one retry from the service's retry budget. Returns false if the budget is used up.
     pub fn try_retry(&self, service: &ServiceId, now: Instant) -> bool {
         let limits = self.settings.retries;
-        let extra = limits.extra_per_gateway(self.members.borrow().count());
+        let members = self.members.borrow().share_count();
+        let extra = members.map_or(0, |members| limits.extra_per_gateway(members));
         let mut budgets = self.retry_budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_default();
         budget.try_retry_within(limits.per_request(), extra, now)
--- a/crates/bramleywind_gateway/src/members.rs
+++ b/crates/bramleywind_gateway/src/members.rs
@@ -13,6 +13,7 @@
 mod processor_capacity;
 mod registry_readers;
 mod serving_set;
+mod share_count;
 
 pub use clocks::{boot_millis, unix_millis};
 pub use fleet_clock::FleetClock;
--- a/crates/bramleywind_gateway/src/members/member_registry.rs
+++ b/crates/bramleywind_gateway/src/members/member_registry.rs
@@ -11,7 +11,7 @@
 use super::{
     MemberRecord, PermitIssuers, RegistryReaders, issuer_candidate::IssuerCandidate,
     issuer_order::IssuerOrder, issuer_tracker::IssuerTracker, lender_order::lender_score,
-    serving_set::serving_set,
+    serving_set::serving_set, share_count::ShareCount,
 };
 use crate::witness::WitnessRecord;
 
@@ -49,6 +49,7 @@
     /// The instances to which callers are sent.
     serving: BTreeSet<InstanceId>,
     issuer_tracker: IssuerTracker,
+    share_count: ShareCount,
 }
 
 impl MemberRegistry {
@@ -63,6 +64,7 @@
             is_joined: false,
             serving,
             issuer_tracker: IssuerTracker::default(),
+            share_count: ShareCount::default(),
         }
     }
 
@@ -77,6 +79,8 @@
     /// accepted only after it has stayed that short for a while.
     pub fn update(&mut self, listed: Vec<MemberRecord>, now: Instant) -> bool {
         let is_joined = listed.iter().any(|member| member.instance == self.own.instance);
+        // The record of an earlier process of the instance says nothing about this one.
+        let is_own_listed = listed.iter().any(|member| member.incarnation == self.own.incarnation);
         let is_other = |member: &MemberRecord| member.instance != self.own.instance;
         let others: Vec<_> = listed.into_iter().filter(is_other).collect();
         let is_mass_loss = self.others.len() >= 2 && others.len() * 2 < self.others.len();
@@ -89,6 +93,7 @@
         self.shrunk_at = None;
         self.others = others;
         self.is_joined |= is_joined;
+        self.share_count.update(self.others.len() + 1, is_own_listed, now);
         self.update_serving();
         self.issuer_tracker.accept(self.issuer_order(), now);
         true
@@ -233,6 +238,11 @@
         self.others.iter().map(|other| other.peer_address).collect()
     }
 
+    /// Returns among how many gateways a limit of the whole fleet is divided, or `None` if this process may not use a share of it yet.
+    pub fn share_count(&self) -> Option<usize> {
+        self.share_count.get()
+    }
+
     /// Returns the number of live gateways, including this one.
     pub fn count(&self) -> usize {
         self.others.len() + 1
--- a/crates/bramleywind_gateway/src/platform_api.rs
+++ b/crates/bramleywind_gateway/src/platform_api.rs
@@ -23,6 +23,6 @@
 pub use request_head::RequestHead;
 pub use store_outcomes::{
     BudgetEntry, CommitOutcome, EntryChange, FleetListing, LeaseId, ListPage, LoadedConfig,
-    PresenceOutcome, StoreChanges,
+    MemberOutcome, PresenceOutcome, StoreChanges,
 };
 pub use wire_codec::WireCodec;
--- a/crates/bramleywind_gateway/src/platform_api/fleet_store.rs
+++ b/crates/bramleywind_gateway/src/platform_api/fleet_store.rs
@@ -5,7 +5,7 @@
 
 use super::{
     BudgetChange, BudgetEntry, CommitOutcome, EntryChange, FleetListing, LeaseId, ListPage,
-    LoadedConfig, PresenceOutcome, StoreChanges,
+    LoadedConfig, MemberOutcome, PresenceOutcome, StoreChanges,
 };
 use crate::{
     crashes::{CallFingerprint, PartQuarantine, QuarantineRecord, SharedPart},
@@ -78,12 +78,13 @@
     /// Ends a lease, which removes the entries written under it.
     async fn end_lease(&self, lease: LeaseId) -> Result<(), UnavailableReason>;
 
-    /// Adds a gateway to the member list until its lease ends. Returns `false` if the lease has already ended.
+    /// Adds a gateway to the member list until its lease ends, if its record in the store has the version `expected`.
     async fn write_member(
         &self,
         member: &MemberRecord,
         lease: LeaseId,
-    ) -> Result<bool, UnavailableReason>;
+        expected: StoreVersion,
+    ) -> Result<MemberOutcome, UnavailableReason>;
 
     /// Writes the record of a refused request until the lease ends. Returns `false` if the lease has already ended.
     async fn write_quarantine(
--- a/crates/bramleywind_gateway/src/platform_api/store_outcomes.rs
+++ b/crates/bramleywind_gateway/src/platform_api/store_outcomes.rs
@@ -128,3 +128,14 @@
     /// The answer was lost. The record may have been written, or may still be if the condition holds.
     Unknown(UnavailableReason),
 }
+
+/// The outcome of a write of a member record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemberOutcome {
+    /// The record was written and has this version.
+    Written(StoreVersion),
+    /// The record was not written, since the one in the store has this version.
+    Conflict(StoreVersion),
+    /// The record was not written, since the lease has ended.
+    LeaseEnded,
+}
--- a/crates/bramleywind_gateway/tests/members.rs
+++ b/crates/bramleywind_gateway/tests/members.rs
@@ -225,3 +225,44 @@
     registry.leave(Instant::now());
     assert!(!registry.registry_readers().others.contains(&own.peer_address));
 }
+
+/// A process that is missing from the list took the retries of the whole fleet for itself, and six processes took six times as many.
+#[test]
+fn process_that_is_not_listed_takes_no_larger_share() {
+    let start = Instant::now();
+    let mut registry = MemberRegistry::new(member(1));
+    assert_eq!(registry.share_count(), None);
+    registry.update(members(2..=6), start);
+    assert_eq!(registry.share_count(), None);
+    registry.update(members(1..=6), start);
+    assert_eq!(registry.share_count(), Some(6));
+    for second in 1..120 {
+        registry.update(Vec::new(), start + Duration::from_secs(second));
+        assert_eq!(registry.share_count(), Some(6), "after {second} s");
+    }
+}
+
+/// A process whose list shrinks must not take the shares of others that may only be missing from it.
+#[test]
+fn share_grows_after_the_window_in_which_retries_are_counted() {
+    let start = Instant::now();
+    let mut registry = MemberRegistry::new(member(1));
+    registry.update(members(1..=6), start);
+    for second in 1..=20 {
+        registry.update(members(1..=4), start + Duration::from_secs(second));
+        assert_eq!(registry.share_count(), Some(6), "after {second} s");
+    }
+    registry.update(members(1..=4), start + Duration::from_secs(21));
+    assert_eq!(registry.share_count(), Some(4));
+    registry.update(members(1..=5), start + Duration::from_secs(22));
+    assert_eq!(registry.share_count(), Some(5));
+}
+
+/// The record of the process that ran on the instance before does not show that this one is listed.
+#[test]
+fn record_of_an_earlier_process_is_not_the_own_one() {
+    let mut registry = MemberRegistry::new(member(1));
+    let earlier = MemberRecord { incarnation: IncarnationId::from_number(99), ..member(1) };
+    registry.update(vec![earlier, member(2)], Instant::now());
+    assert_eq!(registry.share_count(), None);
+}
--- a/crates/bramleywind_gateway/tests/support/budget_store.rs
+++ b/crates/bramleywind_gateway/tests/support/budget_store.rs
@@ -11,7 +11,7 @@
     members::{MemberRecord, PresenceRecord},
     platform_api::{
         BudgetChange, BudgetEntry, CommitOutcome, EntryChange, FleetListing, FleetStore, LeaseId,
-        ListPage, LoadedConfig, PresenceOutcome, StoreChanges,
+        ListPage, LoadedConfig, MemberOutcome, PresenceOutcome, StoreChanges,
     },
 };
 use bramleywind_store::{StoreVersion, UnavailableReason};
@@ -146,7 +146,8 @@
         &self,
         _member: &MemberRecord,
         _lease: LeaseId,
-    ) -> Result<bool, UnavailableReason> {
+        _expected: StoreVersion,
+    ) -> Result<MemberOutcome, UnavailableReason> {
         Err(UnavailableReason::Outage)
     }
 
