signals: a second signal to stop no longer ends a planned stop

Callers lost their streams, eight of eight, when a stopping gateway got SIGTERM again, and its grants were not handed back. Cause: the library restores the default action of a signal with its last listener, and a listener ends with the first signal. Fix: DaemonSignals (a crate of its own, for both daemons) keeps a listener of each signal until the process ends.

--- a/crates/bramleywind_gateway/src/daemon.rs
+++ b/crates/bramleywind_gateway/src/daemon.rs
@@ -6,7 +6,9 @@
     time::{Duration, Instant},
 };
 
+use async_channel::Sender;
 use bramleywind_http::{HeadLimits, HttpListener, ResponseBody};
+use bramleywind_signals::{DaemonSignals, SignalKind};
 use bramleywind_types::WorkspaceId;
 use bytes::Bytes;
 use compio::{
@@ -32,12 +34,6 @@
     state_dump::dump_state,
 };
 
-/// The signal that asks the process to stop. Its number is the same on all Unix systems.
-const SIGTERM: i32 = 15;
-
-/// The signal that announces a changed settings file.
-const SIGHUP: i32 = 1;
-
 /// How long callers may use a list of gateways. Callers have left a stopping gateway after this time.
 const ENTRY_VALIDITY: Duration = Duration::from_secs(2);
 
@@ -86,8 +82,20 @@
     };
     let store = connect(&settings, &log);
     let gateway = Rc::new(Gateway::<P>::new(settings, store, log.clone()));
-    let stop_requested = wait_for_stop(log.clone());
-    match runtime.block_on(serve_until(gateway, stop_requested)) {
+    let outcome = runtime.block_on(async {
+        let signals = DaemonSignals::register().await?;
+        let (stop, stopped) = async_channel::bounded(1);
+        // Signals are received until the process ends.
+        let _signals = compio::runtime::spawn(watch_signals(signals, stop, log.clone()));
+        let stop_requested = async move {
+            // A closed channel means that no signal can arrive any more.
+            if stopped.recv().await.is_err() {
+                pending::<()>().await;
+            }
+        };
+        serve_until(gateway, stop_requested).await
+    });
+    match outcome {
         Ok(()) => {
             info!(log, "gateway stopped");
             ExitCode::SUCCESS
@@ -186,10 +194,9 @@
     });
     let pools = compio::runtime::spawn(close_expired_connections(Rc::clone(&gateway)));
     let traffic = compio::runtime::spawn(report_traffic(Rc::clone(&gateway)));
-    let reloads = compio::runtime::spawn(log_reloads(gateway.log().clone()));
     stop_requested.await;
     drain(&gateway, &callers).await;
-    drop((config, endpoints, presence, loans, returns, pools, reloads, crash_news, part_news));
+    drop((config, endpoints, presence, loans, returns, pools, crash_news, part_news));
     drop((rate_news, traffic, ceilings, silent_holders));
     // The task ends by itself once the process has left the member list.
     membership.detach();
@@ -231,23 +238,25 @@
     info!(gateway.log(), "stopping: requests have ended"; "open_requests" => gateway.open_requests());
 }
 
-/// Waits for the signal to stop. Never completes if signals cannot be received.
-async fn wait_for_stop(log: Logger) {
-    if let Err(error) = compio::signal::unix::signal(SIGTERM).await {
-        crit!(log, "signals cannot be received"; "error" => %error);
-        pending::<()>().await;
-    }
-}
-
-/// Logs signals to reload the settings, which would otherwise end the process. The settings are not reloaded: they hold
-/// addresses and the data centre, which cannot change while the process runs.
-async fn log_reloads(log: Logger) {
+/// Requests a planned stop at the first signal to stop. Later ones change nothing. The settings are not reloaded: they hold addresses and
+/// the data centre, which cannot change while the process runs.
+async fn watch_signals(mut signals: DaemonSignals, stop: Sender<()>, log: Logger) {
+    let mut stop_count = 0_u32;
     loop {
-        match compio::signal::unix::signal(SIGHUP).await {
-            Ok(()) => info!(log, "reload asked for; the settings in use stay"),
+        match signals.next().await {
+            Ok(SignalKind::Stop) => {
+                stop_count = stop_count.saturating_add(1);
+                if stop_count == 2 {
+                    info!(log, "asked to stop again; the stop under way goes on");
+                }
+                // A full channel means that the stop was requested already.
+                let _ = stop.try_send(());
+            }
+            Ok(SignalKind::Reload) => info!(log, "reload asked for; the settings in use stay"),
             Err(error) => {
                 crit!(log, "signals cannot be received"; "error" => %error);
-                return;
+                // The sender is kept, since its end would not be a request to stop.
+                pending::<()>().await;
             }
         }
     }
--- a/crates/bramleywind_harness/src/child_process.rs
+++ b/crates/bramleywind_harness/src/child_process.rs
@@ -31,6 +31,10 @@
     Continue,
     /// Asks the process to shut down gracefully.
     Terminate,
+    /// Asks the process to shut down gracefully, as from a terminal.
+    Interrupt,
+    /// Asks the process to reload its settings.
+    HangUp,
 }
 
 /// A process that this program started. Dropping the value kills the process by its id.
@@ -124,6 +128,8 @@
             ProcessSignal::Pause => Signal::STOP,
             ProcessSignal::Continue => Signal::CONT,
             ProcessSignal::Terminate => Signal::TERM,
+            ProcessSignal::Interrupt => Signal::INT,
+            ProcessSignal::HangUp => Signal::HUP,
         };
         if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
             // This fails if the process has ended since the check, and then there is nothing to signal.
--- a/crates/bramleywind_router/src/daemon.rs
+++ b/crates/bramleywind_router/src/daemon.rs
@@ -1,15 +1,13 @@
 use std::{future::pending, process::ExitCode};
 
 use bramleywind_settings::DaemonSettings;
+use bramleywind_signals::{DaemonSignals, SignalKind};
 use compio::runtime::Runtime;
 use futures_util::future::{Either, select};
 use slog::{crit, info};
 
 use crate::{Args, Router, RouterOptions, RouterState, new_logger};
 
-/// The number of the termination signal, the same on all Unix systems.
-const SIGTERM: i32 = 15;
-
 /// Runs the daemon until it has drained. Returns exit status 0 after a drain, and 1 if the daemon could not start.
 #[allow(clippy::print_stderr, reason = "the logger is created from the settings")]
 pub fn run_daemon(args: &Args) -> ExitCode {
@@ -33,6 +31,13 @@
         }
     };
     runtime.block_on(async {
+        let signals = match DaemonSignals::register().await {
+            Ok(signals) => signals,
+            Err(error) => {
+                crit!(log, "signals cannot be received"; "error" => %error);
+                return ExitCode::FAILURE;
+            }
+        };
         let options = RouterOptions::new(settings, log.clone());
         let options = RouterOptions { allow_test_faults: args.allow_test_faults, ..options };
         let router = match Router::start(options).await {
@@ -45,7 +50,7 @@
         info!(log, "router started"; "caller_address" => %router.caller_address(),
             "operator_address" => %router.operator_address());
         let drain = std::pin::pin!(router.wait_for_drain());
-        let drain_signals = std::pin::pin!(drain_on_signal(router.state()));
+        let drain_signals = std::pin::pin!(drain_on_signal(signals, router.state()));
         match select(drain, drain_signals).await {
             Either::Left(((), _)) | Either::Right(((), _)) => {}
         }
@@ -54,16 +59,18 @@
     })
 }
 
-/// Begins the drain on each signal. Never returns; the daemon exits when the drain has ended.
-async fn drain_on_signal(state: &RouterState) {
+/// Begins the drain on the first signal to stop; later ones change nothing. Never returns; the daemon exits when the drain has ended.
+async fn drain_on_signal(mut signals: DaemonSignals, state: &RouterState) {
     loop {
-        let terminated = std::pin::pin!(compio::signal::unix::signal(SIGTERM));
-        let interrupted = std::pin::pin!(compio::signal::ctrl_c());
-        let result = select(terminated, interrupted).await.factor_first().0;
-        if let Err(error) = result {
-            crit!(state.log, "signals cannot be received"; "error" => %error);
-            pending::<()>().await;
+        match signals.next().await {
+            Ok(SignalKind::Stop) => state.begin_drain("signal"),
+            Ok(SignalKind::Reload) => {
+                info!(state.log, "reload asked for; the settings in use stay");
+            }
+            Err(error) => {
+                crit!(state.log, "signals cannot be received"; "error" => %error);
+                pending::<()>().await;
+            }
         }
-        state.begin_drain("signal");
     }
 }
