funds: the clock since the boot bounds what a killed process can have spent

Fix: a record states its time since the boot, and a successor on the instance takes the larger of both ages. The successor of a witness leaves the tokens to the successor of the holder while that answers.

--- a/crates/bramleywind_gateway/src/background/maintain_presence.rs
+++ b/crates/bramleywind_gateway/src/background/maintain_presence.rs
@@ -14,7 +14,7 @@
 use crate::{
     funds::{EndedProcess, SpentBound, TakeoverOutcome},
     gateway::{Gateway, StopPhase},
-    members::{PresenceRecord, boot_millis, unix_millis},
+    members::{BootTime, PresenceRecord, boot_millis, unix_millis},
     platform_api::{FleetStore, Platform, PresenceOutcome},
     witness::WitnessRecord,
 };
@@ -54,9 +54,10 @@
 /// Takes over from the instance's earlier process, and then writes presence records until this process leaves.
 pub(crate) async fn maintain_presence<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut tracker = DependencyTracker::new("presence records", gateway.log());
+    let started_at = BootTime::now();
     let started_at_ms = boot_millis();
     loop {
-        match take_over_predecessor(&gateway, started_at_ms).await {
+        match take_over_predecessor(&gateway, &started_at, started_at_ms).await {
             Ok(outcome) => {
                 info!(gateway.log(), "takeover from the instance's earlier process"; "outcome" => ?outcome);
                 if outcome != TakeoverOutcome::PresenceChanged {
@@ -161,6 +162,7 @@
         written_at_ms,
         witness: witness.clone(),
         is_closed: false,
+        boot_time: BootTime::now(),
     };
     if !record.is_useful(members.count()) {
         return None;
@@ -224,12 +226,13 @@
 /// boot.
 async fn take_over_predecessor<P: Platform>(
     gateway: &Gateway<P>,
+    started_at: &BootTime,
     started_at_ms: u64,
 ) -> Result<TakeoverOutcome, UnavailableReason> {
     let Some(predecessor) = find_predecessor(gateway).await? else {
         return Ok(TakeoverOutcome::NothingToTake);
     };
-    let Some(bound) = spent_bound(gateway, &predecessor, started_at_ms).await else {
+    let Some(bound) = spent_bound(gateway, &predecessor, started_at, started_at_ms).await else {
         return Ok(TakeoverOutcome::AgeUnknown);
     };
     let incarnation = predecessor.record.incarnation;
@@ -248,6 +251,7 @@
 async fn spent_bound<P: Platform>(
     gateway: &Gateway<P>,
     predecessor: &Predecessor,
+    started_at: &BootTime,
     started_at_ms: u64,
 ) -> Option<SpentBound> {
     let record = &predecessor.record;
@@ -264,8 +268,15 @@
             }
         }
     }
-    let age = record_age(gateway, record.written_at_ms?, &predecessor.peers, started_at_ms).await?;
-    Some(SpentBound::Age(age))
+    let by_clocks = match record.written_at_ms {
+        Some(written_at_ms) => {
+            record_age(gateway, written_at_ms, &predecessor.peers, started_at_ms).await
+        }
+        None => None,
+    };
+    let by_boot = started_at.since(&record.boot_time);
+    info!(gateway.log(), "age of the earlier process's record judged"; "by_clocks" => ?by_clocks, "by_boot" => ?by_boot);
+    SpentBound::from_ages(by_clocks, by_boot)
 }
 
 /// Returns the presence record of the instance's earlier process, if there is one.
--- a/crates/bramleywind_gateway/src/background/return_silent_holders.rs
+++ b/crates/bramleywind_gateway/src/background/return_silent_holders.rs
@@ -95,6 +95,10 @@
     for presence in stored.iter().filter(is_orphan) {
         let (_, record, _) = presence;
         let Some(written_at_ms) = record.written_at_ms else { continue };
+        // The process is alive, or has a successor on its instance, which knows more.
+        if gateway.funds().loan_client().fetch_time(record.peer_address).await.is_some() {
+            continue;
+        }
         let age = record_age(gateway, written_at_ms, &peers, started_at_ms).await;
         let Some(age) = age else {
             is_complete = false;
--- a/crates/bramleywind_gateway/src/funds/takeover.rs
+++ b/crates/bramleywind_gateway/src/funds/takeover.rs
@@ -35,6 +35,15 @@
 }
 
 impl SpentBound {
+    /// Returns the bound that follows from two judgements of the age of a process's presence record: by the times of day of most instances,
+    /// and by the clock that counts from the boot of its own. `None` if neither is known.
+    ///
+    /// Most times of day may have stepped back, and a boot that the system does not name may have gone unnoticed. Either makes an age too
+    /// small, so the larger one holds.
+    pub fn from_ages(by_clocks: Option<Duration>, by_boot: Option<Duration>) -> Option<Self> {
+        by_clocks.max(by_boot).map(Self::Age)
+    }
+
     fn max_spent(&self, workspace: &WorkspaceId, grant: HolderGrant) -> TokenCount {
         match self {
             Self::Age(age) => {
--- a/crates/bramleywind_gateway/src/members.rs
+++ b/crates/bramleywind_gateway/src/members.rs
@@ -1,5 +1,6 @@
 //! The gateways that are alive according to the store's leases, and the clocks that they compare.
 
+mod boot_time;
 mod clocks;
 mod fleet_clock;
 mod issuer_candidate;
@@ -15,6 +16,7 @@
 mod serving_set;
 mod share_count;
 
+pub use boot_time::BootTime;
 pub use clocks::{boot_millis, unix_millis};
 pub use fleet_clock::FleetClock;
 pub use lender_order::lender_order;
--- a/crates/bramleywind_gateway/src/members/presence_record.rs
+++ b/crates/bramleywind_gateway/src/members/presence_record.rs
@@ -3,7 +3,7 @@
 use bramleywind_macros::domain_type;
 use bramleywind_types::IncarnationId;
 
-use super::fleet_clock::MIN_CLOCKS;
+use super::{BootTime, fleet_clock::MIN_CLOCKS};
 use crate::witness::WitnessRecord;
 
 /// A gateway's statement that it has spent no standby tokens so far. The record outlasts the process.
@@ -20,6 +20,8 @@
     pub witness: Option<WitnessRecord>,
     /// Whether another process returns the writer's tokens. The ceilings are not raised any more.
     pub is_closed: bool,
+    /// The time of writing by the clock that counts from the boot of the writer's instance, which no step of the time of day changes.
+    pub boot_time: BootTime,
 }
 
 /// A [`PresenceRecord`] of a build that names no witness.
@@ -33,7 +35,15 @@
 impl From<EarlierPresenceRecord> for PresenceRecord {
     fn from(earlier: EarlierPresenceRecord) -> Self {
         let EarlierPresenceRecord { incarnation, peer_address, written_at_ms } = earlier;
-        Self { incarnation, peer_address, written_at_ms, witness: None, is_closed: false }
+        let boot_time = BootTime::default();
+        Self {
+            incarnation,
+            peer_address,
+            written_at_ms,
+            witness: None,
+            is_closed: false,
+            boot_time,
+        }
     }
 }
 
@@ -42,7 +52,7 @@
     /// successor, so it replaces none with a time; a fleet with too few clocks has no others.
     ///
     /// ```
-    /// use bramleywind_gateway::members::PresenceRecord;
+    /// use bramleywind_gateway::members::{BootTime, PresenceRecord};
     /// use bramleywind_types::IncarnationId;
     ///
     /// let record = PresenceRecord {
@@ -51,6 +61,7 @@
     ///     written_at_ms: None,
     ///     witness: None,
     ///     is_closed: false,
+    ///     boot_time: BootTime::default(),
     /// };
     /// assert!(!record.is_useful(6));
     /// assert!(record.is_useful(1));
--- a/crates/bramleywind_gateway/tests/support/budget_store.rs
+++ b/crates/bramleywind_gateway/tests/support/budget_store.rs
@@ -8,7 +8,7 @@
 use bramleywind_gateway::{
     crashes::{CallFingerprint, PartQuarantine, QuarantineRecord, SharedPart},
     funds::BudgetRecord,
-    members::{MemberRecord, PresenceRecord},
+    members::{BootTime, MemberRecord, PresenceRecord},
     platform_api::{
         BudgetChange, BudgetEntry, CommitOutcome, EntryChange, FleetListing, FleetStore, LeaseId,
         ListPage, LoadedConfig, MemberOutcome, PresenceOutcome, StoreChanges,
@@ -116,6 +116,7 @@
             written_at_ms: Some(1),
             witness: None,
             is_closed: false,
+            boot_time: BootTime::default(),
         };
         let version = StoreVersion(self.presence_version.get());
         Ok(vec![("front-1".parse().unwrap(), record, version)])
