--- a/crates/bramleywind_gateway/src/funds/takeover.rs
+++ b/crates/bramleywind_gateway/src/funds/takeover.rs
@@ -60,7 +60,7 @@
 impl fmt::Display for SpentBound {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Age(age) => write!(f, "record of {} ms", age.as_millis()),
+            Self::Age(age) => write!(f, "a record {} ms old", age.as_millis()),
             Self::Ceilings(ceilings) => write!(f, "ceilings of {} budgets", ceilings.len()),
         }
     }
--- a/crates/bramleywind_gateway/src/gateway/witness_handling.rs
+++ b/crates/bramleywind_gateway/src/gateway/witness_handling.rs
@@ -126,8 +126,11 @@
         match self.funds.loan_client().ask_witness(witness.peer_address, &request).await {
             Ok(WitnessReply::Confirmed) => true,
             outcome => {
-                info!(self.log, "ceilings not confirmed"; "witness" => %witness.instance,
-                    "incarnation" => %witness.incarnation, "error" => outcome.err().as_deref());
+                // Further failures in a row are repeated several times a second, and say no more.
+                if !self.holder_link.borrow().has_failed() {
+                    info!(self.log, "ceilings not confirmed"; "witness" => %witness.instance,
+                        "incarnation" => %witness.incarnation, "error" => outcome.err().as_deref());
+                }
                 false
             }
         }
--- a/crates/bramleywind_gateway/src/witness/holder_link.rs
+++ b/crates/bramleywind_gateway/src/witness/holder_link.rs
@@ -57,6 +57,11 @@
         self.failures >= MAX_FAILURES
     }
 
+    /// Returns whether the last message to the witness was not confirmed.
+    pub fn has_failed(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Records whether the witness has confirmed a message.
     pub fn record_answer(&mut self, is_confirmed: bool) {
         self.failures = if is_confirmed { 0 } else { self.failures.saturating_add(1) };
