funds: ages of different boots say nothing about each other

Callers were refused after a loss of power although tokens were unspent. Cause: a boot of which the system does not tell (no other name, a clock that begins at another value) made records 13 s old look eleven hours old, and the larger age held. Test: larger_age_of_one_boot_holds, case 'boot in between'; the code before gives 39,672 s.

--- a/crates/bramleywind_gateway/src/funds/takeover.rs
+++ b/crates/bramleywind_gateway/src/funds/takeover.rs
@@ -25,6 +25,9 @@
     AgeUnknown,
 }
 
+/// The largest step of a time of day. Clocks are kept close to the true time, and step by seconds.
+const MAX_CLOCK_STEP: Duration = Duration::from_secs(60);
+
 /// What is known of the tokens that a process can have spent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SpentBound {
@@ -38,10 +41,16 @@
     /// Returns the bound that follows from two judgements of the age of a process's presence record: by the times of day of most instances,
     /// and by the clock that counts from the boot of its own. `None` if neither is known.
     ///
-    /// Most times of day may have stepped back, and a boot that the system does not name may have gone unnoticed. Either makes an age too
-    /// small, so the larger one holds.
+    /// Most times of day may have stepped back, which makes an age too small, so the larger one holds. Ages that differ by more than any step
+    /// belong to different boots, of which the system has not told, and say nothing about each other.
     pub fn from_ages(by_clocks: Option<Duration>, by_boot: Option<Duration>) -> Option<Self> {
-        by_clocks.max(by_boot).map(Self::Age)
+        let age = match (by_clocks, by_boot) {
+            (Some(by_clocks), Some(by_boot)) if by_clocks.abs_diff(by_boot) <= MAX_CLOCK_STEP => {
+                by_clocks.max(by_boot)
+            }
+            (by_clocks, by_boot) => by_clocks.or(by_boot)?,
+        };
+        Some(Self::Age(age))
     }
 
     fn max_spent(&self, workspace: &WorkspaceId, grant: HolderGrant) -> TokenCount {
--- a/crates/bramleywind_gateway/tests/ended_process.rs
+++ b/crates/bramleywind_gateway/tests/ended_process.rs
@@ -76,11 +76,16 @@
 
 /// The times of day of most instances had stepped back while the store was away, and tokens were returned that had been spent.
 #[test_case(Some(2_260), Some(4_100), Some(4_100); "times of day stepped back")]
-#[test_case(Some(4_100), Some(900), Some(4_100); "boot in between")]
+#[test_case(Some(4_100), Some(900), Some(4_100); "times of day stepped ahead")]
+#[test_case(Some(1_600), Some(39_672_101), Some(1_600); "boot in between")]
 #[test_case(None, Some(4_100), Some(4_100); "too few times of day")]
 #[test_case(Some(4_100), None, Some(4_100); "another boot")]
 #[test_case(None, None, None; "nothing known")]
-fn larger_age_holds(by_clocks: Option<u64>, by_boot: Option<u64>, expected: Option<u64>) {
+fn larger_age_of_one_boot_holds(
+    by_clocks: Option<u64>,
+    by_boot: Option<u64>,
+    expected: Option<u64>,
+) {
     let age = |millis: Option<u64>| millis.map(Duration::from_millis);
     let bound = SpentBound::from_ages(age(by_clocks), age(by_boot));
     assert_eq!(bound, age(expected).map(SpentBound::Age));
